Hold more requests at targets while others wait

Change: one or two requests more per target under queue pressure; travel allowance rounded; residual run time and overdue requests in the score; the policy table with its bounds.

--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -17,6 +17,19 @@
 	stragglerPatient = time.Second
 )
 
+// Weights of a target's score.
+const (
+	// patience is how many usual latencies a target's answer may take before waiting for another target is better.
+	patience   = 2.0
+	loadWeight = 0.1
+	tieWeight  = 0.02
+	// unknownLatency is taken in seconds for a target before anything is known.
+	unknownLatency = 1e-3
+	// usualGain is the weight of one latency in the service's usual one, which counts outliers only up to clipRatio.
+	usualGain = 0.02
+	clipRatio = 3
+)
+
 // Index names a target of a Router until its targets are next set.
 type Index int
 
@@ -195,15 +208,16 @@
 func (r *Router) Pick(now time.Duration, queued int, avoid Index) Index {
 	best, bestScore := None, 0.0
 	capacity, busy := 0, 0
+	extra := r.pressure(queued)
 	for i, t := range r.targets {
 		limit := t.limit(now, r.usual, r.config.Overcommit)
 		capacity += limit
 		busy += len(t.starts)
-		if limit <= len(t.starts) || Index(i) == avoid {
+		if limit == 0 || Index(i) == avoid {
 			continue
 		}
 		load := t.load(now)
-		if load >= float64(limit) && len(t.starts) > 0 {
+		if len(t.starts) >= limit+extra || load >= float64(limit+extra) && len(t.starts) > 0 {
 			continue
 		}
 		if score := r.score(now, t, load); best == None || score < bestScore {
@@ -214,21 +228,33 @@
 		return best
 	}
 	wait := r.usual * float64(queued+1) / float64(capacity)
-	if bestScore > 2*r.usual+wait {
+	if bestScore > patience*r.usual+wait {
 		return None
 	}
 	return best
 }
 
+// pressure returns how many more requests than usual a target may hold while others wait:
+// a slot that idles while an answer travels costs more then than a short wait at the target.
+func (r *Router) pressure(queued int) int {
+	if queued == 0 {
+		return 0
+	}
+	return 1 + min(1, queued/(2*len(r.targets)))
+}
+
 // score returns the expected time to an answer in seconds, with a small random part to break ties.
 func (r *Router) score(now time.Duration, t *target, load float64) float64 {
 	estimate := t.estimate(now, r.usual)
 	if estimate == 0 {
-		estimate = 1e-3
+		estimate = unknownLatency
 	}
 	slots := float64(t.spec.Slots)
-	over := max(0, load+1-slots) / slots
-	return estimate * (1 + over + 0.1*load/slots + 0.02*r.config.Random.Float64())
+	wait := 0.0
+	if over := load + 1 - slots; over > 0 {
+		wait = t.untilFree(now, estimate) + estimate*(over-1)/slots
+	}
+	return wait + estimate*(1+loadWeight*load/slots+tieWeight*r.config.Random.Float64())
 }
 
 // Start notes that a request was handed to a target.
@@ -267,7 +293,7 @@
 		r.usual = latency
 		return
 	}
-	r.usual += (min(latency, 3*r.usual) - r.usual) * 0.02
+	r.usual += (min(latency, clipRatio*r.usual) - r.usual) * usualGain
 }
 
 // TakeReport takes in a target's own word and reports whether it was believed.
--- a/internal/route/target.go
+++ b/internal/route/target.go
@@ -79,6 +79,20 @@
 	doubtTime      = 10 * time.Second
 )
 
+// Weights of the latency estimate.
+const (
+	// fastGain and slowGain are the least weights of one new latency in the two means.
+	fastGain = 0.3
+	slowGain = 0.02
+	// fastShare is how far the estimate follows the fast mean while that is new.
+	fastShare = 0.5
+	// overdueAfter is the age of a request in flight, in expected latencies, from which it makes the target look slow.
+	overdueAfter  = 1.2
+	overdueWeight = 0.3
+	// leastResidual is the least part of a run that is taken to be left.
+	leastResidual = 0.25
+)
+
 // weight returns how much knowledge of an age still counts, from 1 down to 0.
 func weight(age, horizon time.Duration) float64 {
 	if age <= 0 {
@@ -97,8 +111,8 @@
 		return
 	}
 	age := now - t.updated
-	t.fast += (latency - t.fast) * max(0.3, 1-weight(age, fastHorizon))
-	t.slow += (latency - t.slow) * max(0.02, 1-weight(age, slowHorizon))
+	t.fast += (latency - t.fast) * max(fastGain, 1-weight(age, fastHorizon))
+	t.slow += (latency - t.slow) * max(slowGain, 1-weight(age, slowHorizon))
 	t.updated = now
 }
 
@@ -109,7 +123,7 @@
 	}
 	age := now - t.updated
 	steady := usual + (t.slow-usual)*weight(age, slowHorizon)
-	expected := steady + (t.fast-steady)*0.5*weight(age, fastHorizon)
+	expected := steady + (t.fast-steady)*fastShare*weight(age, fastHorizon)
 	return max(expected, t.overdue(now, expected))
 }
 
@@ -117,13 +131,22 @@
 func (t *target) overdue(now time.Duration, expected float64) float64 {
 	var late float64
 	for _, start := range t.starts {
-		if age := (now - start).Seconds(); age > 2*expected {
-			late += age - 2*expected
+		if age := (now - start).Seconds(); age > overdueAfter*expected {
+			late += overdueWeight * (age - overdueAfter*expected)
 		}
 	}
 	return expected + late
 }
 
+// untilFree returns the time in seconds until the oldest request in flight should end.
+func (t *target) untilFree(now time.Duration, estimate float64) float64 {
+	oldest := now
+	for _, start := range t.starts {
+		oldest = min(oldest, start)
+	}
+	return max(estimate*leastResidual, estimate-(now-oldest).Seconds())
+}
+
 // load returns own and others' requests on the target.
 func (t *target) load(now time.Duration) float64 {
 	foreign := t.foreign * weight(now-t.foreignAt, foreignHorizon)
@@ -152,7 +175,7 @@
 	if trip <= 0 || usual <= trip {
 		return 0
 	}
-	return int(math.Ceil(float64(t.spec.Slots) * trip / (usual - trip) * 0.5))
+	return int(math.Round(float64(t.spec.Slots) * trip / (usual - trip)))
 }
 
 func (t *target) finish(start time.Duration) {
