Prove at most once under faults in pairs

Cause: nothing yet held claims, passing on and sealed tables against failures. Change: an in-memory network in virtual time and a soak that sends each key again and twice at a time through hosts that crash, stop, go silent or part, while backend servers break, cut, delay and refuse and the store is down, slow or loses writes. Before: the soak refused keys as not run that had run, since the fingerprint held the host field and a resend through another host names that one; a host without a note refused keyed requests as not run; a lease asked for under a lock blocked all plain keys while the store was slow. A refused key with a grant now stays refused, so that an earlier send still on its way cannot run later; a sealed table no longer answers for keys that it had dropped.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	go build -o briarcroft ./cmd/briarcroft
 
 test:
-	go test $(TESTFLAGS) ./...
+	go test ./...
 
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
@@ -22,7 +22,7 @@
 	go test ./... -run '^$$' -bench . -benchmem -count 1
 
 bounds:
-	BRIARCROFT_FULL=1 go test $(TESTFLAGS) ./internal/admission ./internal/host -run 'Table$$|Bound$$' -count 1 -v
+	BRIARCROFT_FULL=1 go test ./internal/admission ./internal/host -run 'Table$$|Bound$$' -count 1 -v
 
 soak:
-	BRIARCROFT_SOAK=$(REQUESTS) BRIARCROFT_SEED=$(SEED) go test ./internal/claim -run Soak -count 1 -v -timeout 60m
+	BRIARCROFT_SOAK=$(REQUESTS) BRIARCROFT_SEED=$(SEED) go test ./internal/entry -run AtMostOnceSoak -count 1 -v -timeout 60m
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -32,8 +32,13 @@
 	Address        string
 	MaxConnections int
 	DialTimeout    time.Duration
+	// Dial opens connections; nil means TCP.
+	Dial DialFunc
 }
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Pool holds the connections of one entry host to one target.
 type Pool struct {
 	config    Config
@@ -54,10 +59,13 @@
 
 // New returns a pool and the function that closes its idle connections.
 func New(c Config) (*Pool, func()) {
-	dialer := net.Dialer{Timeout: c.DialTimeout, KeepAlive: 15 * time.Second}
+	if c.Dial == nil {
+		dialer := net.Dialer{Timeout: c.DialTimeout, KeepAlive: 15 * time.Second}
+		c.Dial = dialer.DialContext
+	}
 	p := &Pool{config: c}
 	p.transport = &http.Transport{
-		DialContext:        dialer.DialContext,
+		DialContext:        c.Dial,
 		DisableCompression: true,
 		ReadBufferSize:     4 << 10,
 		WriteBufferSize:    4 << 10,
@@ -189,7 +197,9 @@
 	p.open++
 	p.mu.Unlock()
 	start := time.Now()
-	client, err := p.transport.NewClientConn(ctx, "http", p.config.Address)
+	dialing, cancel := context.WithTimeout(ctx, p.config.DialTimeout)
+	defer cancel()
+	client, err := p.transport.NewClientConn(dialing, "http", p.config.Address)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -42,6 +43,8 @@
 	Seeds  []string
 	Domain string
 	Seed   uint64
+	// Dial opens connections; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client sends requests to services through entry hosts. It is safe for concurrent use.
@@ -60,7 +63,7 @@
 
 // New returns a client and the function that closes its connections.
 func New(c Config) (*Client, func()) {
-	t := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
+	t := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true, DialContext: c.Dial}
 	client := &Client{config: c, transport: t, random: rand.New(rand.NewPCG(c.Seed, 3)), answers: map[string]kept{}}
 	return client, t.CloseIdleConnections
 }
--- a/internal/claim/sealed.go
+++ b/internal/claim/sealed.go
@@ -14,8 +14,19 @@
 	Answer      Answer
 }
 
-// Export returns everything the table knows and how long it is worth keeping; call it after the channel of Seal closed.
-func (t *Table) Export(now time.Duration) ([]SealedEntry, time.Duration) {
+// Handover is everything that a sealed incarnation knows.
+type Handover struct {
+	Host        string
+	Incarnation uint64
+	// SealedAt is the sealed host's own clock.
+	SealedAt time.Duration
+	// Keep is how long the table is worth keeping.
+	Keep    time.Duration
+	Entries []SealedEntry
+}
+
+// Export returns everything the table knows; call it after the channel of Seal closed.
+func (t *Table) Export(now time.Duration) Handover {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
@@ -27,12 +38,14 @@
 			s.Outcome, s.Kept, s.Answer = Ran, true, e.answer
 		case tooLarge:
 			s.Outcome = Ran
+		case refused:
+			s.Outcome = NotRun
 		case running, lost:
 			s.Outcome = Unknown
 		}
 		list = append(list, s)
 	}
-	return list, t.config.Window + t.config.LongestRun
+	return Handover{t.config.Host, t.config.Incarnation, now, t.config.Window + t.config.LongestRun, list}
 }
 
 type incarnation struct {
@@ -43,6 +56,8 @@
 type sealedTable struct {
 	entries map[string]SealedEntry
 	expires time.Duration
+	// oldest is the issue time of the oldest grant that the table still knew everything of.
+	oldest int64
 }
 
 // Sealed holds the tables of incarnations that will never run a request again. It is safe for concurrent use.
@@ -64,23 +79,23 @@
 }
 
 // Put stores the whole table of a sealed incarnation and reports whether there was room.
-func (s *Sealed) Put(now time.Duration, host string, number uint64, entries []SealedEntry, keep time.Duration) bool {
+func (s *Sealed) Put(now time.Duration, h Handover) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sweep(now)
-	id := incarnation{host, number}
+	id := incarnation{h.Host, h.Incarnation}
 	if _, held := s.tables[id]; held {
 		return true
 	}
-	if s.size+len(entries) > s.limit {
+	if s.size+len(h.Entries) > s.limit {
 		return false
 	}
-	t := sealedTable{make(map[string]SealedEntry, len(entries)), now + keep}
-	for _, e := range entries {
+	t := sealedTable{make(map[string]SealedEntry, len(h.Entries)), now + h.Keep, milliseconds(h.SealedAt - h.Keep)}
+	for _, e := range h.Entries {
 		t.entries[e.Key] = e
 	}
 	s.tables[id] = t
-	s.size += len(entries)
+	s.size += len(h.Entries)
 	return true
 }
 
@@ -96,12 +111,16 @@
 	}
 	e, known := t.entries[k.String()]
 	switch {
+	case !known && k.Grant.Issued <= t.oldest:
+		return Refusal{Unknown, ReasonForgotten, 0}, true
 	case !known:
 		return Refusal{NotRun, ReasonSealed, 0}, true
 	case e.Fingerprint != fingerprint:
 		return Refusal{NotRun, ReasonDifferent, 0}, true
 	case e.Kept:
 		return Kept{e.Answer}, true
+	case e.Outcome == NotRun:
+		return Refusal{NotRun, ReasonRefused, 0}, true
 	case e.Outcome == Ran:
 		return Refusal{Ran, ReasonTooLarge, 0}, true
 	}
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -28,6 +28,8 @@
 	answered
 	tooLarge
 	lost
+	// refused keys were not run and never will be, so that an earlier send still on its way cannot run after a NotRun.
+	refused
 )
 
 type entry struct {
@@ -83,19 +85,45 @@
 		return Refusal{NotRun, ReasonGrantExpired, 0}
 	case t.sealed:
 		return Refusal{NotRun, ReasonSealed, 0}
+	case len(t.entries) >= 2*t.config.MaxEntries:
+		return Refusal{Unknown, ReasonTableFull, fullRetry}
 	case len(t.entries) >= t.config.MaxEntries:
+		e := t.add(k, fingerprint)
+		t.refuse(k, e)
 		return Refusal{NotRun, ReasonTableFull, fullRetry}
 	}
 	t.add(k, fingerprint)
 	return Run{}
 }
 
-func (t *Table) add(k Key, fingerprint uint64) {
+// add notes a run that begins now.
+func (t *Table) add(k Key, fingerprint uint64) *entry {
 	expires := (k.Grant.Issued+milliseconds(t.config.Window+t.config.LongestRun))/1000 + 1
 	text := k.String()
-	t.entries[text] = &entry{state: running, fingerprint: fingerprint, done: make(chan struct{}), expires: expires}
+	e := &entry{state: running, fingerprint: fingerprint, done: make(chan struct{}), expires: expires}
+	t.entries[text] = e
 	t.expiring[expires] = append(t.expiring[expires], text)
 	t.active++
+	return e
+}
+
+// refuse ends a run that was never handed over. A key with a grant stays refused for good, and its caller takes a new one;
+// a plain key may begin again, since callers send plain keys again unchanged.
+func (t *Table) refuse(k Key, e *entry) {
+	e.state = refused
+	if k.Plain {
+		delete(t.entries, k.String())
+	}
+	t.end(e)
+}
+
+// end counts a run as ended and wakes those who joined it.
+func (t *Table) end(e *entry) {
+	close(e.done)
+	t.active--
+	if t.sealed && t.active == 0 {
+		close(t.idle)
+	}
 }
 
 func (e *entry) verdict(fingerprint uint64) Verdict {
@@ -109,12 +137,14 @@
 		return Kept{e.answer}
 	case tooLarge:
 		return Refusal{Ran, ReasonTooLarge, 0}
+	case refused:
+		return Refusal{NotRun, ReasonRefused, 0}
 	case lost:
 	}
 	return Refusal{Unknown, ReasonInterrupted, 0}
 }
 
-// Finish ends a run; a request that was never handed over may begin again.
+// Finish ends a run.
 func (t *Table) Finish(k Key, end End) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -124,17 +154,14 @@
 	}
 	switch end := end.(type) {
 	case NeverHanded:
-		delete(t.entries, k.String())
+		t.refuse(k, e)
+		return
 	case Lost:
 		e.state = lost
 	case Answered:
 		t.keep(e, end)
 	}
-	close(e.done)
-	t.active--
-	if t.sealed && t.active == 0 {
-		close(t.idle)
-	}
+	t.end(e)
 }
 
 func (t *Table) keep(e *entry, end Answered) {
--- a/internal/claim/verdict.go
+++ b/internal/claim/verdict.go
@@ -29,6 +29,7 @@
 	ReasonInterrupted  Reason = "AnswerWasLost"
 	ReasonTooLarge     Reason = "AnswerTooLargeToKeep"
 	ReasonForgotten    Reason = "KeyTooOld"
+	ReasonRefused      Reason = "KeyWasRefused"
 )
 
 // Field is one header field of an answer.
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -13,6 +13,7 @@
 // Times of the duties.
 const (
 	tickEvery        = 5 * time.Millisecond
+	idleTickEvery    = 50 * time.Millisecond
 	heartbeatTimeout = 450 * time.Millisecond
 	hostListEvery    = 2 * time.Second
 	noteEvery        = time.Second
@@ -74,8 +75,12 @@
 
 // tickDuty runs the timers of the services.
 func (h *Host) tickDuty(ctx context.Context) {
-	for sleep(ctx, tickEvery) {
-		h.steering.Tick()
+	wait := tickEvery
+	for sleep(ctx, wait) {
+		wait = idleTickEvery
+		if h.steering.Tick() {
+			wait = tickEvery
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/entry/fleet_test.go
@@ -0,0 +1,301 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"briarcroft/internal/caller"
+	"briarcroft/internal/note"
+	"briarcroft/internal/platform"
+	"briarcroft/internal/platform/standin"
+	"briarcroft/internal/settings"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// fleet is a set of entry hosts, backend servers and a platform on an in-memory network, in virtual time.
+type fleet struct {
+	is      *is.I
+	net     *network
+	store   *standin.Standin
+	archive *note.Archive
+	nodes   map[string]*node
+	order   []string
+	servers []*http.Server
+	closers []func()
+	caller  *caller.Client
+	limits  func(*settings.Settings)
+	running sync.WaitGroup
+}
+
+// node is one entry host.
+type node struct {
+	host          *Host
+	listen, inner string
+	domain        string
+	stop, force   context.CancelFunc
+	done          chan error
+	close         func()
+}
+
+// storeURL is where the stand-in listens.
+const (
+	storeAddress = "10.1.0.1:2379"
+	storeURL     = "http://" + storeAddress
+)
+
+// inFleet runs a test in virtual time with a platform and no hosts yet.
+func inFleet(t *testing.T, run func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{is: is.New(t), net: newNetwork(), store: standin.New(), nodes: map[string]*node{}}
+		f.serve("store", storeAddress, f.store)
+		client, closeClient := f.openStore("operator")
+		f.closers = append(f.closers, closeClient)
+		f.archive = note.NewArchive(note.ArchiveConfig{Store: client})
+		defer f.close()
+		run(f)
+	})
+}
+
+func (f *fleet) openStore(node string) (*platform.Etcd, func()) {
+	return platform.NewEtcd(platform.EtcdConfig{URL: storeURL, Timeout: time.Second, Dial: f.net.dialer(node)})
+}
+
+// serve runs an HTTP server of a node and returns its address.
+func (f *fleet) serve(node, address string, handler http.Handler) string {
+	l := f.net.listen(node, address)
+	server := &http.Server{Handler: handler}
+	f.servers = append(f.servers, server)
+	f.running.Go(func() { _ = server.Serve(l) })
+	return l.Addr().String()
+}
+
+func (f *fleet) close() {
+	for _, n := range f.nodes {
+		n.force()
+	}
+	for _, n := range f.nodes {
+		<-n.done
+		n.close()
+	}
+	for _, c := range f.closers {
+		c()
+	}
+	f.net.closeAll()
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	f.running.Wait()
+}
+
+// start starts an entry host, anew with its old addresses when there was one of that name.
+func (f *fleet) start(name, domain string) *node {
+	old := f.nodes[name]
+	n := &node{domain: domain, done: make(chan error, 1)}
+	if old != nil {
+		n.listen, n.inner, n.domain = old.listen, old.inner, old.domain
+	} else {
+		f.order = append(f.order, name)
+	}
+	listener, innerListener := f.net.listen(name, n.listen), f.net.listen(name, n.inner)
+	n.listen, n.inner = listener.Addr().String(), innerListener.Addr().String()
+	s := settings.Default()
+	s.Host = settings.Host{Name: name, Domain: n.domain, Region: "home", Listen: n.listen, Inner: n.inner}
+	for _, other := range f.order[:min(2, len(f.order))] {
+		if other != name && f.nodes[other] != nil {
+			s.Peers.Seeds = append(s.Peers.Seeds, f.nodes[other].inner)
+		}
+	}
+	if f.limits != nil {
+		f.limits(&s)
+	}
+	store, closeStore := f.openStore(name)
+	list, closeList := platform.NewHostList(platform.HostListConfig{URL: storeURL + "/Hosts", Timeout: time.Second, Dial: f.net.dialer(name)})
+	h, closeHost, err := New(Config{
+		Settings: s, Logger: zerolog.Nop(), Store: store, HostList: list, Listener: listener, InnerListener: innerListener, Dial: f.net.dialer(name),
+	})
+	f.is.NoErr(err)
+	n.host = h
+	n.close = func() { closeHost(); closeList(); closeStore() }
+	var stop, force context.Context
+	stop, n.stop = context.WithCancel(context.Background())
+	force, n.force = context.WithCancel(context.Background())
+	go func() { n.done <- h.Serve(stop, force) }()
+	f.nodes[name] = n
+	return n
+}
+
+// startAll starts a number of hosts over three failure domains.
+func (f *fleet) startAll(count int) {
+	for i := range count {
+		f.start(fmt.Sprintf("entry-%d", i+1), []string{"a", "b", "c"}[i%3])
+	}
+}
+
+// crash ends a host at once, as when its machine fails.
+func (f *fleet) crash(name string) {
+	n := f.nodes[name]
+	f.net.crash(name)
+	n.force()
+	<-n.done
+	n.close()
+	f.net.crash(name)
+}
+
+// stop stops a host gracefully and waits for its end.
+func (f *fleet) stop(name string) error {
+	n := f.nodes[name]
+	n.stop()
+	err := <-n.done
+	n.close()
+	return err
+}
+
+// forget takes a host that has ended out of the fleet.
+func (f *fleet) forget(name string) { delete(f.nodes, name) }
+
+// publish accepts a note and returns its number.
+func (f *fleet) publish(text string) int {
+	n, err := note.Parse("note", []byte(text))
+	f.is.NoErr(err)
+	r, err := f.archive.Publish(context.Background(), n, fmt.Sprint(rand.Uint64()), time.Now())
+	f.is.NoErr(err)
+	return r.Number
+}
+
+// await waits until a note is in force and the host ready on every host, and returns how long it took.
+func (f *fleet) await(number int, limit time.Duration) time.Duration {
+	start := time.Now()
+	for time.Since(start) < limit {
+		late := 0
+		for _, n := range f.nodes {
+			if n.host.Number() < number || !n.host.Ready() {
+				late++
+			}
+		}
+		if late == 0 {
+			return time.Since(start)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.is.Fail() // the note is not in force everywhere in time
+	return limit
+}
+
+// awaitPeers waits until every host knows every other as live.
+func (f *fleet) awaitPeers(limit time.Duration) time.Duration {
+	start := time.Now()
+	for time.Since(start) < limit {
+		whole := true
+		for _, n := range f.nodes {
+			whole = whole && len(n.host.table.Live(n.host.now())) == len(f.nodes)
+		}
+		if whole {
+			return time.Since(start)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.is.Fail() // the hosts do not know each other in time
+	return limit
+}
+
+// newCaller returns a caller that knows all hosts.
+func (f *fleet) newCaller(seed uint64) *caller.Client {
+	var seeds []string
+	for _, name := range f.order {
+		seeds = append(seeds, f.nodes[name].listen)
+	}
+	c, closeCaller := caller.New(caller.Config{Seeds: seeds, Domain: "a", Seed: seed, Dial: f.net.dialer("caller")})
+	f.closers = append(f.closers, closeCaller)
+	return c
+}
+
+// fakeBackend answers with what behave says and counts what it ran.
+type fakeBackend struct {
+	name    string
+	mu      sync.Mutex
+	runs    map[string]int
+	total   int
+	behave  func(b *fakeBackend, w http.ResponseWriter, r *http.Request, body string)
+	address string
+}
+
+func (b *fakeBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if r.URL.Path == "/Report" {
+		return
+	}
+	b.behave(b, w, r, string(text))
+}
+
+// ran counts a run of a keyed request.
+func (b *fakeBackend) ran(r *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[r.Header.Get("Idempotency-Key")]++
+	b.total++
+}
+
+func (b *fakeBackend) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.total
+}
+
+func (b *fakeBackend) runsOf(key string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[key]
+}
+
+// work takes 5 ms and echoes the request.
+func work(b *fakeBackend, w http.ResponseWriter, r *http.Request, body string) {
+	b.ran(r)
+	time.Sleep(5 * time.Millisecond)
+	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.Path, body)
+}
+
+// backends starts backend servers and returns them with the text of a note that names them.
+func (f *fleet) backends(count int, behave func(b *fakeBackend, w http.ResponseWriter, r *http.Request, body string)) ([]*fakeBackend, string) {
+	var list []*fakeBackend
+	var b strings.Builder
+	b.WriteString("[Note]\nFollows = 0\nOperator = test\nReason = first\n[Service s]\nReportPath = /Report\n" +
+		"[Rule read]\nPath = /\nService = s\nClass = read\nDeadline = 2s\nNotRunStatuses = 503\n")
+	for i := range count {
+		fake := &fakeBackend{name: fmt.Sprintf("target-%d", i+1), runs: map[string]int{}, behave: behave}
+		fake.address = f.serve(fake.name, "", fake)
+		list = append(list, fake)
+		fmt.Fprintf(&b, "[Target %s]\nService = s\nAddress = %s\nDomain = a\n", fake.name, fake.address)
+	}
+	return list, b.String()
+}
+
+// get sends one request to a host on a new connection.
+func (f *fleet) send(host *node, method, path, body string, header map[string]string) (*http.Response, string, error) {
+	transport := &http.Transport{DialContext: f.net.dialer("caller"), DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	r, err := http.NewRequest(method, "http://"+host.listen+path, strings.NewReader(body))
+	f.is.NoErr(err)
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	response, err := transport.RoundTrip(r)
+	if err != nil {
+		return nil, "", err
+	}
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), errors.Join(err, response.Body.Close())
+}
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -88,7 +88,7 @@
 	f.host.stats.requests.Add(1)
 	rule, service, found := f.host.steering.Match(r.Host, r.URL.Path, r.Method)
 	if !found {
-		refuse(w, &steering.Refusal{Status: http.StatusNotFound, Outcome: claim.NotRun, Reason: "NoRule"})
+		refuse(w, f.noRule(r))
 		return
 	}
 	request, refusal := f.read(w, r, rule, arrived)
@@ -113,13 +113,25 @@
 	f.write(w, service.Run(ctx, request))
 }
 
+// noRule refuses a request that no rule matches. With a key it may have run before, where a rule did match.
+func (f *front) noRule(r *http.Request) *steering.Refusal {
+	refusal := &steering.Refusal{Status: http.StatusNotFound, Outcome: claim.NotRun, Reason: "NoRule"}
+	if r.Header.Get("Idempotency-Key") != "" {
+		refusal.Outcome = claim.Unknown
+	}
+	if f.host.Number() == 0 {
+		refusal.Status, refusal.Reason, refusal.RetryAfter = http.StatusServiceUnavailable, "NoNoteYet", time.Second
+	}
+	return refusal
+}
+
 // read makes the request to steer from the caller's, with its body when that is small enough to hold.
 func (f *front) read(w http.ResponseWriter, r *http.Request, rule note.Rule, arrived time.Time) (*steering.Request, *steering.Refusal) {
 	limits := f.host.settings.Limits
 	request := &steering.Request{
 		Method: r.Method, Host: r.Host, URI: r.URL.RequestURI(), Header: forwarded(r), Rule: rule, Length: r.ContentLength,
 		Idempotent: rule.IsIdempotent(r.Method), Domain: r.Header.Get(steering.HeaderDomain),
-		Deadline: arrived.Add(allowed(r, rule.Deadline)), Allowance: allowance(r),
+		Deadline: arrived.Add(allowed(r, rule.Deadline)), Allowance: allowance(r.Header),
 	}
 	if request.Domain == "" {
 		request.Domain = f.host.settings.Host.Domain
@@ -133,7 +145,7 @@
 		hold = limits.KeyedBodyBytes
 	}
 	if r.ContentLength == 0 || r.Body == nil {
-		request.Fingerprint = fingerprint(r, nil)
+		request.Fingerprint = fingerprint(request)
 		return request, nil
 	}
 	body := http.MaxBytesReader(w, r.Body, int64(limits.BodyBytes))
@@ -158,23 +170,24 @@
 	_ = control.SetReadDeadline(time.Time{})
 	switch {
 	case err != nil:
-		return nil, &steering.Refusal{Status: http.StatusBadRequest, Outcome: claim.NotRun, Reason: "BodyCut"}
+		return nil, &steering.Refusal{Status: http.StatusBadRequest, Outcome: claim.Unknown, Reason: "BodyCut"}
 	case len(text) > limit:
 		return nil, tooLarge
 	}
 	request.Body, request.Length = text, int64(len(text))
-	request.Fingerprint = fingerprint(r, text)
+	request.Fingerprint = fingerprint(request)
 	return request, nil
 }
 
-// fingerprint names a request by method, host, target and body.
-func fingerprint(r *http.Request, body []byte) uint64 {
+// fingerprint names a request by its service, method, URI and body. The host field is left out,
+// since a caller that sends a request again through another entry host may name that one.
+func fingerprint(r *steering.Request) uint64 {
 	d := xxhash.New()
-	for _, part := range []string{r.Method, r.Host, r.URL.RequestURI()} {
+	for _, part := range []string{r.Rule.Service, r.Method, r.URI} {
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
-	_, _ = d.Write(body)
+	_, _ = d.Write(r.Body)
 	return max(1, d.Sum64())
 }
 
@@ -187,8 +200,8 @@
 }
 
 // allowance returns how many more tries the request may make.
-func allowance(r *http.Request) int {
-	if n, err := strconv.Atoi(r.Header.Get(steering.HeaderAllowance)); err == nil && n >= 0 {
+func allowance(header http.Header) int {
+	if n, err := strconv.Atoi(header.Get(steering.HeaderAllowance)); err == nil && n >= 0 {
 		return min(n, defaultAllowance)
 	}
 	return defaultAllowance
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"briarcroft/internal/backend"
 	"briarcroft/internal/claim"
 	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
@@ -48,6 +49,8 @@
 	// Listener and InnerListener replace the addresses of the settings when set.
 	Listener      net.Listener
 	InnerListener net.Listener
+	// Dial opens connections to targets and peers; nil means TCP.
+	Dial backend.DialFunc
 }
 
 // Host is one incarnation of an entry host.
@@ -133,9 +136,9 @@
 	}
 	var closeBook, closeClient, closeSteering func()
 	h.book, closeBook = record.New(record.Config{Host: s.Host.Name, Incarnation: h.incarnation, Capacity: bookRecords, Logger: h.config.Logger})
-	h.client, closeClient = inner.NewClient(inner.ClientConfig{TLS: h.peerTLS})
+	h.client, closeClient = inner.NewClient(inner.ClientConfig{TLS: h.peerTLS, Dial: h.config.Dial})
 	h.steering, closeSteering = steering.New(steering.Config{
-		Book: h.book, Quarantine: h.quarantine, Clock: h.now, Seed: h.incarnation, Domain: s.Host.Domain, OnQuarantine: h.kickBeat,
+		Book: h.book, Quarantine: h.quarantine, Clock: h.now, Seed: h.incarnation, Domain: s.Host.Domain, OnQuarantine: h.kickBeat, Dial: h.config.Dial,
 	})
 	h.archive = note.NewArchive(note.ArchiveConfig{Store: h.config.Store})
 	h.claims = claim.New(claim.Config{
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -90,7 +90,7 @@
 	switch r.Reason {
 	case claim.ReasonDifferent:
 		return http.StatusUnprocessableEntity
-	case claim.ReasonTooLarge, claim.ReasonGrantExpired, claim.ReasonGrantFuture:
+	case claim.ReasonTooLarge, claim.ReasonGrantExpired, claim.ReasonGrantFuture, claim.ReasonRefused:
 		return http.StatusConflict
 	case claim.ReasonTableFull, claim.ReasonSealed:
 		return http.StatusServiceUnavailable
--- a/internal/entry/measure.go
+++ b/internal/entry/measure.go
@@ -172,7 +172,7 @@
 
 // probeDuty asks idle, ejected and draining targets for their report, as far as the budget allows.
 func (h *Host) probeDuty(ctx context.Context) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, ResponseHeaderTimeout: probeTimeout}
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, ResponseHeaderTimeout: probeTimeout, DialContext: h.config.Dial}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: probeTimeout}
 	for sleep(ctx, probeEvery) {
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -83,7 +83,7 @@
 	header.Del(passedKey)
 	request, found := p.request(ctx, r, header)
 	if !found {
-		return reply(&steering.Refusal{Status: http.StatusNotFound, Outcome: claim.NotRun, Reason: "NoRule"})
+		return &inner.PassReply{Status: statusNotHeld}
 	}
 	if key.Grant.Host == p.host.Name() && key.Grant.Incarnation == p.host.incarnation {
 		return reply(p.host.runOwn(ctx, request, key))
@@ -101,15 +101,12 @@
 		return nil, false
 	}
 	deadline, _ := ctx.Deadline()
-	u, err := url.ParseRequestURI(r.Uri)
-	if err != nil {
-		return nil, false
-	}
-	raw := &http.Request{Method: r.Method, Host: r.Host, URL: u, Header: header}
-	return &steering.Request{
+	request := &steering.Request{
 		Method: r.Method, Host: r.Host, URI: r.Uri, Header: header, Body: r.Body, Length: int64(len(r.Body)), Rule: rule,
-		Fingerprint: fingerprint(raw, r.Body), Domain: header.Get(steering.HeaderDomain), Deadline: deadline, Allowance: allowance(raw),
-	}, true
+		Domain: header.Get(steering.HeaderDomain), Deadline: deadline, Allowance: allowance(header),
+	}
+	request.Fingerprint = fingerprint(request)
+	return request, true
 }
 
 func pathOf(uri string) string {
@@ -163,7 +160,8 @@
 		return &inner.SealReply{}, nil
 	}
 	keep := time.Duration(r.RemainingMilliseconds) * time.Millisecond
-	if !p.host.sealed.Put(p.host.now(), r.Host, r.Incarnation, entries, keep) {
+	sealedAt := time.Duration(r.SealedAtMilliseconds) * time.Millisecond
+	if !p.host.sealed.Put(p.host.now(), claim.Handover{Host: r.Host, Incarnation: r.Incarnation, SealedAt: sealedAt, Keep: keep, Entries: entries}) {
 		return nil, inner.ErrPeer.New("host %s has no room for the table of %s; the next holder is asked", p.host.Name(), r.Host)
 	}
 	return &inner.SealReply{}, nil
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"strconv"
-	"sync"
 	"time"
 
 	"briarcroft/internal/claim"
@@ -27,13 +26,16 @@
 type plainClaims struct {
 	store   platform.Store
 	limiter *rate.Limiter
-	mu      sync.Mutex
+	// leasing holds one token while nobody asks the store for a lease.
+	leasing chan struct{}
 	lease   platform.LeaseID
 	leased  time.Time
 }
 
 func newPlainClaims(store platform.Store, perSec float64) *plainClaims {
-	return &plainClaims{store: store, limiter: rate.NewLimiter(rate.Limit(perSec), int(max(1, perSec)))}
+	p := &plainClaims{store: store, limiter: rate.NewLimiter(rate.Limit(perSec), int(max(1, perSec))), leasing: make(chan struct{}, 1)}
+	p.leasing <- struct{}{}
+	return p
 }
 
 // owner is the value of a claimed key: the incarnation that alone may run the request.
@@ -89,8 +91,12 @@
 
 // currentLease returns a lease that still has most of its time, so that a claim outlives its window by far.
 func (p *plainClaims) currentLease(ctx context.Context) (platform.LeaseID, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	select {
+	case <-p.leasing:
+	case <-ctx.Done():
+		return 0, platform.ErrUnavailable.New("the store has not given a lease in time; send the key again")
+	}
+	defer func() { p.leasing <- struct{}{} }()
 	if p.lease != 0 && time.Since(p.leased) < leaseRenewal {
 		return p.lease, nil
 	}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -40,8 +40,7 @@
 
 // handOver copies the sealed table to peers that answer for it from now on.
 func (h *Host) handOver(ctx context.Context) {
-	entries, keep := h.claims.Export(h.now())
-	parts := sealRequests(h.Name(), h.incarnation, entries, keep)
+	parts := sealRequests(h.claims.Export(h.now()))
 	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
 	defer cancel()
 	var group sync.WaitGroup
@@ -59,14 +58,17 @@
 }
 
 // sealRequests cuts a table into parts of a bounded size; an empty table is one part.
-func sealRequests(host string, incarnation uint64, entries []claim.SealedEntry, keep time.Duration) []*inner.SealRequest {
+func sealRequests(h claim.Handover) []*inner.SealRequest {
 	var parts []*inner.SealRequest
 	open := func() {
-		parts = append(parts, &inner.SealRequest{Host: host, Incarnation: incarnation, RemainingMilliseconds: keep.Milliseconds(), Part: uint32(len(parts))})
+		parts = append(parts, &inner.SealRequest{
+			Host: h.Host, Incarnation: h.Incarnation, RemainingMilliseconds: h.Keep.Milliseconds(),
+			SealedAtMilliseconds: h.SealedAt.Milliseconds(), Part: uint32(len(parts)),
+		})
 	}
 	open()
 	size := 0
-	for _, e := range entries {
+	for _, e := range h.Entries {
 		if size > sealPartBytes {
 			open()
 			size = 0
--- a/internal/inner/client.go
+++ b/internal/inner/client.go
@@ -30,9 +30,11 @@
 	AliveEvery = 250 * time.Millisecond
 )
 
-// ClientConfig sets up a Client; TLS is nil for plain TCP.
+// ClientConfig sets up a Client; TLS is nil for plain connections.
 type ClientConfig struct {
 	TLS *tls.Config
+	// Dial opens connections; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client calls peers over pooled connections.
@@ -44,6 +46,10 @@
 
 // NewClient returns a client and the function that closes its connections.
 func NewClient(c ClientConfig) (*Client, func()) {
+	if c.Dial == nil {
+		dialer := net.Dialer{Timeout: dialTimeout}
+		c.Dial = dialer.DialContext
+	}
 	client := &Client{config: c}
 	client.pool = drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleConnections, KeyCapacity: 8})
 	return client, func() { _ = client.pool.Close() }
@@ -58,8 +64,7 @@
 func (c *Client) BytesSent() int64 { return c.sent.Load() }
 
 func (c *Client) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.config.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, ErrPeer.New("peer %s refused the connection (%v); it is left to the next heartbeat", address, err)
 	}
--- a/internal/platform/etcd.go
+++ b/internal/platform/etcd.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 )
@@ -24,11 +25,13 @@
 type EtcdConfig struct {
 	URL     string
 	Timeout time.Duration
+	// Dial opens connections; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // NewEtcd returns a Store and the function that closes its connections.
 func NewEtcd(c EtcdConfig) (*Etcd, func()) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DialContext: c.Dial}
 	e := &Etcd{url: c.URL, timeout: c.Timeout, client: &http.Client{Transport: transport}}
 	return e, transport.CloseIdleConnections
 }
--- a/internal/platform/hostlist.go
+++ b/internal/platform/hostlist.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"time"
 )
@@ -34,11 +35,13 @@
 type HostListConfig struct {
 	URL     string
 	Timeout time.Duration
+	// Dial opens connections; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // NewHostList returns a reader of the list and the function that closes its connections.
 func NewHostList(c HostListConfig) (*HostList, func()) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1}
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, DialContext: c.Dial}
 	return &HostList{c.URL, &http.Client{Transport: transport, Timeout: c.Timeout}}, transport.CloseIdleConnections
 }
 
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -438,3 +438,8 @@
 
 // Asked notes that a target is being probed.
 func (r *Router) Asked(now time.Duration, i Index) { r.targets[i].asked = now }
+
+// Busy reports whether any request is in flight.
+func (r *Router) Busy() bool {
+	return slices.ContainsFunc(r.targets, func(t *target) bool { return len(t.starts) > 0 })
+}
--- a/internal/steering/service.go
+++ b/internal/steering/service.go
@@ -77,7 +77,7 @@
 	if old != nil {
 		old.close()
 	}
-	pool, closePool := backend.New(backend.Config{Address: t.Address, MaxConnections: t.Connections, DialTimeout: dialTimeout})
+	pool, closePool := backend.New(backend.Config{Address: t.Address, MaxConnections: t.Connections, DialTimeout: dialTimeout, Dial: s.steering.config.Dial})
 	s.pools[t.Name] = &targetPool{pool, closePool, t}
 }
 
@@ -193,7 +193,8 @@
 	}
 }
 
-func (s *Service) tick() {
+// tick runs the timers and reports whether the service has requests.
+func (s *Service) tick() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	router := s.gate.Router()
@@ -206,6 +207,7 @@
 	s.noteOverload()
 	s.explain(s.steering.note())
 	s.dropPools(router)
+	return s.gate.Queued() > 0 || router.Busy()
 }
 
 // dropPools closes the pools of targets that the router has forgotten.
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"briarcroft/internal/admission"
+	"briarcroft/internal/backend"
 	"briarcroft/internal/claim"
 	"briarcroft/internal/note"
 	"briarcroft/internal/record"
@@ -23,10 +24,10 @@
 	Seed  uint64
 	// Domain is the entry host's own failure domain.
 	Domain string
-	// OnEnd is told of each request that ended, for the histograms.
-	OnEnd func(service, class string, took time.Duration)
 	// OnQuarantine is told of each request that was put in quarantine.
 	OnQuarantine func()
+	// Dial opens connections to targets; nil means TCP.
+	Dial backend.DialFunc
 }
 
 // Steering holds the services of the note in force.
@@ -99,11 +100,13 @@
 // Services returns the running services.
 func (s *Steering) Services() map[string]*Service { return s.current.Load().services }
 
-// Tick runs the timers of every service.
-func (s *Steering) Tick() {
+// Tick runs the timers of every service and reports whether any has requests.
+func (s *Steering) Tick() bool {
+	busy := false
 	for _, service := range s.Services() {
-		service.tick()
+		busy = service.tick() || busy
 	}
+	return busy
 }
 
 func (s *Steering) note() int { return s.current.Load().configuration.Number }
