--- a/internal/entry/soak_test.go
+++ b/internal/entry/soak_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -15,8 +16,6 @@
 	"briarcroft/internal/claim"
 	"briarcroft/internal/platform/standin"
 	"briarcroft/internal/steering"
-
-	"encoding/json"
 )
 
 // soakCallers is how many callers send at the same time.
@@ -155,7 +154,10 @@
 			group.Go(send)
 		}
 		send()
-		if answers > 0 && s.intN(2) == 0 {
+		mu.Lock()
+		answered := answers > 0
+		mu.Unlock()
+		if answered && s.intN(2) == 0 {
 			break
 		}
 		time.Sleep(time.Duration(s.intN(400)) * time.Millisecond)
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -427,8 +427,18 @@
 // State returns the state of a target.
 func (r *Router) State(i Index) State { return r.targets[i].state }
 
-// Cause returns why a target is in its state.
-func (r *Router) Cause(i Index) Cause { return r.targets[i].cause }
+// Witness takes in what a target's report address says of its leaving. A target that drains by its own word returns
+// only when the same address first confirmed that and then took it back: one that never confirmed it lags or misleads.
+func (r *Router) Witness(now time.Duration, i Index, draining bool) {
+	t := r.targets[i]
+	switch {
+	case draining:
+		t.witnessed = true
+	case t.witnessed && t.state == Draining && (t.cause == CauseReport || t.cause == CauseRefusal):
+		t.witnessed = false
+		r.move(now, t, Ramping, CauseReport)
+	}
+}
 
 // LastNews returns when something was last learned of a target, or asked.
 func (r *Router) LastNews(i Index) time.Duration {
--- a/internal/route/target.go
+++ b/internal/route/target.go
@@ -67,6 +67,8 @@
 	// peers is the sum of in-flight counts that other entry hosts pushed.
 	peers   float64
 	peersAt time.Duration
+	// witnessed is set once the target's report address itself has said that it drains.
+	witnessed bool
 	// doubtUntil is when reports are believed again after one that contradicted own counts.
 	doubtUntil time.Duration
 }
--- a/internal/steering/probe.go
+++ b/internal/steering/probe.go
@@ -55,22 +55,17 @@
 // Take takes in the answer to a probe.
 func (p Probe) Take(report route.Report, status int) {
 	p.service.report(p.target, report)
-	if !report.Draining && status == http.StatusOK {
-		p.service.returnFromDrain(p.target)
+	if status == http.StatusOK {
+		p.service.witness(p.target, report.Draining)
 	}
 }
 
-// returnFromDrain lets a target that drained by its own word have requests again.
-func (s *Service) returnFromDrain(target string) {
+// witness takes in what a target's report address says of its leaving.
+func (s *Service) witness(target string, draining bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	i := s.gate.Router().Lookup(target)
-	if i == route.None {
-		return
-	}
-	switch s.gate.Router().Cause(i) {
-	case route.CauseReport, route.CauseRefusal:
-		s.gate.Router().Undrain(s.steering.config.Clock(), i, route.CauseReport)
+	if i := s.gate.Router().Lookup(target); i != route.None {
+		s.gate.Router().Witness(s.steering.config.Clock(), i, draining)
 	}
 	s.explain(s.steering.note())
 }
