--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -32,6 +32,8 @@
 	Ready chan struct{}
 
 	verdict        Verdict
+	bound          Bound
+	refused        Refused
 	previous, next *Waiter
 	queue          *fifo
 	// queued is set once the waiter has been in the queue; only then is Ready signalled.
@@ -152,7 +154,8 @@
 
 func (g *Gate) refuse(w *Waiter, reason Reason, retryAfter time.Duration) {
 	g.Counts.At(w.Class, w.Domain).Refused.Add(1)
-	w.verdict = &Refused{reason, retryAfter}
+	w.refused = Refused{reason, retryAfter}
+	w.verdict = &w.refused
 	w.signal()
 }
 
@@ -176,7 +179,8 @@
 	count := g.Counts.At(w.Class, w.Domain)
 	count.Admitted.Add(1)
 	count.Weighted.Add(int64(w.Weight))
-	w.verdict = &Bound{g.router.Name(i), i, now}
+	w.bound = Bound{g.router.Name(i), i, now}
+	w.verdict = &w.bound
 	w.signal()
 	return true
 }
--- /dev/null
+++ b/internal/admission/gate_test.go
@@ -0,0 +1,243 @@
+package admission_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"briarcroft/internal/admission"
+	"briarcroft/internal/route"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// Bounds of overload, from the stated target.
+const (
+	leastGoodput    = 0.95
+	recoverWithin   = 2 * time.Second
+	highClassKept   = 0.95
+	overloadSeconds = 60
+)
+
+// overloadRun is an overload of two classes followed by normal load, with callers that may send again.
+type overloadRun struct {
+	*simulation
+	factor         float64
+	retry          bool
+	highIn, highOK int
+	goodIn         int
+	afterWorst     time.Duration
+	over, end      time.Duration
+}
+
+func runOverload(factor float64, retry bool) *overloadRun {
+	o := &overloadRun{factor: factor, retry: retry, over: (2 + overloadSeconds) * time.Second, end: (2 + overloadSeconds + 8) * time.Second}
+	c := scenario{targets: 8, slots: 4, work: 10 * time.Millisecond, oneWay: time.Millisecond, noise: true, deadline: 500 * time.Millisecond, seed: 5, length: o.end}
+	o.simulation = newSimulation(c, newGated(c, gatedConfig{homes: 1, overcommit: -1, reports: true}))
+	o.done = o.ended
+	o.after(0, o.feed)
+	for len(o.agenda) > 0 && o.agenda[0].at <= o.length {
+		o.advance()
+	}
+	return o
+}
+
+// feed offers a tenth of the capacity in the high class and the rest in the low one.
+func (o *overloadRun) feed() {
+	use := 0.6
+	if o.now > warmUp && o.now < o.over {
+		use = o.factor
+	}
+	j := &job{}
+	if o.random.Float64()*use < 0.1 {
+		j.class = 1
+	}
+	o.offer(j)
+	o.after(time.Duration(o.random.ExpFloat64()/(use*o.capacity())*float64(time.Second)), o.feed)
+}
+
+// ended counts the end of a job; a refused one is sent again after a while, up to three times.
+func (o *overloadRun) ended(j *job, ok bool) {
+	inside := j.born > warmUp && j.born < o.over
+	if inside && j.class == 1 && j.tries == 0 {
+		o.highIn++
+		if ok {
+			o.highOK++
+		}
+	}
+	if ok && o.now > warmUp && o.now < o.over {
+		o.goodIn++
+	}
+	if ok && o.now > o.over+recoverWithin {
+		o.afterWorst = max(o.afterWorst, o.now-j.born)
+	}
+	if !ok && o.retry && j.tries < 3 {
+		again := &job{class: j.class, tries: j.tries + 1}
+		o.after(time.Duration(50+o.random.IntN(100))*time.Millisecond, func() { o.offer(again) })
+	}
+}
+
+func TestOverloadBound(t *testing.T) {
+	cases := []struct {
+		factor float64
+		retry  bool
+	}{{2, false}, {2, true}, {5, false}, {5, true}}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%.0fx retry %t", c.factor, c.retry), func(t *testing.T) {
+			t.Parallel()
+			is := is.NewRelaxed(t)
+			o := runOverload(c.factor, c.retry)
+			goodput := float64(o.goodIn) / (o.capacity() * overloadSeconds)
+			high := float64(o.highOK) / float64(o.highIn)
+			t.Logf("%.0fx for %d s, callers that retry %t: goodput %.3f of capacity, high class answered %.4f, slowest answer from %v after its end %v, refused %d",
+				c.factor, overloadSeconds, c.retry, goodput, high, recoverWithin, o.afterWorst, o.refused)
+			is.True(goodput >= leastGoodput)
+			is.True(high >= highClassKept)
+			is.True(o.afterWorst < 200*time.Millisecond) // normal latency again
+		})
+	}
+}
+
+// TestGateKeepsItsPromises checks the gate against any order of arrivals, ends and times.
+func TestGateKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 8).Draw(t, "limit")
+		targets := rapid.IntRange(1, 4).Draw(t, "targets")
+		r := route.New(route.Config{Random: rand.New(rand.NewPCG(1, 1)), Overcommit: -1})
+		var specs []route.Spec
+		for i := range targets {
+			specs = append(specs, route.Spec{Name: targetName(i), Slots: 2})
+		}
+		r.SetTargets(0, specs)
+		g := admission.New(admission.Config{Router: r, QueueLimit: limit})
+		var all []*admission.Waiter
+		inFlight := map[*admission.Waiter]bool{}
+		now := time.Duration(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"enter": func(t *rapid.T) {
+				w := &admission.Waiter{
+					Class: admission.Class(rapid.IntRange(0, 2).Draw(t, "class")), Weight: rapid.IntRange(1, 4).Draw(t, "weight"),
+					Deadline: now + time.Duration(rapid.IntRange(1, 500).Draw(t, "deadline"))*time.Millisecond,
+				}
+				all = append(all, w)
+				g.Enter(now, w)
+			},
+			"end": func(t *rapid.T) {
+				for w := range inFlight {
+					b := w.Verdict().(*admission.Bound)
+					outcome := route.Outcome(rapid.IntRange(0, 3).Draw(t, "outcome"))
+					g.Leave(now, b, now-b.Start, outcome)
+					delete(inFlight, w)
+					w.Avoid = "ended"
+					return
+				}
+			},
+			"abandon": func(t *rapid.T) {
+				if len(all) > 0 {
+					g.Abandon(all[rapid.IntRange(0, len(all)-1).Draw(t, "waiter")])
+				}
+			},
+			"tick": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(1, 100).Draw(t, "pass")) * time.Millisecond
+				g.Tick(now)
+			},
+			"": func(t *rapid.T) {
+				if g.Queued() > limit {
+					t.Fatalf("%d wait, the limit is %d", g.Queued(), limit)
+				}
+				for _, w := range all {
+					if _, bound := w.Verdict().(*admission.Bound); bound && w.Avoid != "ended" {
+						inFlight[w] = true
+					}
+				}
+				sum := 0
+				for i := range r.Size() {
+					held := r.InFlight(route.Index(i))
+					if held > 2+2 {
+						t.Fatalf("target %d holds %d requests in 2 slots", i, held)
+					}
+					sum += held
+				}
+				if sum != len(inFlight) {
+					t.Fatalf("%d requests are bound and the router counts %d", len(inFlight), sum)
+				}
+				if len(r.Eligible(nil)) == 0 {
+					t.Fatal("ejection emptied the service")
+				}
+			},
+		})
+	})
+}
+
+// TestDecisionBound holds a decision and a weighted count to no allocation.
+func TestDecisionBound(t *testing.T) {
+	is := is.New(t)
+	g, w := decision()
+	is.Equal(testing.AllocsPerRun(1000, func() { decide(g, w, 0) }), 0.0)
+	r := g.Router()
+	is.Equal(testing.AllocsPerRun(1000, func() { r.Pick(0, 0, route.None) }), 0.0)
+	is.Equal(testing.AllocsPerRun(1000, func() {
+		count := g.Counts.At(w.Class, w.Domain)
+		count.Offered.Add(1)
+		count.Weighted.Add(int64(w.Weight))
+	}), 0.0)
+}
+
+// decision returns a gate with the targets of a planned service, and a waiter to decide on.
+func decision() (*admission.Gate, *admission.Waiter) {
+	r := route.New(route.Config{Random: rand.New(rand.NewPCG(1, 1)), Overcommit: -1})
+	var specs []route.Spec
+	for i := range 20 {
+		specs = append(specs, route.Spec{Name: targetName(i), Slots: 4, RoundTrip: time.Millisecond})
+	}
+	r.SetTargets(0, specs)
+	return admission.New(admission.Config{Router: r, QueueLimit: 256}), &admission.Waiter{Weight: 2, Deadline: time.Hour}
+}
+
+func decide(g *admission.Gate, w *admission.Waiter, now time.Duration) {
+	g.Enter(now, w)
+	b := w.Verdict().(*admission.Bound)
+	g.Leave(now+10*time.Millisecond, b, 10*time.Millisecond, route.Succeeded)
+}
+
+func BenchmarkDecision(b *testing.B) {
+	g, w := decision()
+	now := time.Duration(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now += time.Millisecond
+		decide(g, w, now)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	g, w := decision()
+	decide(g, w, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		g.Router().Pick(time.Second, 0, route.None)
+	}
+}
+
+func BenchmarkWeightedCount(b *testing.B) {
+	g, w := decision()
+	b.ReportAllocs()
+	for b.Loop() {
+		count := g.Counts.At(w.Class, w.Domain)
+		count.Offered.Add(1)
+		count.Weighted.Add(int64(w.Weight))
+	}
+}
--- a/internal/admission/simulation_test.go
+++ b/internal/admission/simulation_test.go
@@ -50,6 +50,7 @@
 	speed     float64
 	epoch     int
 	class     int
+	tries     int
 	sender    int
 	data      any
 	// twin is the other try of a hedged job; done is set once the job was answered or cancelled.
@@ -165,12 +166,17 @@
 func (s *simulation) run() {
 	s.after(0, s.generate)
 	for len(s.agenda) > 0 && s.agenda[0].at <= s.length {
-		e := heap.Pop(&s.agenda).(event)
-		s.now = e.at
-		e.run()
+		s.advance()
 	}
 }
 
+// advance runs the next event.
+func (s *simulation) advance() {
+	e := heap.Pop(&s.agenda).(event)
+	s.now = e.at
+	e.run()
+}
+
 // generate offers a Poisson stream; with a step the use changes in the middle third.
 func (s *simulation) generate() {
 	use := s.use
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -37,16 +37,16 @@
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(listener) }()
 	for i, address := range c.Backends {
-		_, stopTarget, err := demo.NewTarget(demo.TargetConfig{
+		target, stopTarget, err := demo.NewTarget(demo.TargetConfig{
 			Listen: address, Slots: c.Slots, Work: c.Work, AnswerBytes: sampleBytes, Seed: uint64(i),
 		})
 		if err != nil {
 			return errorx.Decorate(err, "--backend: choose a free address")
 		}
 		defer stopTarget()
+		fmt.Fprintf(c.out, "backend server on %s\n", target.Address())
 	}
-	fmt.Fprintf(c.out, "key-value service on http://%s, host list on http://%s/Hosts, %d sample backend servers\n",
-		listener.Addr(), listener.Addr(), len(c.Backends))
+	fmt.Fprintf(c.out, "key-value service on http://%s, host list on http://%s/Hosts\n", listener.Addr(), listener.Addr())
 	stop, _, release := signals()
 	defer release()
 	select {
--- /dev/null
+++ b/internal/host/table_test.go
@@ -0,0 +1,79 @@
+package host
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func newTable(name string) *Table {
+	return New(Config{Self: Member{Name: name, Inner: name, Domain: "a", Incarnation: 1, Ready: true}, PerDomain: 2, Random: rand.New(rand.NewPCG(1, 1))})
+}
+
+// TestPausedHostNoticesItself pauses a host for 30 s: it must leave its own answers, and take nobody for dead.
+func TestPausedHostNoticesItself(t *testing.T) {
+	is := is.New(t)
+	table := newTable("x")
+	table.Beat(0)
+	table.Merge(0, "y", []Member{{Name: "y", Inner: "y", Domain: "a", Incarnation: 5, Beat: 1, Ready: true}})
+	is.Equal(len(table.Live(0)), 2)
+	is.True(!table.Overdue(BeatEvery))
+	now := 30 * time.Second
+	is.True(table.Overdue(now)) // before the next heartbeat already
+	table.Beat(now)
+	is.True(table.TakePaused())
+	is.True(!table.Self().Ready)
+	is.Equal(len(table.Live(now)), 1) // the peer only
+	is.True(!table.TakePaused())
+}
+
+func TestIncarnations(t *testing.T) {
+	old := Member{Name: "y", Inner: "y", Domain: "a", Incarnation: 5, Beat: 9, Ready: true}
+	cases := []struct {
+		name   string
+		sender string
+		member Member
+		dead   bool
+		want   uint64
+	}{
+		{"newer heartbeat", "z", Member{Name: "y", Incarnation: 5, Beat: 10}, false, 5},
+		{"newer incarnation", "z", Member{Name: "y", Incarnation: 6, Beat: 1}, false, 6},
+		{"older incarnation by hearsay", "z", Member{Name: "y", Incarnation: 4, Beat: 99}, true, 5},
+		{"older incarnation itself, while the newer lives", "y", Member{Name: "y", Incarnation: 4, Beat: 99}, false, 5},
+		{"older incarnation itself, after the newer died", "y", Member{Name: "y", Incarnation: 4, Beat: 1}, true, 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTable("x")
+			table.Merge(0, "y", []Member{old})
+			now := time.Second
+			if c.dead {
+				now = deadAfter + time.Second
+				table.Beat(now)
+			}
+			table.Merge(now, c.sender, []Member{c.member})
+			m, known := table.Find("y")
+			is.True(known)
+			is.Equal(m.Incarnation, c.want)
+		})
+	}
+}
+
+// TestFanOutBound checks that the heartbeats of one host do not grow with the fleet.
+func TestFanOutBound(t *testing.T) {
+	is := is.New(t)
+	for _, size := range []int{13, 60, 200} {
+		table := newTable("x")
+		var members []Member
+		for i := range size {
+			members = append(members, Member{Name: fmt.Sprint(i), Inner: fmt.Sprint(i), Domain: fmt.Sprint(i % 5), Incarnation: 1, Beat: 1, Ready: true})
+		}
+		table.Merge(0, "0", members)
+		is.True(len(table.Beat(0)) <= 2+5+2)
+		is.True(len(table.Outgoing()) <= maxSent)
+	}
+}
--- a/internal/note/archive.go
+++ b/internal/note/archive.go
@@ -17,21 +17,29 @@
 // rangeLimit is the most records read from the store in one call.
 const rangeLimit = 128
 
-// retryPause is the time between two attempts to settle whether a note was accepted.
-const retryPause = 200 * time.Millisecond
+// defaultRetryPause is the time between two attempts to settle whether a note was accepted.
+const defaultRetryPause = 200 * time.Millisecond
 
 // Archive is the chain of accepted notes as the store holds it.
 type Archive struct {
 	store platform.Store
+	pause time.Duration
 }
 
 // ArchiveConfig names the store.
 type ArchiveConfig struct {
 	Store platform.Store
+	// RetryPause is the time between two attempts to settle a publication; zero means the default.
+	RetryPause time.Duration
 }
 
 // NewArchive returns the store's chain.
-func NewArchive(c ArchiveConfig) *Archive { return &Archive{c.Store} }
+func NewArchive(c ArchiveConfig) *Archive {
+	if c.RetryPause == 0 {
+		c.RetryPause = defaultRetryPause
+	}
+	return &Archive{c.Store, c.RetryPause}
+}
 
 // CatchUp brings a chain up to the store's newest note, from a snapshot when it is far behind.
 // A stale read leaves the chain as it is. Errors are platform.ErrUnavailable or ErrChain.
@@ -140,7 +148,7 @@
 			return settle(r, value, result)
 		}
 		select {
-		case <-time.After(retryPause):
+		case <-time.After(a.pause):
 		case <-ctx.Done():
 			return ErrUnknown.New("the store did not confirm note %d (%v); run status and see whether note %d has nonce %s before publishing again", r.Number, err, r.Number, r.Nonce)
 		}
