Copy whole answers directly and collect garbage less often

Cause: a request through a host allocated 46,933 bytes, 32 KiB of it a copy buffer for answers that were already read whole. Change: whole answers are written as they are, copy buffers are pooled, bodies of known length are read into one slice, the heap may grow to five times its live size.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -1,11 +1,16 @@
 package command
 
 import (
+	"runtime/debug"
+
 	"briarcroft/internal/entry"
 	"briarcroft/internal/platform"
 	"briarcroft/internal/settings"
 )
 
+// gcPercent is how far the heap may grow between two collections; a host's live heap is a few megabytes.
+const gcPercent = 400
+
 type serveCommand struct {
 	*root
 	Config string `long:"config" required:"true" description:"settings file in INI"`
@@ -17,6 +22,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
 	logger := c.logger(s.Log.Level).With().Str("Host", s.Host.Name).Logger()
 	store, closeStore := platform.NewEtcd(platform.EtcdConfig{URL: s.Platform.Store, Timeout: s.Platform.Timeout})
 	defer closeStore()
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -15,6 +15,7 @@
 	"briarcroft/internal/meter"
 	"briarcroft/internal/note"
 	"briarcroft/internal/record"
+	"briarcroft/internal/ring"
 	"briarcroft/internal/steering"
 
 	"github.com/cespare/xxhash/v2"
@@ -262,6 +263,11 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	w.WriteHeader(a.Status)
+	if a.Whole {
+		// The caller went away if this fails.
+		_, _ = w.Write(a.Text)
+		return
+	}
 	if err := relay(w, a.Body, a.Length < 0); err != nil {
 		f.host.stats.cut.Add(1)
 		panic(http.ErrAbortHandler)
@@ -271,10 +277,15 @@
 // errStalled reports a caller that took no byte for too long.
 var errStalled = errors.New("caller took no byte in time")
 
+// copyBuffers holds the buffers of streams.
+var copyBuffers = ring.NewBuffers(copyBytes)
+
 // relay copies a body with back-pressure; each write has a deadline, so that a slow caller holds the host only so long.
 func relay(w http.ResponseWriter, body io.Reader, flush bool) error {
 	control := http.NewResponseController(w)
-	buffer := make([]byte, copyBytes)
+	held := copyBuffers.Take()
+	defer copyBuffers.Put(held)
+	buffer := *held
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -100,9 +100,7 @@
 }
 
 func keptAnswer(a claim.Answer) *steering.Answer {
-	return &steering.Answer{
-		Status: a.Status, Header: fieldsHeader(a.Fields), Body: io.NopCloser(bytes.NewReader(a.Body)), Length: int64(len(a.Body)), Whole: true,
-	}
+	return wholeAnswer(a.Status, fieldsHeader(a.Fields), a.Body)
 }
 
 // runClaimed hands the request to a target, once. The run goes on when its caller goes away, so that a resend finds its answer.
@@ -222,8 +220,12 @@
 }
 
 func passedAnswer(reply *inner.PassReply) steering.Result {
+	return wholeAnswer(int(reply.Status), fieldsHeader(fromWireFields(reply.Headers)), reply.Body)
+}
+
+// wholeAnswer returns an answer whose body is at hand.
+func wholeAnswer(status int, header http.Header, body []byte) *steering.Answer {
 	return &steering.Answer{
-		Status: int(reply.Status), Header: fieldsHeader(fromWireFields(reply.Headers)),
-		Body: io.NopCloser(bytes.NewReader(reply.Body)), Length: int64(len(reply.Body)), Whole: true,
+		Status: status, Header: header, Body: io.NopCloser(bytes.NewReader(body)), Text: body, Length: int64(len(body)), Whole: true,
 	}
 }
--- a/internal/inner/tls_test.go
+++ b/internal/inner/tls_test.go
@@ -64,7 +64,9 @@
 
 type echo struct{ DRPCPeerUnimplementedServer }
 
-func (*echo) Counts(context.Context, *CountsRequest) (*CountsReply, error) { return &CountsReply{}, nil }
+func (*echo) Counts(context.Context, *CountsRequest) (*CountsReply, error) {
+	return &CountsReply{}, nil
+}
 
 // TestStrangersAreRefused calls a host with a certificate of its authority, of another, and without one.
 func TestStrangersAreRefused(t *testing.T) {
--- a/internal/measure/latency.go
+++ b/internal/measure/latency.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime"
 	"sync"
 	"time"
 
@@ -96,7 +97,7 @@
 	var group sync.WaitGroup
 	start := time.Now()
 	for due := time.Duration(0); due < c.Length; due += time.Duration(random.ExpFloat64() / float64(rate) * float64(time.Second)) {
-		wait(ctx, time.Until(start.Add(due)))
+		waitExactly(ctx, start.Add(due))
 		if ctx.Err() != nil {
 			break
 		}
@@ -119,6 +120,17 @@
 	}
 }
 
+// spinTime is the last part of a wait that is spent awake, since timers are late by up to a millisecond.
+const spinTime = 1500 * time.Microsecond
+
+// waitExactly waits for an instant more exactly than a timer does.
+func waitExactly(ctx context.Context, until time.Time) {
+	wait(ctx, time.Until(until)-spinTime)
+	for time.Now().Before(until) {
+		runtime.Gosched()
+	}
+}
+
 // wait sleeps unless the time has come already.
 func wait(ctx context.Context, d time.Duration) {
 	if d <= 0 {
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -47,6 +47,27 @@
 // Dropped returns how many items found the ring full.
 func (r *Ring[T]) Dropped() int64 { return r.dropped.Load() }
 
+// Buffers is a pool of byte slices of one size.
+type Buffers struct {
+	pool sync.Pool
+	size int
+}
+
+// NewBuffers returns a pool of slices of so many bytes.
+func NewBuffers(size int) *Buffers { return &Buffers{size: size} }
+
+// Take returns a slice; give it back with Put.
+func (b *Buffers) Take() *[]byte {
+	if buffer, held := b.pool.Get().(*[]byte); held {
+		return buffer
+	}
+	buffer := make([]byte, b.size)
+	return &buffer
+}
+
+// Put gives a slice back.
+func (b *Buffers) Put(buffer *[]byte) { b.pool.Put(buffer) }
+
 // Recent keeps the newest items, overwriting the oldest.
 type Recent[T any] struct {
 	mu    sync.Mutex
--- a/internal/steering/attempt.go
+++ b/internal/steering/attempt.go
@@ -160,7 +160,7 @@
 	text, _ := io.ReadAll(io.LimitReader(response.Body, bufferBytes))
 	// A refusal is passed on as far as it was read.
 	_ = response.Body.Close()
-	answer.Body, answer.Length, answer.Whole = io.NopCloser(bytes.NewReader(text)), int64(len(text)), true
+	answer.keep(text)
 }
 
 // readReport takes in the load that a target reports on its answers.
@@ -183,7 +183,8 @@
 		s.streamAnswer(ctx, r, answer, response, end)
 		return answer, nil
 	}
-	text, err := io.ReadAll(io.LimitReader(response.Body, bufferBytes+1))
+	bodiless := r.Method == http.MethodHead || response.StatusCode == http.StatusNotModified
+	text, err := readStart(response, bodiless)
 	if err != nil {
 		_ = response.Body.Close()
 		return nil, s.failed(ctx, r, b, err, started)
@@ -198,13 +199,35 @@
 	if r.Fingerprint != 0 {
 		s.steering.config.Quarantine.Succeeded(r.Fingerprint)
 	}
-	answer.Body, answer.Whole = io.NopCloser(bytes.NewReader(text)), true
-	if r.Method != http.MethodHead {
-		answer.Length = int64(len(text))
+	answer.keep(text)
+	if bodiless {
+		answer.Length = response.ContentLength
 	}
 	return answer, nil
 }
 
+// readStart reads a body up to one byte more than is read whole.
+// A bodiless answer may name the length of a body that it does not have.
+func readStart(response *http.Response, bodiless bool) ([]byte, error) {
+	if response.ContentLength < 0 || bodiless {
+		return io.ReadAll(io.LimitReader(response.Body, bufferBytes+1))
+	}
+	text := make([]byte, response.ContentLength)
+	if _, err := io.ReadFull(response.Body, text); err != nil {
+		return nil, err
+	}
+	// The end must be read too, or the connection cannot be used again.
+	if n, err := response.Body.Read(make([]byte, 1)); n > 0 || err != io.EOF {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return text, nil
+}
+
+// keep makes text the whole body of the answer.
+func (a *Answer) keep(text []byte) {
+	a.Body, a.Text, a.Length, a.Whole = io.NopCloser(bytes.NewReader(text)), text, int64(len(text)), true
+}
+
 func outcomeOf(err error) route.Outcome {
 	if err != nil {
 		return route.Abandoned
--- a/internal/steering/request.go
+++ b/internal/steering/request.go
@@ -60,8 +60,9 @@
 	Body   io.ReadCloser
 	// Length is the body's size, or -1 when it is not known.
 	Length int64
-	// Whole is set when the body has been read and checked already.
+	// Whole is set when the body has been read and checked already; Text then holds it beside Body.
 	Whole  bool
+	Text   []byte
 	Target string
 	// Outcome is set when the answer is the backend's refusal.
 	Outcome claim.Outcome
