Tell peers only what is new

Change: heartbeats carry members in full only while they are new and pulses of 4 bytes and a count otherwise; replies only what the asker lacks; counts are pushed only where a service has several homes; idle services get no timer; homes are computed again only when hosts or note change; the host list is read by ETag.

--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -13,7 +13,7 @@
 // Times of the duties.
 const (
 	tickEvery        = 5 * time.Millisecond
-	idleTickEvery    = 50 * time.Millisecond
+	idleTickEvery    = 100 * time.Millisecond
 	heartbeatTimeout = 450 * time.Millisecond
 	hostListEvery    = 2 * time.Second
 	noteEvery        = time.Second
@@ -103,7 +103,7 @@
 		h.hints.Push(hint{})
 	}
 	h.explainMembership()
-	request := &inner.HeartbeatRequest{Sender: h.Name(), Members: toWire(h.table.Outgoing()), Quarantines: h.offenders()}
+	request := h.heartbeatRequest(h.table.Outgoing(h.now()))
 	var group sync.WaitGroup
 	for _, address := range recipients {
 		group.Go(func() { h.heartbeat(ctx, address, request) })
@@ -111,29 +111,40 @@
 	group.Wait()
 }
 
-// heartbeat exchanges members with one peer.
+func (h *Host) heartbeatRequest(news host.News) *inner.HeartbeatRequest {
+	return &inner.HeartbeatRequest{Sender: h.Name(), Members: toWire(news.Members), Pulses: toWirePulses(news.Pulses), Quarantines: h.offenders()}
+}
+
+// heartbeat exchanges members with one peer, and sends in full what the peer could not place.
 func (h *Host) heartbeat(ctx context.Context, address string, request *inner.HeartbeatRequest) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	reply, err := h.client.Peer(ctx, address).Heartbeat(ctx, request)
+	peer := h.client.Peer(ctx, address)
+	reply, err := peer.Heartbeat(ctx, request)
 	if err != nil {
 		h.table.Failed(h.now(), address)
 		return
 	}
-	sender := ""
-	if len(reply.Members) > 0 {
-		sender = reply.Members[0].Name
+	h.takeReply(reply)
+	if len(reply.Unknown) == 0 {
+		return
+	}
+	if reply, err = peer.Heartbeat(ctx, h.heartbeatRequest(h.table.Full(fromWireIDs(reply.Unknown)))); err == nil {
+		h.takeReply(reply)
 	}
-	h.takeMembers(sender, reply.Members, reply.Quarantines)
 }
 
-// takeMembers merges what a peer sent and asks for its note when that is newer.
-func (h *Host) takeMembers(sender string, members []*inner.Member, quarantines []*inner.Quarantine) {
-	list := fromWire(members)
-	h.table.Merge(h.now(), sender, list)
+func (h *Host) takeReply(reply *inner.HeartbeatReply) {
+	news := host.News{Members: fromWire(reply.Members), Pulses: fromWirePulses(reply.Pulses)}
+	h.table.Merge(h.now(), reply.Sender, news)
+	h.heard(reply.Sender, news.Members, reply.Quarantines)
+}
+
+// heard takes in the rest of what a peer sent, and asks for its note when that is newer.
+func (h *Host) heard(sender string, members []host.Member, quarantines []*inner.Quarantine) {
 	h.quarantine.Take(h.now(), fromWireOffenders(quarantines))
 	h.peersRead.Store(true)
-	for _, m := range list {
+	for _, m := range members {
 		if m.Name == sender && m.Note > h.chain.Number() {
 			h.hints.Push(hint{m.Inner})
 		}
@@ -172,7 +183,11 @@
 // explainHomes writes a record for each service whose first home has moved.
 func (h *Host) explainHomes() {
 	live := h.table.Live(h.now())
-	for _, s := range h.steering.Configuration().Services {
+	configuration := h.steering.Configuration()
+	if !h.peerCounts.moved(configuration.Number, live) {
+		return
+	}
+	for _, s := range configuration.Services {
 		homes := host.Homes(s.Name, s.Homes, h.settings.Host.Domain, live)
 		home := ""
 		if len(homes) > 0 {
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"briarcroft/internal/claim"
+	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
 	"briarcroft/internal/steering"
 )
@@ -24,8 +25,14 @@
 
 // Heartbeat implements inner.DRPCPeerServer.
 func (p *peerServer) Heartbeat(_ context.Context, r *inner.HeartbeatRequest) (*inner.HeartbeatReply, error) {
-	p.host.takeMembers(r.Sender, r.Members, r.Quarantines)
-	return &inner.HeartbeatReply{Members: toWire(p.host.table.Outgoing()), Quarantines: p.host.offenders()}, nil
+	h := p.host
+	news := host.News{Members: fromWire(r.Members), Pulses: fromWirePulses(r.Pulses)}
+	answer := h.table.Answer(h.now(), r.Sender, news)
+	h.heard(r.Sender, news.Members, r.Quarantines)
+	return &inner.HeartbeatReply{
+		Sender: h.Name(), Members: toWire(answer.Members), Pulses: toWirePulses(answer.Pulses), Unknown: toWireIDs(answer.Unknown),
+		Quarantines: h.offenders(),
+	}, nil
 }
 
 // Counts implements inner.DRPCPeerServer.
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -31,6 +31,38 @@
 	return list
 }
 
+func toWirePulses(pulses []host.Pulse) []*inner.Pulse {
+	list := make([]*inner.Pulse, 0, len(pulses))
+	for _, p := range pulses {
+		list = append(list, &inner.Pulse{Id: uint32(p.ID), Beat: p.Beat})
+	}
+	return list
+}
+
+func fromWirePulses(pulses []*inner.Pulse) []host.Pulse {
+	list := make([]host.Pulse, 0, len(pulses))
+	for _, p := range pulses {
+		list = append(list, host.Pulse{ID: host.ID(p.Id), Beat: p.Beat})
+	}
+	return list
+}
+
+func toWireIDs(ids []host.ID) []uint32 {
+	list := make([]uint32, 0, len(ids))
+	for _, id := range ids {
+		list = append(list, uint32(id))
+	}
+	return list
+}
+
+func fromWireIDs(ids []uint32) []host.ID {
+	list := make([]host.ID, 0, len(ids))
+	for _, id := range ids {
+		list = append(list, host.ID(id))
+	}
+	return list
+}
+
 func (h *Host) offenders() []*inner.Quarantine {
 	var list []*inner.Quarantine
 	for _, o := range h.quarantine.List(h.now()) {
--- /dev/null
+++ b/internal/host/news.go
@@ -0,0 +1,148 @@
+package host
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// freshTime is how long a change of a member is sent in full to whoever is told.
+const freshTime = 1500 * time.Millisecond
+
+// ID names everything about a member but its heartbeat; it changes when any of that does.
+type ID uint32
+
+// Pulse is the newest heartbeat of a member that the other side knows already.
+type Pulse struct {
+	ID   ID
+	Beat uint64
+}
+
+// News is what one host tells another of the members.
+type News struct {
+	Members []Member
+	Pulses  []Pulse
+	// Unknown lists pulses that the other side sent and that this one could not place.
+	Unknown []ID
+}
+
+// id computes a member's ID.
+func (m Member) id() ID {
+	d := xxhash.New()
+	for _, text := range []string{m.Name, m.Listen, m.Inner, m.Domain, m.Region} {
+		// A hash never fails to write.
+		_, _ = d.WriteString(text)
+		_, _ = d.Write([]byte{0})
+	}
+	var fixed [18]byte
+	binary.LittleEndian.PutUint64(fixed[:], m.Incarnation)
+	binary.LittleEndian.PutUint64(fixed[8:], uint64(m.Note))
+	fixed[16], fixed[17] = flag(m.Leaving), flag(m.Ready)
+	_, _ = d.Write(fixed[:])
+	return ID(d.Sum64())
+}
+
+func flag(b bool) byte {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// newest returns the members to tell of: the own one first, then those that advanced last, at most maxSent.
+func (t *Table) newest() []*peer {
+	peers := make([]*peer, 0, len(t.peers)+1)
+	for _, p := range t.peers {
+		if !p.dead {
+			peers = append(peers, p)
+		}
+	}
+	slices.SortFunc(peers, func(a, b *peer) int {
+		return cmp.Or(cmp.Compare(b.advanced, a.advanced), strings.Compare(a.member.Name, b.member.Name))
+	})
+	peers = peers[:min(len(peers), maxSent-1)]
+	self := &peer{member: t.self, id: t.self.id()}
+	return append([]*peer{self}, peers...)
+}
+
+// Outgoing returns what to tell a peer: the own member and recent changes in full, the rest as pulses.
+func (t *Table) Outgoing(now time.Duration) News {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var news News
+	for i, p := range t.newest() {
+		if i == 0 || now-p.changed < freshTime {
+			news.Members = append(news.Members, p.member)
+			continue
+		}
+		news.Pulses = append(news.Pulses, Pulse{p.id, p.member.Beat})
+	}
+	return news
+}
+
+// Answer takes in what a peer told and returns what that peer does not know yet.
+func (t *Table) Answer(now time.Duration, sender string, news News) News {
+	unknown := t.Merge(now, sender, news)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	told := make(map[ID]uint64, len(news.Pulses)+len(news.Members))
+	for _, m := range news.Members {
+		told[m.id()] = m.Beat
+	}
+	for _, p := range news.Pulses {
+		told[p.ID] = p.Beat
+	}
+	answer := News{Unknown: unknown}
+	for _, p := range t.newest() {
+		beat, known := told[p.id]
+		switch {
+		case !known:
+			answer.Members = append(answer.Members, p.member)
+		case p.member.Beat > beat:
+			answer.Pulses = append(answer.Pulses, Pulse{p.id, p.member.Beat})
+		}
+	}
+	return answer
+}
+
+// Full returns the members with the given IDs, the own one first.
+func (t *Table) Full(ids []ID) News {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	news := News{Members: []Member{t.self}}
+	for _, p := range t.peers {
+		if slices.Contains(ids, p.id) {
+			news.Members = append(news.Members, p.member)
+		}
+	}
+	return news
+}
+
+// mergePulses advances the members that the pulses name and returns the IDs that name none.
+func (t *Table) mergePulses(now time.Duration, pulses []Pulse) []ID {
+	if len(pulses) == 0 {
+		return nil
+	}
+	byID := make(map[ID]*peer, len(t.peers)+1)
+	for _, p := range t.peers {
+		byID[p.id] = p
+	}
+	byID[t.self.id()] = nil
+	var unknown []ID
+	for _, pulse := range pulses {
+		p, known := byID[pulse.ID]
+		switch {
+		case !known:
+			unknown = append(unknown, pulse.ID)
+		case p != nil && pulse.Beat > p.member.Beat:
+			m := p.member
+			m.Beat = pulse.Beat
+			t.merge(now, m, false)
+		}
+	}
+	return unknown
+}
--- a/internal/host/table.go
+++ b/internal/host/table.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -23,8 +22,11 @@
 
 type peer struct {
 	member   Member
+	id       ID
 	advanced time.Duration
-	dead     bool
+	// changed is when anything but the heartbeat last changed.
+	changed time.Duration
+	dead    bool
 	// listedLeaving is set while the platform's host list says that the host leaves.
 	listedLeaving bool
 }
@@ -180,43 +182,25 @@
 	}
 }
 
-// Outgoing returns the members to send: the own one and those that advanced last.
-func (t *Table) Outgoing() []Member {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	peers := make([]*peer, 0, len(t.peers))
-	for _, p := range t.peers {
-		if !p.dead {
-			peers = append(peers, p)
-		}
-	}
-	slices.SortFunc(peers, func(a, b *peer) int {
-		return cmp.Or(cmp.Compare(b.advanced, a.advanced), strings.Compare(a.member.Name, b.member.Name))
-	})
-	list := []Member{t.self}
-	for _, p := range peers[:min(len(peers), maxSent-1)] {
-		list = append(list, p.member)
-	}
-	return list
-}
-
-// Merge takes in the members of a heartbeat or its reply; sender is the name of the host that sent them.
-func (t *Table) Merge(now time.Duration, sender string, members []Member) {
+// Merge takes in a heartbeat or its reply; sender is the name of the host that sent it.
+// It returns the pulses that name no known member.
+func (t *Table) Merge(now time.Duration, sender string, news News) []ID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.heard = now
-	for _, m := range members {
+	for _, m := range news.Members {
 		if m.Name != t.self.Name {
 			t.merge(now, m, m.Name == sender)
 		}
 	}
 	t.live = nil
+	return t.mergePulses(now, news.Pulses)
 }
 
 func (t *Table) merge(now time.Duration, m Member, direct bool) {
 	p, known := t.peers[m.Name]
 	if !known {
-		t.peers[m.Name] = &peer{member: m, advanced: now}
+		t.peers[m.Name] = &peer{member: m, id: m.id(), advanced: now, changed: now}
 		t.events = append(t.events, Event{Joined, m})
 		return
 	}
@@ -231,6 +215,9 @@
 	}
 	t.noteChange(p, m, replaced)
 	p.member, p.advanced, p.dead = m, now, false
+	if id := m.id(); id != p.id {
+		p.id, p.changed = id, now
+	}
 }
 
 func (t *Table) noteChange(p *peer, m Member, replaced bool) {
--- a/internal/platform/hostlist.go
+++ b/internal/platform/hostlist.go
@@ -25,10 +25,13 @@
 	State   HostState
 }
 
-// HostList reads the platform's lagging list of live and leaving hosts.
+// HostList reads the platform's lagging list of live and leaving hosts. It is not safe for concurrent use.
 type HostList struct {
 	url    string
 	client *http.Client
+	// etag and hosts are the last list, so that an unchanged one need not be sent again.
+	etag  string
+	hosts []ListedHost
 }
 
 // HostListConfig locates the list.
@@ -42,7 +45,7 @@
 // NewHostList returns a reader of the list and the function that closes its connections.
 func NewHostList(c HostListConfig) (*HostList, func()) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1, DialContext: c.Dial}
-	return &HostList{c.URL, &http.Client{Transport: transport, Timeout: c.Timeout}}, transport.CloseIdleConnections
+	return &HostList{url: c.URL, client: &http.Client{Transport: transport, Timeout: c.Timeout}}, transport.CloseIdleConnections
 }
 
 // Read returns the list as it is now; errors are ErrUnavailable.
@@ -51,14 +54,21 @@
 	if err != nil {
 		return nil, ErrUnavailable.New("host list: %v; check [Platform] HostList", err)
 	}
+	if h.etag != "" {
+		request.Header.Set("If-None-Match", h.etag)
+	}
 	response, err := h.client.Do(request)
 	if err != nil {
 		return nil, ErrUnavailable.New("host list: %v; the last list stays in use", err)
 	}
 	defer response.Body.Close()
+	if response.StatusCode == http.StatusNotModified {
+		return h.hosts, nil
+	}
 	var list struct{ Hosts []ListedHost }
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&list); err != nil {
 		return nil, ErrUnavailable.New("host list: status %d, %v; the last list stays in use", response.StatusCode, err)
 	}
+	h.etag, h.hosts = response.Header.Get("ETag"), list.Hosts
 	return list.Hosts, nil
 }
--- a/internal/platform/standin/calls.go
+++ b/internal/platform/standin/calls.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"briarcroft/internal/platform"
@@ -230,9 +231,15 @@
 	}
 }
 
-func (s *Standin) serveHosts(w http.ResponseWriter, _ *http.Request) {
+func (s *Standin) serveHosts(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	hosts := slices.Clone(s.hosts)
+	etag := strconv.Quote(strconv.FormatInt(s.hostsVersion, 10))
 	s.mu.Unlock()
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	reply(w, struct{ Hosts []platform.ListedHost }{hosts})
 }
--- a/internal/platform/standin/standin.go
+++ b/internal/platform/standin/standin.go
@@ -63,10 +63,12 @@
 	leases   map[int64]time.Time
 	watches  map[*watch]bool
 	hosts    []platform.ListedHost
-	faults   Faults
-	calls    map[Call]int64
-	writes   int64
-	mux      *http.ServeMux
+	// hostsVersion counts the changes of the list.
+	hostsVersion int64
+	faults       Faults
+	calls        map[Call]int64
+	writes       int64
+	mux          *http.ServeMux
 }
 
 // New returns an empty healthy service.
@@ -100,6 +102,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hosts = hosts
+	s.hostsVersion++
 }
 
 // Calls returns the number of calls of each kind so far.
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -449,6 +449,13 @@
 // Asked notes that a target is being probed.
 func (r *Router) Asked(now time.Duration, i Index) { r.targets[i].asked = now }
 
+// Settled reports whether no target waits for a timer or to be forgotten.
+func (r *Router) Settled() bool {
+	return !slices.ContainsFunc(r.targets, func(t *target) bool {
+		return t.state == Ramping || t.state == Ejected || t.cause == CauseWithdrawn
+	})
+}
+
 // Busy reports whether any request is in flight.
 func (r *Router) Busy() bool {
 	return slices.ContainsFunc(r.targets, func(t *target) bool { return len(t.starts) > 0 })
--- a/internal/steering/probe.go
+++ b/internal/steering/probe.go
@@ -35,7 +35,7 @@
 func (s *Service) probes() []Probe {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.spec.ReportPath == "" {
+	if s.spec.ReportPath == "" || s.probeCredit < 1 {
 		return nil
 	}
 	now := s.steering.config.Clock()
@@ -70,15 +70,23 @@
 	s.explain(s.steering.note())
 }
 
-// InFlight returns own requests in flight per target.
-func (s *Service) InFlight() map[string]int {
+// InFlight calls each with own requests in flight on the targets that have any.
+func (s *Service) InFlight(each func(target string, inFlight int)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	counts := map[string]int{}
-	for i := range s.gate.Router().Size() {
-		counts[s.gate.Router().Name(route.Index(i))] = s.gate.Router().InFlight(route.Index(i))
+	router := s.gate.Router()
+	for i := range router.Size() {
+		if n := router.InFlight(route.Index(i)); n > 0 {
+			each(router.Name(route.Index(i)), n)
+		}
 	}
-	return counts
+}
+
+// Shared reports whether the note gives the service several homes, which then exchange counts.
+func (s *Service) Shared() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spec.Homes > 1
 }
 
 // Has reports whether the service has the target.
--- a/internal/steering/service.go
+++ b/internal/steering/service.go
@@ -198,6 +198,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	router := s.gate.Router()
+	busy := s.gate.Queued() > 0 || router.Busy()
+	if !busy && router.Settled() {
+		return false
+	}
 	for name, pool := range s.pools {
 		if i := router.Lookup(name); i != route.None {
 			router.SetRoundTrip(i, pool.RoundTrip())
@@ -207,7 +211,7 @@
 	s.noteOverload()
 	s.explain(s.steering.note())
 	s.dropPools(router)
-	return s.gate.Queued() > 0 || router.Busy()
+	return busy
 }
 
 // dropPools closes the pools of targets that the router has forgotten.
