--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -35,6 +35,9 @@
 // ErrDisagrees reports a check that ran and found a difference, which has been printed already.
 var ErrDisagrees = namespace.NewType("disagrees")
 
+// ErrLate reports a note that was accepted and is not in force on every host in time.
+var ErrLate = namespace.NewType("late")
+
 // Config is what a run gets from its process.
 type Config struct {
 	Arguments []string
--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -151,9 +151,10 @@
 	first := s.file("first.ini", fmt.Sprintf("[Note]\nFollows = 0\nOperator = o\nReason = first\n[Service s]\n[Rule r]\nPath = /\nService = s\n[Target a]\nService = s\nAddress = %s\nDomain = d1\n[Target b]\nService = s\nAddress = %s\nDomain = d2\n", backends[0], backends[1]))
 
 	checkInput(s, first)
-	code, out := s.run("publish", "--store", s.store, "--note", first)
+	code, out := s.run("publish", "--store", s.store, "--note", first, "--host", s.listen[0], "--host", s.listen[1], "--host", s.listen[2])
 	s.is.Equal(code, ExitDone)
 	s.is.True(strings.HasPrefix(out, "note 1 accepted"))
+	s.is.True(strings.Contains(out, "in force on 3 hosts"))
 	s.eventually("note 1 in force on three hosts", func() bool { return s.agree(3, 1) })
 	code, out = s.run("publish", "--store", s.store, "--note", first)
 	s.is.Equal(code, ExitConflict)
