Find peers by the host list, send callers to their region, answer why

Cause: hosts found others by the seeds of their settings alone, so a fleet whose seeds were all replaced split; two regions shared one home; explain gave records but no answer to why a target got nothing.

--- a/internal/entry/counts.go
+++ b/internal/entry/counts.go
@@ -164,7 +164,7 @@
 		if s.Homes < 2 {
 			continue
 		}
-		for _, m := range host.Rank(s.Name, live)[:min(s.Homes, len(live))] {
+		for _, m := range host.RegionHomes(s.Name, s.Homes, h.settings.Host.Region, live) {
 			if !seen[m.Name] {
 				seen[m.Name] = true
 				list = append(list, m)
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -188,7 +188,7 @@
 		return
 	}
 	for _, s := range configuration.Services {
-		homes := host.Homes(s.Name, s.Homes, h.settings.Host.Domain, live)
+		homes := host.Homes(s.Name, s.Homes, h.settings.Host.Domain, h.settings.Host.Region, live)
 		home := ""
 		if len(homes) > 0 {
 			home = homes[0].Name
--- a/internal/entry/recovery_test.go
+++ b/internal/entry/recovery_test.go
@@ -12,8 +12,10 @@
 	"briarcroft/internal/caller"
 	"briarcroft/internal/host"
 	"briarcroft/internal/note"
+	"briarcroft/internal/platform"
 	"briarcroft/internal/platform/standin"
 	"briarcroft/internal/record"
+	"briarcroft/internal/settings"
 )
 
 // Bounds of recovery, from the stated targets.
@@ -163,6 +165,30 @@
 	})
 }
 
+// TestAllSeedsReplaced replaces hosts one after another, each time at a new address, until no seed of the settings lives:
+// newcomers must find the others by the platform's host list.
+func TestAllSeedsReplaced(t *testing.T) {
+	inService(t, 3, 2, work, func(f *fleet, _ []*fakeBackend) {
+		f.publish(next(1))
+		f.await(2, inForceBound)
+		for i := range 3 {
+			gone := fmt.Sprintf("entry-%d", i+1)
+			var list []platform.ListedHost
+			for name, n := range f.nodes {
+				list = append(list, platform.ListedHost{Name: name, Address: n.inner, State: platform.HostLive, Role: platform.RoleEntry})
+			}
+			f.store.SetHosts(list) // it lags: it still holds the host that goes
+			f.crash(gone)
+			f.forget(gone)
+			f.limits = func(s *settings.Settings) { s.Peers.Seeds = []string{"10.9.9.9:1"} }
+			f.start(fmt.Sprintf("new-%d", i+1), "a")
+			f.await(2, liveBound)
+			t.Logf("new-%d and the others know each other after %v", i+1, f.awaitLive(3, 2*liveBound))
+		}
+		f.serves(1)
+	})
+}
+
 // TestStartWithNothing checks that a host that reaches neither store nor peers is not ready and serves nothing as if it were.
 func TestStartWithNothing(t *testing.T) {
 	inFleet(t, func(f *fleet) {
@@ -366,8 +392,8 @@
 	moved := 0
 	for i := range services {
 		name := fmt.Sprintf("service-%d", i)
-		before := host.Homes(name, 1, "a", members[:12])[0].Name
-		if host.Homes(name, 1, "a", members)[0].Name != before {
+		before := host.Homes(name, 1, "a", "", members[:12])[0].Name
+		if host.Homes(name, 1, "a", "", members)[0].Name != before {
 			moved++
 		}
 	}
--- a/internal/host/home.go
+++ b/internal/host/home.go
@@ -26,14 +26,53 @@
 }
 
 // Homes returns the hosts that callers in a failure domain should connect to for a service, best first.
-// The first homes of the rank come first, those in the caller's domain before the others.
-func Homes(service string, homes int, domain string, live []Member) []Member {
-	ranked := Rank(service, live)
+// Every region has homes of its own, the first of its rank; those in the caller's failure domain come before the others.
+// Hosts of other regions come last, for when the caller's region has none left.
+func Homes(service string, homes int, domain, region string, live []Member) []Member {
+	near, away := split(live, regionOf(domain, region, live))
+	ranked := Rank(service, near)
 	homes = min(homes, len(ranked))
 	first := Rank(service+"\x00"+domain, ranked[:homes])
 	slices.SortStableFunc(first, func(a, b Member) int { return cmp.Compare(far(a, domain), far(b, domain)) })
 	list := append(first, ranked[homes:]...)
-	return list[:min(len(list), max(homes, maxAnswered))]
+	list = list[:min(len(list), max(homes, maxAnswered))]
+	away = Rank(service, away)
+	return append(list, away[:min(len(away), maxAway)]...)
+}
+
+// RegionHomes returns the homes of a service in one region.
+func RegionHomes(service string, homes int, region string, live []Member) []Member {
+	near, _ := split(live, region)
+	ranked := Rank(service, near)
+	return ranked[:min(homes, len(ranked))]
+}
+
+// maxAway is the most addresses of other regions in one answer.
+const maxAway = 2
+
+// regionOf returns the region of a failure domain as the live hosts tell it, or the given one.
+func regionOf(domain, region string, live []Member) string {
+	for _, m := range live {
+		if m.Domain == domain {
+			return m.Region
+		}
+	}
+	return region
+}
+
+// split parts the members of a region from the others; without any in the region all count as near.
+func split(members []Member, region string) (near, away []Member) {
+	for _, m := range members {
+		if m.Region == region {
+			near = append(near, m)
+		} else {
+			away = append(away, m)
+		}
+	}
+	if len(near) == 0 {
+		return away, nil
+	}
+	return near, away
 }
 
 func far(m Member, domain string) int {
--- a/internal/host/table.go
+++ b/internal/host/table.go
@@ -20,6 +20,9 @@
 // maxSent bounds the members in one heartbeat.
 const maxSent = 64
 
+// strangerEvery is how many rounds pass between two heartbeats to seeds and listed hosts, whether they are known or not.
+const strangerEvery = 16
+
 type peer struct {
 	member   Member
 	id       ID
@@ -43,6 +46,8 @@
 	// heard is when any peer's heartbeat last advanced.
 	heard  time.Duration
 	events []Event
+	// listed are the inner addresses of entry hosts on the platform's list.
+	listed []string
 	// live caches Live until the next change.
 	live []Member
 }
@@ -138,8 +143,9 @@
 		list = append(list, t.sample(byDomain[domain], count)...)
 	}
 	list = append(list, t.sample(dead, 1)...)
-	if len(list) == 0 || t.self.Beat%16 == 0 {
+	if len(list) == 0 || t.self.Beat%strangerEvery == 0 {
 		list = append(list, t.sample(t.config.Seeds, 2)...)
+		list = append(list, t.sample(t.listed, 2)...)
 	}
 	slices.Sort(list)
 	return slices.DeleteFunc(slices.Compact(list), func(a string) bool { return a == t.self.Inner })
@@ -250,10 +256,12 @@
 	}
 }
 
-// ListLeaving sets which hosts the platform's list calls leaving.
-func (t *Table) ListLeaving(names map[string]bool) {
+// TakeList takes in the platform's list: the inner addresses of its entry hosts, to find peers by beside the seeds,
+// and the names of the hosts that it calls leaving.
+func (t *Table) TakeList(listed []string, names map[string]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.listed = listed
 	for name, p := range t.peers {
 		p.listedLeaving = names[name]
 	}
--- a/internal/host/table_test.go
+++ b/internal/host/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -103,3 +104,24 @@
 	m, _ := a.Find("0")
 	is.Equal(m.Beat, uint64(9))
 }
+
+// TestHomesByRegion checks who is asked first, and who when a region has nobody left.
+func TestHomesByRegion(t *testing.T) {
+	is := is.New(t)
+	var live []Member
+	for i := range 10 {
+		live = append(live, Member{Name: fmt.Sprint(i), Domain: fmt.Sprint("d", i%5), Region: []string{"north", "south"}[i%5/3]})
+	}
+	for domain, region := range map[string]string{"d0": "north", "d2": "north", "d3": "south", "d4": "south"} {
+		homes := Homes("s", 2, domain, "north", live)
+		is.Equal(homes[0].Region, region)
+		is.Equal(homes[1].Region, region)
+		is.True(homes[len(homes)-1].Region != region) // the other region comes last
+		for _, m := range homes[:2] {
+			is.True(slices.ContainsFunc(RegionHomes("s", 2, region, live), func(o Member) bool { return o.Name == m.Name }))
+		}
+	}
+	south := slices.DeleteFunc(slices.Clone(live), func(m Member) bool { return m.Region == "south" })
+	is.Equal(Homes("s", 1, "d3", "south", south)[0].Region, "north")
+	is.Equal(Homes("s", 1, "unknown", "south", live)[0].Region, "south")
+}
--- a/internal/platform/hostlist.go
+++ b/internal/platform/hostlist.go
@@ -18,11 +18,21 @@
 	HostLeaving HostState = "Leaving"
 )
 
+// HostRole is what a listed host does.
+type HostRole string
+
+// The roles of a listed host; an empty role is that of a backend server.
+const (
+	RoleEntry   HostRole = "Entry"
+	RoleBackend HostRole = "Backend"
+)
+
 // ListedHost is one host of the platform's list; Address is an entry host's inner address or a target's address.
 type ListedHost struct {
 	Name    string
 	Address string
 	State   HostState
+	Role    HostRole
 }
 
 // HostList reads the platform's lagging list of live and leaving hosts. It is not safe for concurrent use.
--- /dev/null
+++ b/internal/record/timeline.go
@@ -0,0 +1,119 @@
+package record
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Interval is a stretch of time in which a target was in one state on one host.
+type Interval struct {
+	Host        string
+	Incarnation uint64
+	Service     string
+	Target      string
+	State       string
+	Cause       string
+	Note        int
+	From        time.Time
+	To          time.Time
+	Evidence    Evidence
+}
+
+// Length returns how long the interval lasted.
+func (i Interval) Length() time.Duration { return i.To.Sub(i.From) }
+
+// Eligible reports whether the target could get new requests in the interval.
+func (i Interval) Eligible() bool { return i.State == "Live" || i.State == "Ramping" }
+
+// Stretch is a period that is asked about.
+type Stretch struct {
+	From time.Time
+	To   time.Time
+}
+
+// line names one target on one incarnation of one host.
+type line struct {
+	host        string
+	incarnation uint64
+	target      string
+}
+
+// Timeline returns the intervals of a target's states that reach into a stretch, by host and time.
+// Time before a host's first record of the target is left out: the host did not run, did not know the target,
+// or no longer holds the record.
+func Timeline(records []Record, target string, s Stretch) []Interval {
+	open := map[line]Interval{}
+	var list []Interval
+	sorted := slices.Clone(records)
+	Sort(sorted)
+	for _, r := range sorted {
+		if r.Target != target || r.Kind != TargetMoved && r.Kind != TargetForgotten {
+			continue
+		}
+		key := line{r.Host, r.Incarnation, r.Target}
+		if before, found := open[key]; found {
+			before.To = r.Time
+			list = append(list, before)
+			delete(open, key)
+		}
+		if r.Kind == TargetMoved {
+			open[key] = Interval{
+				Host: r.Host, Incarnation: r.Incarnation, Service: r.Service, Target: r.Target, State: r.To,
+				Cause: r.Cause, Note: r.Note, From: r.Time, Evidence: r.Evidence,
+			}
+		}
+	}
+	for _, interval := range open {
+		interval.To = s.To
+		list = append(list, interval)
+	}
+	return clip(list, s)
+}
+
+// clip cuts intervals to a stretch, drops those outside, and sorts the rest.
+func clip(list []Interval, s Stretch) []Interval {
+	list = slices.DeleteFunc(list, func(i Interval) bool { return !i.From.Before(s.To) || !i.To.After(s.From) })
+	for i := range list {
+		if list[i].From.Before(s.From) {
+			list[i].From = s.From
+		}
+		if list[i].To.After(s.To) {
+			list[i].To = s.To
+		}
+	}
+	slices.SortFunc(list, func(a, b Interval) int {
+		return cmp.Or(cmp.Compare(a.Host, b.Host), a.From.Compare(b.From), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return list
+}
+
+// Share is how much of a stretch a target was eligible on one host.
+type Share struct {
+	Host     string
+	Eligible time.Duration
+	// Known is how much of the stretch the host's records cover.
+	Known time.Duration
+}
+
+// Shares sums a timeline by host.
+func Shares(timeline []Interval) []Share {
+	byHost := map[string]*Share{}
+	for _, i := range timeline {
+		s := byHost[i.Host]
+		if s == nil {
+			s = &Share{Host: i.Host}
+			byHost[i.Host] = s
+		}
+		s.Known += i.Length()
+		if i.Eligible() {
+			s.Eligible += i.Length()
+		}
+	}
+	var list []Share
+	for _, s := range byHost {
+		list = append(list, *s)
+	}
+	slices.SortFunc(list, func(a, b Share) int { return cmp.Compare(a.Host, b.Host) })
+	return list
+}
--- a/internal/route/lifecycle.go
+++ b/internal/route/lifecycle.go
@@ -47,14 +47,13 @@
 }
 
 func (r *Router) add(now time.Duration, spec Spec, first bool) {
-	t := &target{spec: spec, state: Live, since: now, slowSince: -1, starts: make([]time.Duration, 0, 2*spec.Slots+2)}
+	t := &target{spec: spec, state: Absent, since: now, slowSince: -1, starts: make([]time.Duration, 0, 2*spec.Slots+2)}
 	r.byName[spec.Name] = Index(len(r.targets))
 	r.targets = append(r.targets, t)
 	state := Ramping
 	if first {
 		state = Live
 	}
-	t.state = Draining
 	r.move(now, t, state, CauseAdded)
 }
 
@@ -106,7 +105,7 @@
 			total++
 		case Ejected:
 			total++
-		case Draining:
+		case Draining, Absent:
 		}
 	}
 	return eligible > 1 && 2*(eligible-1) >= total
@@ -129,7 +128,8 @@
 }
 
 func (r *Router) checkStraggler(now time.Duration, t *target) {
-	if r.usual == 0 || t.slow < stragglerRatio*r.usual || now-t.updated > slowHorizon {
+	// Travel is no fault of the target: one in another region is far, not slow.
+	if r.usual == 0 || t.slow-t.spec.RoundTrip.Seconds() < stragglerRatio*r.usual || now-t.updated > slowHorizon {
 		t.slowSince = -1
 		if now-t.since > longestEject {
 			t.ejections = 0
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -81,6 +81,7 @@
 func (r *Router) Finish(now time.Duration, i Index, start, took time.Duration, outcome Outcome) {
 	t := r.targets[i]
 	t.finish(start)
+	t.lastFinish = now
 	latency := took.Seconds()
 	switch outcome {
 	case Succeeded:
--- a/internal/route/router_test.go
+++ b/internal/route/router_test.go
@@ -135,3 +135,36 @@
 	is.True(b.Spent >= 95)
 	is.Equal(b.Spent+b.Denied, int64(1000))
 }
+
+// TestFarTargetsAreASpare runs a service with targets in two regions: the far ones get work only when the near ones are
+// full or gone, and are not taken for stragglers.
+func TestFarTargetsAreASpare(t *testing.T) {
+	is := is.New(t)
+	const near, travel = 10 * time.Millisecond, 60 * time.Millisecond
+	r := New(Config{Random: rand.New(rand.NewPCG(1, 1)), Overcommit: -1})
+	r.SetTargets(0, []Spec{{Name: "near-1", Slots: 4}, {Name: "near-2", Slots: 4}, {Name: "far-1", Slots: 4, RoundTrip: travel}, {Name: "far-2", Slots: 4, RoundTrip: travel}})
+	now := time.Duration(0)
+	share := func(rounds int) float64 {
+		far := 0
+		for range rounds {
+			now += near
+			i := r.Pick(now, 0, None)
+			took := near
+			if r.Name(i)[:3] == "far" {
+				far++
+				took += travel
+			}
+			one(r, now, i, took, Succeeded)
+			r.Tick(now)
+		}
+		return float64(far) / float64(rounds)
+	}
+	share(100)
+	is.True(share(1000) < 0.02)
+	is.Equal(len(r.Eligible(nil)), 4) // nobody was ejected
+	for _, name := range []string{"near-1", "near-2"} {
+		r.Drain(now, r.Lookup(name), CauseLeaving)
+	}
+	is.Equal(share(100), 1.0)
+	is.Equal(len(r.Eligible(nil)), 2)
+}
--- a/internal/route/target.go
+++ b/internal/route/target.go
@@ -14,6 +14,8 @@
 	Ramping
 	Ejected
 	Draining
+	// Absent is the state before a target was added.
+	Absent
 )
 
 // String returns the state's name.
@@ -27,6 +29,8 @@
 		return "Ejected"
 	case Draining:
 		return "Draining"
+	case Absent:
+		return "Absent"
 	}
 	return "Unknown"
 }
@@ -55,6 +59,8 @@
 	// fast and slow are moving means of latency in seconds over two horizons; 0 means unknown.
 	fast, slow float64
 	updated    time.Duration
+	// lastFinish is when a request last ended.
+	lastFinish time.Duration
 	// asked is when the target was last probed.
 	asked time.Duration
 	// failures counts failed requests in a row.
@@ -91,6 +97,9 @@
 	// overdueAfter is the age of a request in flight, in expected latencies, from which it makes the target look slow.
 	overdueAfter  = 1.2
 	overdueWeight = 0.3
+	// silenceAfter is how many answers may be due before a target looks slow, and silenceWeight how much each further one adds.
+	silenceAfter  = 0.5
+	silenceWeight = 0.3
 	// leastResidual is the least part of a run that is taken to be left.
 	leastResidual = 0.25
 )
@@ -126,7 +135,17 @@
 	age := now - t.updated
 	steady := usual + (t.slow-usual)*weight(age, slowHorizon)
 	expected := steady + (t.fast-steady)*fastShare*weight(age, fastHorizon)
-	return max(expected, t.overdue(now, expected))
+	return max(expected, t.overdue(now, expected)) * t.silence(now, usual)
+}
+
+// silence returns a factor of 1 or more: it grows with the answers that were due since the last one and have not come.
+// It shows a neighbour's noise sooner than any single request that is late.
+func (t *target) silence(now time.Duration, usual float64) float64 {
+	due := 0.0
+	for _, start := range t.starts {
+		due += (now - max(start, t.lastFinish)).Seconds()
+	}
+	return 1 + silenceWeight*max(0, due/usual-silenceAfter)
 }
 
 // overdue returns a latency in seconds that requests still in flight make plausible.
@@ -159,7 +178,7 @@
 // limit returns how many own requests the target may have in flight.
 func (t *target) limit(now time.Duration, usual float64, overcommit int) int {
 	switch t.state {
-	case Ejected, Draining:
+	case Ejected, Draining, Absent:
 		return 0
 	case Ramping:
 		share := float64(now-t.since) / float64(rampTime)
@@ -177,7 +196,7 @@
 	if trip <= 0 || usual <= trip {
 		return 0
 	}
-	return int(math.Round(float64(t.spec.Slots) * trip / (usual - trip)))
+	return min(t.spec.Slots, int(math.Round(float64(t.spec.Slots)*trip/(usual-trip))))
 }
 
 func (t *target) finish(start time.Duration) {
