Let counts of other homes fade with the service's latency; add homes by load

Cause: a peer's counts kept their weight for 250 ms while a request takes 10 ms, so several homes that exchanged counts did worse than homes that knew nothing; a service too large for one home needed a note. Change: counts fade over the usual latency; a host that sees more than 1,500 requests a second of a service for 3 s asks for another home by its heartbeats.

--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -44,7 +44,7 @@
 	if len(live) == 0 || h.table.Isolated(now) {
 		answer.MaxAge = isolatedMaxAge
 	}
-	for _, m := range host.Homes(name, service.Homes, domain, h.settings.Host.Region, live) {
+	for _, m := range host.Homes(name, host.Wanted(name, service.Homes, live), domain, h.settings.Host.Region, live) {
 		answer.Addresses = append(answer.Addresses, toAddress(m))
 	}
 	if len(answer.Addresses) == 0 {
--- a/internal/entry/counts.go
+++ b/internal/entry/counts.go
@@ -105,11 +105,12 @@
 	wait := countsEvery
 	for sleep(ctx, wait) {
 		wait = idleCountsEvery
-		if !h.steering.Shared() {
+		shared := h.sharedServices()
+		if len(shared) == 0 {
 			continue
 		}
 		wait = countsEvery
-		changed, counts := h.changedCounts(last)
+		changed, counts := h.changedCounts(shared, last)
 		if !changed {
 			continue
 		}
@@ -119,11 +120,23 @@
 	}
 }
 
+// sharedServices returns the services that have several homes.
+func (h *Host) sharedServices() map[string]bool {
+	live := h.table.Live(h.now())
+	shared := map[string]bool{}
+	for _, s := range h.steering.Configuration().Services {
+		if host.Wanted(s.Name, s.Homes, live) > 1 {
+			shared[s.Name] = true
+		}
+	}
+	return shared
+}
+
 // changedCounts returns own requests in flight on targets of services that have other homes too.
-func (h *Host) changedCounts(last map[string]int) (bool, map[string]int) {
+func (h *Host) changedCounts(shared map[string]bool, last map[string]int) (bool, map[string]int) {
 	counts := map[string]int{}
 	for _, service := range h.steering.Services() {
-		if service.Shared() {
+		if shared[service.Name()] {
 			service.InFlight(func(target string, n int) { counts[target] = n })
 		}
 	}
@@ -161,10 +174,10 @@
 	seen := map[string]bool{h.Name(): true}
 	var list []host.Member
 	for _, s := range h.steering.Configuration().Services {
-		if s.Homes < 2 {
+		if host.Wanted(s.Name, s.Homes, live) < 2 {
 			continue
 		}
-		for _, m := range host.RegionHomes(s.Name, s.Homes, h.settings.Host.Region, live) {
+		for _, m := range host.RegionHomes(s.Name, host.Wanted(s.Name, s.Homes, live), h.settings.Host.Region, live) {
 			if !seen[m.Name] {
 				seen[m.Name] = true
 				list = append(list, m)
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -59,6 +59,7 @@
 	d.start(h.countsDuty)
 	d.start(h.probeDuty)
 	d.start(h.hostListDuty)
+	d.start(h.demandDuty)
 }
 
 // sleep waits and reports false when the context ended first.
@@ -188,7 +189,7 @@
 		return
 	}
 	for _, s := range configuration.Services {
-		homes := host.Homes(s.Name, s.Homes, h.settings.Host.Domain, h.settings.Host.Region, live)
+		homes := host.Homes(s.Name, host.Wanted(s.Name, s.Homes, live), h.settings.Host.Domain, h.settings.Host.Region, live)
 		home := ""
 		if len(homes) > 0 {
 			home = homes[0].Name
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -14,7 +14,7 @@
 	for _, m := range members {
 		list = append(list, &inner.Member{
 			Name: m.Name, Listen: m.Listen, Inner: m.Inner, Domain: m.Domain, Region: m.Region, Incarnation: m.Incarnation,
-			Beat: m.Beat, Leaving: m.Leaving, Note: int64(m.Note), Ready: m.Ready,
+			Beat: m.Beat, Leaving: m.Leaving, Note: int64(m.Note), Ready: m.Ready, Wants: toWireWants(m.Wants),
 		})
 	}
 	return list
@@ -25,12 +25,28 @@
 	for _, m := range members {
 		list = append(list, host.Member{
 			Name: m.Name, Listen: m.Listen, Inner: m.Inner, Domain: m.Domain, Region: m.Region, Incarnation: m.Incarnation,
-			Beat: m.Beat, Leaving: m.Leaving, Note: int(m.Note), Ready: m.Ready,
+			Beat: m.Beat, Leaving: m.Leaving, Note: int(m.Note), Ready: m.Ready, Wants: fromWireWants(m.Wants),
 		})
 	}
 	return list
 }
 
+func toWireWants(wants []host.Want) []*inner.Want {
+	var list []*inner.Want
+	for _, w := range wants {
+		list = append(list, &inner.Want{Service: w.Service, Homes: uint32(w.Homes)})
+	}
+	return list
+}
+
+func fromWireWants(wants []*inner.Want) []host.Want {
+	var list []host.Want
+	for _, w := range wants {
+		list = append(list, host.Want{Service: w.Service, Homes: int(w.Homes)})
+	}
+	return list
+}
+
 func toWirePulses(pulses []host.Pulse) []*inner.Pulse {
 	list := make([]*inner.Pulse, 0, len(pulses))
 	for _, p := range pulses {
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -21,6 +21,8 @@
 	Ready bool
 	// Note is the number of the note in force on the host.
 	Note int
+	// Wants lists the services whose load asks for more homes.
+	Wants []Want
 }
 
 // Times of membership.
--- a/internal/host/news.go
+++ b/internal/host/news.go
@@ -38,6 +38,10 @@
 		_, _ = d.WriteString(text)
 		_, _ = d.Write([]byte{0})
 	}
+	for _, w := range m.Wants {
+		_, _ = d.WriteString(w.Service)
+		_, _ = d.Write([]byte{0, byte(w.Homes)})
+	}
 	var fixed [18]byte
 	binary.LittleEndian.PutUint64(fixed[:], m.Incarnation)
 	binary.LittleEndian.PutUint64(fixed[8:], uint64(m.Note))
--- a/internal/host/table.go
+++ b/internal/host/table.go
@@ -70,6 +70,15 @@
 // SetReady sets whether this host may be in address answers.
 func (t *Table) SetReady(ready bool) { t.update(func(m *Member) { m.Ready = ready }) }
 
+// SetWants sets which services' load asks for more homes.
+func (t *Table) SetWants(wants []Want) {
+	t.update(func(m *Member) {
+		if !slices.Equal(m.Wants, wants) {
+			m.Wants = wants
+		}
+	})
+}
+
 // Leave marks the own host as leaving.
 func (t *Table) Leave() { t.update(func(m *Member) { m.Leaving = true }) }
 
--- a/internal/host/table_test.go
+++ b/internal/host/table_test.go
@@ -125,3 +125,28 @@
 	is.Equal(Homes("s", 1, "d3", "south", south)[0].Region, "north")
 	is.Equal(Homes("s", 1, "unknown", "south", live)[0].Region, "south")
 }
+
+// TestDemandForHomes raises and lowers a service's rate: more homes come soon, fewer late, and neither by a short peak.
+func TestDemandForHomes(t *testing.T) {
+	is := is.New(t)
+	d := NewDemand()
+	homes := 1
+	now := time.Duration(0)
+	// hold keeps a whole rate up for a while, shared by the homes there are, and returns the homes at its end.
+	hold := func(total float64, length time.Duration) int {
+		for end := now + length; now < end; now += time.Second {
+			d.Observe(now, "s", total/float64(homes), homes)
+			homes = Wanted("s", 1, []Member{{Wants: d.Wants()}})
+		}
+		return homes
+	}
+	is.Equal(hold(1400, 10*time.Second), 1)
+	is.Equal(hold(4000, 2*time.Second), 1) // a peak
+	is.Equal(hold(1400, 10*time.Second), 1)
+	is.Equal(hold(4000, 10*time.Second), 3)
+	is.Equal(hold(3500, 5*time.Minute), 3) // no flapping between 2 and 3
+	is.Equal(hold(500, 30*time.Second), 3)
+	is.Equal(hold(500, time.Minute), 1)
+	is.Equal(hold(1e6, 10*time.Second), mostWanted)
+	is.Equal(Wanted("s", 4, []Member{{Wants: []Want{{"s", 2}}}}), 4) // never fewer than the note gives
+}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -30,7 +30,7 @@
 		if limit == 0 || Index(i) == avoid {
 			continue
 		}
-		load := t.load(now)
+		load := t.load(now, r.usual)
 		if len(t.starts) >= limit+extra || load >= float64(limit+extra) && len(t.starts) > 0 {
 			continue
 		}
--- a/internal/route/router_test.go
+++ b/internal/route/router_test.go
@@ -90,8 +90,8 @@
 	is := is.New(t)
 	r := newTestRouter(2)
 	is.True(r.TakeReport(0, 0, Report{InFlight: 3}))
-	is.True(r.targets[0].load(0) > 2.9)
-	is.True(r.targets[0].load(time.Second) < 0.1) // old knowledge loses weight
+	is.True(r.targets[0].load(0, 0.01) > 2.9)
+	is.True(r.targets[0].load(time.Second, 0.01) < 0.1) // old knowledge loses weight
 	for range 4 {
 		r.Start(0, 0)
 	}
--- a/internal/route/target.go
+++ b/internal/route/target.go
@@ -169,9 +169,9 @@
 }
 
 // load returns own and others' requests on the target.
-func (t *target) load(now time.Duration) float64 {
+func (t *target) load(now time.Duration, usual float64) float64 {
 	foreign := t.foreign * weight(now-t.foreignAt, foreignHorizon)
-	peers := t.peers * weight(now-t.peersAt, foreignHorizon)
+	peers := t.peers * weight(now-t.peersAt, peersHorizon(usual))
 	return float64(len(t.starts)) + max(foreign, peers)
 }
 
@@ -209,3 +209,8 @@
 		}
 	}
 }
+
+// peersHorizon returns how long other entry hosts' counts are worth something: about as long as a request takes.
+func peersHorizon(usual float64) time.Duration {
+	return max(time.Millisecond, time.Duration(usual*float64(time.Second)))
+}
--- a/internal/steering/probe.go
+++ b/internal/steering/probe.go
@@ -82,11 +82,14 @@
 	}
 }
 
-// Shared reports whether the note gives the service several homes, which then exchange counts.
-func (s *Service) Shared() bool {
+// Name returns the service's name.
+func (s *Service) Name() string { return s.name }
+
+// Requests returns how many requests the service has had here.
+func (s *Service) Requests() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.spec.Homes > 1
+	return s.requests
 }
 
 // Has reports whether the service has the target.
--- a/internal/steering/run.go
+++ b/internal/steering/run.go
@@ -92,6 +92,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.budget.First()
+	s.requests++
 	s.probeCredit = min(maxProbeCredit, s.probeCredit+probePerRequest)
 }
 
--- a/internal/steering/service.go
+++ b/internal/steering/service.go
@@ -26,6 +26,8 @@
 	classes  map[string]admission.Class
 	spec     note.Service
 	overload bool
+	// requests counts the first tries.
+	requests int64
 	// probeCredit is how many probes the requests so far have earned.
 	probeCredit float64
 }
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -154,13 +154,3 @@
 func newRouter(service string, seed uint64) *route.Router {
 	return route.New(route.Config{Service: service, Random: rand.New(rand.NewPCG(seed, 1)), Overcommit: -1})
 }
-
-// Shared reports whether any service has several homes.
-func (s *Steering) Shared() bool {
-	for _, service := range s.current.Load().configuration.Services {
-		if service.Homes > 1 {
-			return true
-		}
-	}
-	return false
-}
