Keep the homes apart from the counts; count refusals

Cause: the counter of refusals was never raised; a target withdrawn between two reads of the configuration could end a host; the homes lived among the counts.

--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -22,8 +22,7 @@
 	name := r.URL.Query().Get("Service")
 	service, found := h.steering.Configuration().Service(name)
 	if !found {
-		w.Header().Set(steering.HeaderReason, "UnknownService")
-		refuse(w, &steering.Refusal{Status: http.StatusNotFound, Outcome: claim.NotRun})
+		f.refuse(w, &steering.Refusal{Status: http.StatusNotFound, Outcome: claim.NotRun, Reason: "UnknownService"})
 		return
 	}
 	domain := r.URL.Query().Get("Domain")
@@ -33,7 +32,7 @@
 	now := h.now()
 	if h.table.Overdue(now) {
 		// This host was paused and has not yet compared itself with its peers.
-		refuse(w, &steering.Refusal{Status: http.StatusServiceUnavailable, Outcome: claim.NotRun, Reason: "HostWasPaused", RetryAfter: time.Second})
+		f.refuse(w, &steering.Refusal{Status: http.StatusServiceUnavailable, Outcome: claim.NotRun, Reason: "HostWasPaused", RetryAfter: time.Second})
 		return
 	}
 	answer := address.Answer{
--- a/internal/entry/counts.go
+++ b/internal/entry/counts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -11,29 +10,23 @@
 	"briarcroft/internal/meter"
 )
 
-// Times and sizes of measuring.
+// Times and sizes of the exchange of counts.
 const (
 	countsEvery   = 25 * time.Millisecond
 	countsTimeout = 250 * time.Millisecond
 	// idleCountsEvery is how often to look whether any service has several homes.
 	idleCountsEvery = time.Second
-	probeEvery      = 200 * time.Millisecond
-	probeTimeout    = 500 * time.Millisecond
-	probeBytes      = 512
 	countBytes      = 24
 	countsFresh     = time.Second
 )
 
-// peerCounts holds the other entry hosts' requests in flight, and the first home of each service as last seen.
+// peerCounts holds the other entry hosts' requests in flight.
 type peerCounts struct {
 	mu     sync.Mutex
 	byHost map[string]hostCounts
-	homes  map[string]string
-	// live and note are what the homes were last computed from.
-	live []string
-	note int
 }
 
+// hostCounts is what one peer pushed last, and when.
 type hostCounts struct {
 	incarnation, sequence uint64
 	at                    time.Duration
@@ -41,31 +34,7 @@
 }
 
 func newPeerCounts() *peerCounts {
-	return &peerCounts{byHost: map[string]hostCounts{}, homes: map[string]string{}}
-}
-
-// moved reports whether the homes must be computed again: the live hosts or the note have changed.
-func (p *peerCounts) moved(note int, live []host.Member) bool {
-	names := make([]string, len(live))
-	for i, m := range live {
-		names[i] = m.Name
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if note == p.note && slices.Equal(names, p.live) {
-		return false
-	}
-	p.note, p.live = note, names
-	return true
-}
-
-// setHome stores a service's first home and returns the one before.
-func (p *peerCounts) setHome(service, home string) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	old := p.homes[service]
-	p.homes[service] = home
-	return old
+	return &peerCounts{byHost: map[string]hostCounts{}}
 }
 
 // take stores what a peer pushed, unless something newer came before.
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -181,25 +181,6 @@
 	h.explainHomes()
 }
 
-// explainHomes writes a record for each service whose first home has moved.
-func (h *Host) explainHomes() {
-	live := h.table.Live(h.now())
-	configuration := h.steering.Configuration()
-	if !h.peerCounts.moved(configuration.Number, live) {
-		return
-	}
-	for _, s := range configuration.Services {
-		homes := host.Homes(s.Name, host.Wanted(s.Name, s.Homes, live), h.settings.Host.Domain, h.settings.Host.Region, live)
-		home := ""
-		if len(homes) > 0 {
-			home = homes[0].Name
-		}
-		if old := h.peerCounts.setHome(s.Name, home); old != home {
-			h.book.Add(record.Record{Kind: record.HomeMoved, Service: s.Name, From: old, To: home, Cause: "Membership", Note: h.chain.Number()})
-		}
-	}
-}
-
 // hostListDuty reads the platform's list of live and leaving hosts.
 func (h *Host) hostListDuty(ctx context.Context) {
 	if h.config.HostList == nil {
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -80,12 +80,12 @@
 	f.host.stats.requests.Add(1)
 	rule, service, found := f.host.steering.Match(r.Host, r.URL.Path, r.Method)
 	if !found {
-		refuse(w, f.noRule(r))
+		f.refuse(w, f.noRule(r))
 		return
 	}
 	request, refusal := f.read(w, r, rule, arrived)
 	if refusal != nil {
-		refuse(w, refusal)
+		f.refuse(w, refusal)
 		return
 	}
 	defer func() {
@@ -93,7 +93,7 @@
 	}()
 	if o, held := f.host.quarantine.Check(f.host.now(), request.Fingerprint); held && request.Fingerprint != 0 {
 		w.Header().Set(steering.HeaderReason, o.Reason)
-		refuse(w, &steering.Refusal{Status: http.StatusUnprocessableEntity, Outcome: claim.Unknown, Reason: "Quarantined", RetryAfter: o.Remaining})
+		f.refuse(w, &steering.Refusal{Status: http.StatusUnprocessableEntity, Outcome: claim.Unknown, Reason: "Quarantined", RetryAfter: o.Remaining})
 		return
 	}
 	if key := r.Header.Get("Idempotency-Key"); key != "" && !request.Idempotent {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -77,6 +77,7 @@
 	peerTLS     *tls.Config
 	callerTLS   *tls.Config
 	peerCounts  *peerCounts
+	homes       homes
 	hints       *ring.Ring[hint]
 	kick        *ring.Ring[struct{}]
 	front       *http.Server
@@ -101,7 +102,7 @@
 	h := &Host{
 		config: c, settings: c.Settings, start: time.Now(), chain: &note.Chain{},
 		hints: ring.New[hint](ring.Config{Capacity: ringSize}), kick: ring.New[struct{}](ring.Config{Capacity: 1}),
-		quarantine: claim.NewQuarantine(), histograms: meter.NewHistograms(), peerCounts: newPeerCounts(), parts: newSealParts(),
+		quarantine: claim.NewQuarantine(), histograms: meter.NewHistograms(), peerCounts: newPeerCounts(), homes: homes{first: map[string]string{}}, parts: newSealParts(),
 	}
 	h.incarnation = uint64(h.start.UnixMilli())<<16 | uint64(rand.Uint32N(1<<16))
 	if err := h.listen(); err != nil {
--- a/internal/entry/hosts.go
+++ b/internal/entry/hosts.go
@@ -22,6 +22,8 @@
 	for _, t := range h.steering.Configuration().Targets {
 		service := h.steering.Services()[t.Service]
 		switch {
+		case service == nil:
+			// A note has just withdrawn it.
 		case addresses[t.Address]:
 			service.Drain(t.Name, route.CauseLeaving)
 		case before[t.Address]:
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -28,7 +28,7 @@
 	key, err := claim.ParseKey(text)
 	if err != nil {
 		w.Header().Set(steering.HeaderReason, err.Error())
-		refuse(w, &steering.Refusal{Status: http.StatusBadRequest, Outcome: claim.NotRun})
+		f.refuse(w, &steering.Refusal{Status: http.StatusBadRequest, Outcome: claim.NotRun})
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
--- a/internal/entry/probes.go
+++ b/internal/entry/probes.go
@@ -13,6 +13,13 @@
 	"briarcroft/internal/steering"
 )
 
+// Times and sizes of probes.
+const (
+	probeEvery   = 200 * time.Millisecond
+	probeTimeout = 500 * time.Millisecond
+	probeBytes   = 512
+)
+
 // probeDuty asks idle, ejected and draining targets for their report, as far as the budget allows.
 func (h *Host) probeDuty(ctx context.Context) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, ResponseHeaderTimeout: probeTimeout, DialContext: h.config.Dial}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -15,7 +15,7 @@
 	sealPartBytes = 1 << 20
 	sealTimeout   = 3 * time.Second
 	// answerMargin is added to the longest age of an address answer before the listener closes.
-	answerMargin = 500 * time.Millisecond
+	answerMargin = time.Second
 )
 
 // stopGracefully takes the host out of the answers, finishes what is in flight and hands its knowledge over.
--- a/internal/entry/write.go
+++ b/internal/entry/write.go
@@ -17,7 +17,7 @@
 func (f *front) write(w http.ResponseWriter, result steering.Result) {
 	switch result := result.(type) {
 	case *steering.Refusal:
-		refuse(w, result)
+		f.refuse(w, result)
 	case *steering.Answer:
 		f.writeAnswer(w, result)
 	}
@@ -84,6 +84,12 @@
 	}
 }
 
+// refuse answers a caller in the host's own name.
+func (f *front) refuse(w http.ResponseWriter, r *steering.Refusal) {
+	f.host.stats.refused.Add(1)
+	refuse(w, r)
+}
+
 // refuse answers in the host's own name.
 func refuse(w http.ResponseWriter, r *steering.Refusal) {
 	w.Header().Set(steering.HeaderOutcome, string(r.Outcome))
