Begin with a full retry budget; forget withdrawn targets on idle hosts

Change: the budget begins full; withdrawn targets are forgotten when the note comes into force; callers keep a grant as long as an address answer and take a new key when the first connection was refused.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -27,6 +28,9 @@
 // ErrNoAddress reports that no known entry host gave an address answer.
 var ErrNoAddress = namespace.NewType("no_address")
 
+// ErrRefused reports a connection that could not be opened; nothing was sent.
+var ErrRefused = namespace.NewType("refused")
+
 // ErrCut reports an answer that did not come whole.
 var ErrCut = namespace.NewType("cut")
 
@@ -54,6 +58,8 @@
 	mu        sync.Mutex
 	random    *rand.Rand
 	answers   map[string]kept
+	// grants holds the answers of single entry hosts, for their grants.
+	grants map[string]kept
 }
 
 type kept struct {
@@ -64,7 +70,7 @@
 // New returns a client and the function that closes its connections.
 func New(c Config) (*Client, func()) {
 	t := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true, DialContext: c.Dial}
-	client := &Client{config: c, transport: t, random: rand.New(rand.NewPCG(c.Seed, 3)), answers: map[string]kept{}}
+	client := &Client{config: c, transport: t, random: rand.New(rand.NewPCG(c.Seed, 3)), answers: map[string]kept{}, grants: map[string]kept{}}
 	return client, t.CloseIdleConnections
 }
 
@@ -154,6 +160,7 @@
 func (c *Client) forget(service string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	clear(c.grants)
 	if k, found := c.answers[service]; found {
 		k.until = time.Time{}
 		c.answers[service] = k
@@ -162,6 +169,7 @@
 
 // Do sends a request until its outcome is known, as far as that is safe.
 // A request with Once keeps its key while it may have run, and takes a new one only when it was not run.
+// Errors are ErrNoAddress, ErrRefused or ErrCut.
 func (c *Client) Do(ctx context.Context, r Request) (Answer, error) {
 	var answer Answer
 	var keys []string
@@ -183,7 +191,7 @@
 		if err != nil || answer.Status == http.StatusServiceUnavailable {
 			c.forget(r.Service)
 		}
-		if err == nil && answer.Outcome == claim.NotRun {
+		if err == nil && answer.Outcome == claim.NotRun || send == 1 && errorx.IsOfType(err, ErrRefused) {
 			key = ""
 		}
 		if !pause(ctx, retryAfter(answer)) {
@@ -214,10 +222,26 @@
 	if !r.Once || key != "" {
 		return target, key, nil
 	}
-	if own, err := c.Ask(ctx, target, r.Service); err == nil {
-		answer = own
+	return target, fmt.Sprintf("%s.%s", c.grant(ctx, target, r.Service, answer.Grant), c.suffix()), nil
+}
+
+// grant returns a grant of the host that a request is sent to, so that no other host has to pass it on; or the given one
+// when that host does not answer. A grant is kept for as long as an address answer.
+func (c *Client) grant(ctx context.Context, target, service, other string) string {
+	c.mu.Lock()
+	k := c.grants[target]
+	c.mu.Unlock()
+	if time.Now().Before(k.until) {
+		return k.Grant
+	}
+	own, err := c.Ask(ctx, target, service)
+	if err != nil {
+		return other
 	}
-	return target, fmt.Sprintf("%s.%s", answer.Grant, c.suffix()), nil
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.grants[target] = kept{own, time.Now().Add(time.Duration(own.MaxAge) * time.Second)}
+	return own.Grant
 }
 
 func (c *Client) suffix() string {
@@ -236,6 +260,10 @@
 		request.Header.Set("Idempotency-Key", key)
 	}
 	response, err := c.transport.RoundTrip(request)
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return Answer{}, ErrRefused.New("%s: %v; the next address is tried", target, err)
+	}
 	if err != nil {
 		return Answer{}, ErrCut.New("%s: %v", target, err)
 	}
--- a/internal/entry/recovery_test.go
+++ b/internal/entry/recovery_test.go
@@ -373,6 +373,9 @@
 			kinds[r.Cause] = true
 		}
 		f.is.True(kinds["FailuresInARow"] && kinds["WithdrawnByNote"])
+		forgotten := func(r record.Record) bool { return r.Kind == record.TargetForgotten && r.Target == "target-4" }
+		f.is.True(slices.ContainsFunc(records, forgotten))
+		f.is.True(slices.ContainsFunc(f.nodes["entry-2"].host.book.Since("", time.Time{}), forgotten)) // on an idle host too
 		changed := map[int]bool{}
 		for _, i := range seen {
 			f.is.Equal(record.Eligible(records, "s", i.at), i.names) // rebuilt from records
--- a/internal/route/budget.go
+++ b/internal/route/budget.go
@@ -16,8 +16,8 @@
 	Ratio float64
 }
 
-// NewBudget returns a budget that allows one extra try at first.
-func NewBudget(c BudgetConfig) *Budget { return &Budget{ratio: c.Ratio, tokens: 1} }
+// NewBudget returns a full budget, so that a target that is dead from the start costs no request.
+func NewBudget(c BudgetConfig) *Budget { return &Budget{ratio: c.Ratio, tokens: budgetBurst} }
 
 // SetRatio changes the ratio.
 func (b *Budget) SetRatio(ratio float64) { b.ratio = ratio }
--- a/internal/steering/service.go
+++ b/internal/steering/service.go
@@ -67,6 +67,7 @@
 	s.gate.Router().SetTargets(now, specs)
 	s.gate.Dispatch(now)
 	s.explain(c.Number)
+	s.dropPools(s.gate.Router())
 }
 
 // openPool makes the pool of a target that is new or has moved to another address.
