Take out what nothing uses and what is done twice

Cause: one more reading of the whole change. Change: a peer's counts are taken in with one lock a service instead of two a target; the homes wanted are computed once; report asks each host for its status once; one name for the value that ends retries. Gone because nothing used them: the inner call Explain (operators ask over HTTP), the service's budget accessor, a change's Gone, a spec's failure domain, the router's service name, steering's failure domain, the stand-in's count of writes, an error that nothing told apart. Conclusion: behaviour as before.

--- a/internal/admission/policies_test.go
+++ b/internal/admission/policies_test.go
@@ -198,7 +198,7 @@
 		p.hedge = g.hedge
 	}
 	for i := range g.homes {
-		r := route.New(route.Config{Service: "s", Random: rand.New(rand.NewPCG(c.seed, uint64(i))), Overcommit: g.overcommit})
+		r := route.New(route.Config{Random: rand.New(rand.NewPCG(c.seed, uint64(i))), Overcommit: g.overcommit})
 		h := &gateHost{domain: i % domains, budget: route.NewBudget(route.BudgetConfig{Ratio: hedgeBudget})}
 		var specs []route.Spec
 		for t := range c.targets {
--- a/internal/command/report.go
+++ b/internal/command/report.go
@@ -29,13 +29,14 @@
 	client, closeClient := operator.New(operator.Config{Hosts: c.Hosts, Timeout: c.Timeout})
 	defer closeClient()
 	ctx := context.Background()
-	verification, err := client.Verify(ctx, store)
+	hosts := client.Status(ctx)
+	verification, err := operator.Verify(ctx, store, hosts)
 	if err != nil {
 		return err
 	}
 	now := time.Now()
 	source := report.Source{
-		Made: now, Stretch: record.Stretch{From: now.Add(-c.Since), To: now}, Verification: verification, Hosts: client.Status(ctx),
+		Made: now, Stretch: record.Stretch{From: now.Add(-c.Since), To: now}, Verification: verification, Hosts: hosts,
 		// A target's state at the start of the stretch is in an older record.
 		Explanation: client.Explain(ctx, "", time.Time{}),
 	}
--- a/internal/command/verify.go
+++ b/internal/command/verify.go
@@ -21,7 +21,8 @@
 	defer closeStore()
 	client, closeClient := operator.New(operator.Config{Hosts: c.Hosts, Timeout: c.Timeout})
 	defer closeClient()
-	v, err := client.Verify(context.Background(), store)
+	ctx := context.Background()
+	v, err := operator.Verify(ctx, store, client.Status(ctx))
 	if err != nil {
 		return err
 	}
--- a/internal/entry/counts.go
+++ b/internal/entry/counts.go
@@ -143,10 +143,11 @@
 	seen := map[string]bool{h.Name(): true}
 	var list []host.Member
 	for _, s := range h.steering.Configuration().Services {
-		if host.Wanted(s.Name, s.Homes, live) < 2 {
+		homes := host.Wanted(s.Name, s.Homes, live)
+		if homes < 2 {
 			continue
 		}
-		for _, m := range host.RegionHomes(s.Name, host.Wanted(s.Name, s.Homes, live), h.settings.Host.Region, live) {
+		for _, m := range host.RegionHomes(s.Name, homes, h.settings.Host.Region, live) {
 			if !seen[m.Name] {
 				seen[m.Name] = true
 				list = append(list, m)
@@ -161,11 +162,7 @@
 	started := time.Now()
 	h.peerCounts.take(h.now(), r)
 	for _, service := range h.steering.Services() {
-		for _, target := range r.Targets {
-			if service.Has(target) {
-				service.TakePeerCounts(target, h.peerCounts.sum(h.now(), target))
-			}
-		}
+		service.TakePeerCounts(r.Targets, func(target string) int { return h.peerCounts.sum(h.now(), target) })
 	}
 	h.budget.Charge(h.now(), time.Since(started))
 }
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -173,16 +173,3 @@
 	}
 	return &inner.SealReply{}, nil
 }
-
-// Explain implements inner.DRPCPeerServer.
-func (p *peerServer) Explain(_ context.Context, r *inner.ExplainRequest) (*inner.ExplainReply, error) {
-	reply := &inner.ExplainReply{}
-	for _, record := range p.host.book.Since(r.Target, time.UnixMilli(r.SinceUnixMilliseconds)) {
-		text, err := json.Marshal(record)
-		if err != nil {
-			return nil, err
-		}
-		reply.Records = append(reply.Records, text)
-	}
-	return reply, nil
-}
--- a/internal/entry/write.go
+++ b/internal/entry/write.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -50,9 +49,6 @@
 	}
 }
 
-// errStalled reports a caller that took no byte for too long.
-var errStalled = errors.New("caller took no byte in time")
-
 // copyBuffers holds the buffers of streams.
 var copyBuffers = ring.NewBuffers(copyBytes)
 
@@ -68,7 +64,7 @@
 			// A writer without deadlines is a peer's or a test's, which cannot stall.
 			_ = control.SetWriteDeadline(time.Now().Add(stallTimeout))
 			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
-				return errors.Join(errStalled, writeErr)
+				return writeErr
 			}
 			if flush {
 				_ = control.Flush()
@@ -100,7 +96,7 @@
 		w.Header().Set("Retry-After", strconv.FormatInt(int64((r.RetryAfter+time.Second-1)/time.Second), 10))
 	}
 	if r.RetryDone {
-		w.Header().Set(steering.HeaderRetry, "Done")
+		w.Header().Set(steering.HeaderRetry, steering.RetryDone)
 	}
 	writeJSON(w, r.Status, struct {
 		Outcome           claim.Outcome
--- a/internal/host/table.go
+++ b/internal/host/table.go
@@ -72,11 +72,7 @@
 
 // SetWants sets which services' load asks for more homes.
 func (t *Table) SetWants(wants []Want) {
-	t.update(func(m *Member) {
-		if !slices.Equal(m.Wants, wants) {
-			m.Wants = wants
-		}
-	})
+	t.update(func(m *Member) { m.Wants = wants })
 }
 
 // Leave marks the own host as leaving.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -131,9 +131,9 @@
 	return v.Chain == "" && !slices.ContainsFunc(v.Findings, func(f Finding) bool { return !f.Agrees })
 }
 
-// Verify walks the chain in the store from the first note and compares every host with its head.
+// Verify walks the chain in the store from the first note and compares every host's answer with its head.
 // Errors are platform.ErrUnavailable.
-func (c *Client) Verify(ctx context.Context, store platform.Store) (Verification, error) {
+func Verify(ctx context.Context, store platform.Store, hosts []HostStatus) (Verification, error) {
 	head, hashes, err := note.NewArchive(note.ArchiveConfig{Store: store}).Walk(ctx)
 	if errorx.IsOfType(err, platform.ErrUnavailable) {
 		return Verification{}, err
@@ -142,7 +142,7 @@
 	if err != nil {
 		v.Chain = err.Error()
 	}
-	for _, s := range c.Status(ctx) {
+	for _, s := range hosts {
 		v.Findings = append(v.Findings, compare(s, head, hashes))
 	}
 	return v, nil
--- a/internal/platform/standin/standin.go
+++ b/internal/platform/standin/standin.go
@@ -67,7 +67,6 @@
 	hostsVersion int64
 	faults       Faults
 	calls        map[Call]int64
-	writes       int64
 	mux          *http.ServeMux
 }
 
@@ -185,7 +184,6 @@
 
 func (s *Standin) put(key string, value []byte, lease int64) {
 	s.revision++
-	s.writes++
 	s.keys[key] = append(s.keys[key], version{revision: s.revision, value: value, lease: lease})
 	if s.faults.SilentWatches {
 		return
--- a/internal/route/change.go
+++ b/internal/route/change.go
@@ -31,8 +31,6 @@
 	Failures int
 	Latency  time.Duration
 	Usual    time.Duration
-	// Gone is set when the target left the note.
-	Gone bool
 }
 
 // Outcome is how a request on a target ended, as far as the target's health goes.
--- a/internal/route/lifecycle.go
+++ b/internal/route/lifecycle.go
@@ -147,7 +147,7 @@
 func (r *Router) move(now time.Duration, t *target, to State, cause Cause) {
 	r.changes = append(r.changes, Change{
 		Target: t.spec.Name, From: t.state, To: to, Cause: cause, Failures: t.failures,
-		Latency: seconds(t.slow), Usual: seconds(r.usual), Gone: cause == CauseWithdrawn,
+		Latency: seconds(t.slow), Usual: seconds(r.usual),
 	})
 	t.state, t.cause, t.since = to, cause, now
 }
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -15,8 +15,7 @@
 
 // Config sets up a Router.
 type Config struct {
-	Service string
-	Random  *rand.Rand
+	Random *rand.Rand
 	// Overcommit is the number of requests beyond its slots that a target may hold; negative means by round trip.
 	Overcommit int
 }
--- a/internal/route/target.go
+++ b/internal/route/target.go
@@ -37,9 +37,8 @@
 
 // Spec is what a release note and the network say of a target.
 type Spec struct {
-	Name   string
-	Domain string
-	Slots  int
+	Name  string
+	Slots int
 	// RoundTrip is the network's share of a request's time.
 	RoundTrip time.Duration
 }
--- a/internal/steering/probe.go
+++ b/internal/steering/probe.go
@@ -91,10 +91,3 @@
 	defer s.mu.Unlock()
 	return s.requests
 }
-
-// Has reports whether the service has the target.
-func (s *Service) Has(target string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.gate.Router().Lookup(target) != route.None
-}
--- a/internal/steering/request.go
+++ b/internal/steering/request.go
@@ -20,7 +20,8 @@
 	HeaderTarget    = "Briarcroft-Target"
 	HeaderLoad      = "Load-In-Flight"
 	HeaderDraining  = "Load-Draining"
-	retryDone       = "Done"
+	// RetryDone is the value of HeaderRetry that ends the retries of all layers above.
+	RetryDone = "Done"
 )
 
 // Request is one request on its way to a target.
--- a/internal/steering/run.go
+++ b/internal/steering/run.go
@@ -8,7 +8,6 @@
 
 	"briarcroft/internal/backend"
 	"briarcroft/internal/claim"
-	"briarcroft/internal/route"
 )
 
 // maxTries is the most targets that one request is handed to at this host.
@@ -55,7 +54,7 @@
 	case failedBroken:
 		return r.Idempotent && r.replayable()
 	case failedServer:
-		return r.replayable() && f.answer.Header.Get(HeaderRetry) != retryDone
+		return r.replayable() && f.answer.Header.Get(HeaderRetry) != RetryDone
 	case failedAtGate, failedGivenUp, failedCancelled:
 	}
 	return false
@@ -66,7 +65,7 @@
 	done := denied || r.Allowance <= 0
 	if f.answer != nil {
 		if done {
-			f.answer.Header.Set(HeaderRetry, retryDone)
+			f.answer.Header.Set(HeaderRetry, RetryDone)
 		}
 		return f.answer
 	}
@@ -110,10 +109,3 @@
 	}
 	return u
 }
-
-// Budget returns the service's retry budget as it stands.
-func (s *Service) Budget() route.Budget {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return *s.budget
-}
--- a/internal/steering/service.go
+++ b/internal/steering/service.go
@@ -41,7 +41,7 @@
 func newService(s *Steering, spec note.Service) *Service {
 	return &Service{
 		name: spec.Name, steering: s, pools: map[string]*targetPool{}, classes: map[string]admission.Class{},
-		gate:   admission.New(admission.Config{Router: newRouter(spec.Name, s.config.Seed), QueueLimit: spec.QueueLimit}),
+		gate:   admission.New(admission.Config{Router: newRouter(s.config.Seed), QueueLimit: spec.QueueLimit}),
 		budget: route.NewBudget(route.BudgetConfig{Ratio: spec.RetryRatio}),
 	}
 }
@@ -61,7 +61,7 @@
 	var specs []route.Spec
 	for _, t := range c.ServiceTargets(s.name) {
 		s.openPool(t)
-		specs = append(specs, route.Spec{Name: t.Name, Domain: t.Domain, Slots: t.Slots})
+		specs = append(specs, route.Spec{Name: t.Name, Slots: t.Slots})
 	}
 	now := s.steering.config.Clock()
 	s.gate.Router().SetTargets(now, specs)
@@ -186,12 +186,14 @@
 	s.explain(s.steering.note())
 }
 
-// TakePeerCounts takes in other entry hosts' requests in flight.
-func (s *Service) TakePeerCounts(target string, inFlight int) {
+// TakePeerCounts takes in other entry hosts' requests in flight on those targets that are the service's own.
+func (s *Service) TakePeerCounts(targets []string, inFlight func(target string) int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if i := s.gate.Router().Lookup(target); i != route.None {
-		s.gate.Router().TakePeerCounts(s.steering.config.Clock(), i, inFlight)
+	for _, target := range targets {
+		if i := s.gate.Router().Lookup(target); i != route.None {
+			s.gate.Router().TakePeerCounts(s.steering.config.Clock(), i, inFlight(target))
+		}
 	}
 }
 
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -22,8 +22,6 @@
 	// Clock is the host's monotonic clock.
 	Clock func() time.Duration
 	Seed  uint64
-	// Domain is the entry host's own failure domain.
-	Domain string
 	// OnQuarantine is told of each request that was put in quarantine.
 	OnQuarantine func()
 	// Dial opens connections to targets; nil means TCP.
@@ -151,6 +149,6 @@
 	return names
 }
 
-func newRouter(service string, seed uint64) *route.Router {
-	return route.New(route.Config{Service: service, Random: rand.New(rand.NewPCG(seed, 1)), Overcommit: -1})
+func newRouter(seed uint64) *route.Router {
+	return route.New(route.Config{Random: rand.New(rand.NewPCG(seed, 1)), Overcommit: -1})
 }
