--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -4,11 +4,14 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"briarcroft/internal/socket"
+
 	"github.com/joomcode/errorx"
 )
 
@@ -28,6 +31,12 @@
 	idleTime = 30 * time.Second
 	// proofTime is how long after its last answer a connection counts as proved alive.
 	proofTime = 100 * time.Millisecond
+	// keepAliveMargin is how long before the backend server's own idle timeout a connection is given up.
+	keepAliveMargin = time.Second
+	// silenceTime is how long a connection may leave bytes unacknowledged.
+	silenceTime = 15 * time.Second
+	// mostSkipped bounds the answers to other requests that are read past.
+	mostSkipped = 3
 )
 
 // Config locates one target.
@@ -35,44 +44,41 @@
 	Address        string
 	MaxConnections int
 	DialTimeout    time.Duration
+	// ProofTime is how long after its last answer a connection counts as proved alive; zero means the default.
+	ProofTime time.Duration
+	// Silence is how long a connection may leave bytes unacknowledged; zero means the default.
+	Silence time.Duration
+	// Answers reports whether a response belongs to the request; nil accepts all. Others are read and dropped.
+	Answers func(*http.Request, *http.Response) bool
 	// Dial opens connections; nil means TCP.
 	Dial DialFunc
 }
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
-type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+type DialFunc = socket.DialFunc
 
 // Pool holds the connections of one entry host to one target.
 type Pool struct {
-	config    Config
-	transport *http.Transport
-	mu        sync.Mutex
-	idle      []*connection
-	open      int
-	closed    bool
-	trip      time.Duration
-}
-
-type connection struct {
-	client   *http.ClientConn
-	provenAt time.Time
-	// idle and gone are guarded by the pool.
-	idle, gone bool
+	config Config
+	mu     sync.Mutex
+	idle   []*connection
+	open   int
+	closed bool
+	trip   time.Duration
 }
 
 // New returns a pool and the function that closes its idle connections.
 func New(c Config) (*Pool, func()) {
+	if c.Silence == 0 {
+		c.Silence = silenceTime
+	}
+	if c.ProofTime == 0 {
+		c.ProofTime = proofTime
+	}
 	if c.Dial == nil {
-		dialer := net.Dialer{Timeout: c.DialTimeout, KeepAlive: 15 * time.Second}
-		c.Dial = dialer.DialContext
+		c.Dial = socket.Dialer(socket.Config{Timeout: c.DialTimeout, Silence: c.Silence})
 	}
 	p := &Pool{config: c}
-	p.transport = &http.Transport{
-		DialContext:        c.Dial,
-		DisableCompression: true,
-		ReadBufferSize:     4 << 10,
-		WriteBufferSize:    4 << 10,
-	}
 	return p, p.close
 }
 
@@ -87,16 +93,14 @@
 func (p *Pool) takeIdle() []*connection {
 	idle := p.idle
 	p.idle = nil
-	for _, c := range idle {
-		c.idle = false
-	}
+	p.open -= len(idle)
 	return idle
 }
 
 func closeAll(list []*connection) {
 	for _, c := range list {
 		// Close tells nothing of use on an idle connection.
-		_ = c.client.Close()
+		_ = c.Conn.Close()
 	}
 }
 
@@ -143,27 +147,28 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := c.client.RoundTrip(r)
+	stop := context.AfterFunc(r.Context(), c.interrupt)
+	response, err := c.exchange(r, p.config.Answers)
 	if err != nil {
-		// The connection is of no more use, whatever Close says.
-		_ = c.client.Close()
+		stop()
+		p.drop(c)
 		return nil, ErrBroken.New("backend server %s broke the connection (%v); the request may have run", p.config.Address, err)
 	}
-	response.Body = &body{response.Body, p, c}
+	response.Body = &body{ReadCloser: response.Body, pool: p, connection: c, response: response, stop: stop}
 	return response, nil
 }
 
-// get returns a connection with one reserved request.
+// get returns a connection that no other request uses.
 func (p *Pool) get(ctx context.Context, t Try) (*connection, error) {
 	for !t.Fresh {
 		c := p.takeNewest(t.Proven)
 		if c == nil {
 			break
 		}
-		if c.client.Err() == nil && c.client.Reserve() == nil {
+		if !socket.Stale(c.Conn) {
 			return c, nil
 		}
-		_ = c.client.Close()
+		p.drop(c)
 	}
 	return p.dial(ctx)
 }
@@ -173,21 +178,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	for len(p.idle) > 0 && now.Sub(p.idle[0].provenAt) > idleTime {
+	for len(p.idle) > 0 && now.After(p.idle[0].goodUntil) {
 		old := p.idle[0]
 		p.idle = p.idle[1:]
-		old.idle = false
-		go closeAll([]*connection{old})
+		p.open--
+		// Close tells nothing of use on an idle connection.
+		_ = old.Conn.Close()
 	}
 	if len(p.idle) == 0 {
 		return nil
 	}
 	c := p.idle[len(p.idle)-1]
-	if proven && now.Sub(c.provenAt) > proofTime {
+	if now.After(c.goodUntil) || proven && now.Sub(c.provenAt) > p.config.ProofTime {
 		return nil
 	}
 	p.idle = p.idle[:len(p.idle)-1]
-	c.idle = false
 	return c
 }
 
@@ -202,64 +207,38 @@
 	start := time.Now()
 	dialing, cancel := context.WithTimeout(ctx, p.config.DialTimeout)
 	defer cancel()
-	client, err := p.transport.NewClientConn(dialing, "http", p.config.Address)
+	raw, err := p.config.Dial(dialing, "tcp", p.config.Address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if err != nil {
-		p.mu.Lock()
 		p.open--
-		p.mu.Unlock()
 		return nil, ErrNotSent.New("backend server %s refused the connection (%v); trying the next target", p.config.Address, err)
 	}
-	c := &connection{client: client}
-	p.mu.Lock()
 	if took := time.Since(start); p.trip == 0 || took < p.trip {
 		p.trip = took
 	}
-	p.mu.Unlock()
-	client.SetStateHook(func(*http.ClientConn) { p.watch(c) })
-	if err := client.Reserve(); err != nil {
-		_ = client.Close()
-		return nil, ErrNotSent.New("backend server %s closed a new connection (%v); trying the next target", p.config.Address, err)
-	}
-	return c, nil
+	return &connection{Conn: raw}, nil
 }
 
-// watch counts a connection out once it is of no more use.
-func (p *Pool) watch(c *connection) {
-	if c.client.Err() == nil {
-		return
-	}
+// drop closes a connection that was in use.
+func (p *Pool) drop(c *connection) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if c.gone {
-		return
-	}
-	c.gone = true
 	p.open--
-	if c.idle {
-		p.remove(c)
-	}
-}
-
-func (p *Pool) remove(c *connection) {
-	for i, other := range p.idle {
-		if other == c {
-			p.idle = append(p.idle[:i], p.idle[i+1:]...)
-			c.idle = false
-			return
-		}
-	}
+	p.mu.Unlock()
+	// The connection is of no more use, whatever Close says.
+	_ = c.Conn.Close()
 }
 
-// put takes a connection back after a whole answer.
-func (p *Pool) put(c *connection) {
+// put takes a connection back after a whole answer; keepAlive is the backend server's own idle timeout.
+func (p *Pool) put(c *connection, keepAlive time.Duration) {
 	p.mu.Lock()
-	if p.closed || c.gone || c.idle || c.client.Err() != nil {
+	if p.closed {
 		p.mu.Unlock()
-		_ = c.client.Close()
+		p.drop(c)
 		return
 	}
 	c.provenAt = time.Now()
-	c.idle = true
+	c.goodUntil = c.provenAt.Add(keepAlive)
 	p.idle = append(p.idle, c)
 	p.mu.Unlock()
 }
@@ -269,20 +248,45 @@
 	io.ReadCloser
 	pool       *Pool
 	connection *connection
+	response   *http.Response
+	stop       func() bool
+	whole      bool
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.whole = b.whole || err == io.EOF
+	return n, err
 }
 
 // Close implements io.Closer.
 func (b *body) Close() error {
-	if b.connection == nil {
+	c := b.connection
+	if c == nil {
 		return nil
 	}
-	err := b.ReadCloser.Close()
-	c := b.connection
 	b.connection = nil
-	if c.client.Available() > 0 {
-		b.pool.put(c)
-		return err
+	interrupted := !b.stop()
+	whole := b.whole || b.response.ContentLength == 0 || b.ReadCloser == http.NoBody
+	if whole && !interrupted && !b.response.Close && c.release() {
+		b.pool.put(c, keepAlive(b.response.Header))
+		return nil
+	}
+	b.pool.drop(c)
+	return nil
+}
+
+// keepAlive returns how long a connection may be idle under the timeout that the backend server names.
+func keepAlive(header http.Header) time.Duration {
+	_, text, found := strings.Cut(header.Get("Keep-Alive"), "timeout=")
+	if !found {
+		return idleTime
+	}
+	text, _, _ = strings.Cut(text, ",")
+	seconds, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil {
+		return idleTime
 	}
-	_ = c.client.Close()
-	return err
+	return min(idleTime, time.Duration(seconds)*time.Second-keepAliveMargin)
 }
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -113,7 +113,7 @@
 }
 
 func (h *Host) heartbeatRequest(news host.News) *inner.HeartbeatRequest {
-	return &inner.HeartbeatRequest{Sender: h.Name(), Members: toWire(news.Members), Pulses: toWirePulses(news.Pulses), Quarantines: h.offenders()}
+	return &inner.HeartbeatRequest{Sender: h.Name(), Members: inner.ToMembers(news.Members), Pulses: inner.ToPulses(news.Pulses), Quarantines: h.offenders()}
 }
 
 // heartbeat exchanges members with one peer, and sends in full what the peer could not place.
@@ -130,13 +130,13 @@
 	if len(reply.Unknown) == 0 {
 		return
 	}
-	if reply, err = peer.Heartbeat(ctx, h.heartbeatRequest(h.table.Full(fromWireIDs(reply.Unknown)))); err == nil {
+	if reply, err = peer.Heartbeat(ctx, h.heartbeatRequest(h.table.Full(inner.FromIDs(reply.Unknown)))); err == nil {
 		h.takeReply(reply)
 	}
 }
 
 func (h *Host) takeReply(reply *inner.HeartbeatReply) {
-	news := host.News{Members: fromWire(reply.Members), Pulses: fromWirePulses(reply.Pulses)}
+	news := host.News{Members: inner.FromMembers(reply.Members), Pulses: inner.FromPulses(reply.Pulses)}
 	h.table.Merge(h.now(), reply.Sender, news)
 	h.heard(reply.Sender, news.Members, reply.Quarantines)
 }
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -21,16 +21,20 @@
 const passedKey = "Briarcroft-Passed-Key"
 
 // peerServer answers peers.
-type peerServer struct{ host *Host }
+type peerServer struct {
+	// Placement is the business of gateways.
+	inner.DRPCPeerUnimplementedServer
+	host *Host
+}
 
 // Heartbeat implements inner.DRPCPeerServer.
 func (p *peerServer) Heartbeat(_ context.Context, r *inner.HeartbeatRequest) (*inner.HeartbeatReply, error) {
 	h := p.host
-	news := host.News{Members: fromWire(r.Members), Pulses: fromWirePulses(r.Pulses)}
+	news := host.News{Members: inner.FromMembers(r.Members), Pulses: inner.FromPulses(r.Pulses)}
 	answer := h.table.Answer(h.now(), r.Sender, news)
 	h.heard(r.Sender, news.Members, r.Quarantines)
 	return &inner.HeartbeatReply{
-		Sender: h.Name(), Members: toWire(answer.Members), Pulses: toWirePulses(answer.Pulses), Unknown: toWireIDs(answer.Unknown),
+		Sender: h.Name(), Members: inner.ToMembers(answer.Members), Pulses: inner.ToPulses(answer.Pulses), Unknown: inner.ToIDs(answer.Unknown),
 		Quarantines: h.offenders(),
 	}, nil
 }
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -23,6 +23,8 @@
 	Note int
 	// Wants lists the services whose load asks for more homes.
 	Wants []Want
+	// StoreLost is set while the host can't reach the platform's store.
+	StoreLost bool
 }
 
 // Times of membership.
--- a/internal/host/news.go
+++ b/internal/host/news.go
@@ -42,10 +42,11 @@
 		_, _ = d.WriteString(w.Service)
 		_, _ = d.Write([]byte{0, byte(w.Homes)})
 	}
-	var fixed [18]byte
+	var fixed [19]byte
 	binary.LittleEndian.PutUint64(fixed[:], m.Incarnation)
 	binary.LittleEndian.PutUint64(fixed[8:], uint64(m.Note))
 	fixed[16], fixed[17] = flag(m.Leaving), flag(m.Ready)
+	fixed[18] = flag(m.StoreLost)
 	_, _ = d.Write(fixed[:])
 	return ID(d.Sum64())
 }
--- a/internal/host/table.go
+++ b/internal/host/table.go
@@ -75,6 +75,9 @@
 	t.update(func(m *Member) { m.Wants = wants })
 }
 
+// SetStoreLost sets whether this host can't reach the platform's store.
+func (t *Table) SetStoreLost(lost bool) { t.update(func(m *Member) { m.StoreLost = lost }) }
+
 // Leave marks the own host as leaving.
 func (t *Table) Leave() { t.update(func(m *Member) { m.Leaving = true }) }
 
--- a/internal/note/configuration.go
+++ b/internal/note/configuration.go
@@ -20,6 +20,8 @@
 	Services []Service
 	Targets  []Target
 	Rules    []Rule
+	// Limits is nil when the entry host's own settings hold.
+	Limits *Limits `json:",omitempty"`
 }
 
 // Fold returns the configuration after the note; errors are ErrInvalid and leave c as it was.
--- a/internal/note/note.go
+++ b/internal/note/note.go
@@ -29,6 +29,8 @@
 	RetryRatio float64
 	// ReportPath is fetched from targets as their health and load report; empty means no probes.
 	ReportPath string
+	// Connections is the most connections to one target from all entry hosts together; zero means no limit.
+	Connections int `ini:"-" json:",omitempty"`
 }
 
 // Target is one backend server that runs requests of a service.
@@ -62,6 +64,28 @@
 	Idempotent string `allowed:"Auto|Yes|No"`
 	// NotRunStatuses are the backend's answers that mean that it did not run the request.
 	NotRunStatuses []int
+	// Shares divides the requests among several services; Service is empty then.
+	Shares []Share `ini:"-" json:",omitempty"`
+	// Priority is the rank of the requests when they wait; 0 goes first.
+	Priority int `ini:"-" json:",omitempty"`
+	// Goal is the time within which an answer is worth most; zero means none is set.
+	Goal time.Duration `ini:"-" json:",omitempty"`
+	// Attempts is the most targets that one request may be sent to; zero means no limit.
+	Attempts int `ini:"-" json:",omitempty"`
+}
+
+// Share is the part of a rule's requests that one service gets, by weight.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Limits bounds what callers may send and how long they may take; sizes are in bytes.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Withdrawal names what a note takes away.
--- /dev/null
+++ b/internal/placement/budget.go
@@ -0,0 +1,62 @@
+package placement
+
+import "time"
+
+// Budget bounds the arrivals of a service beyond the first of each request in any sliding window.
+// It answers retry storms: a service that fails or sheds must not get more requests for it.
+type Budget struct {
+	// Ratio is the most repeats per request, and Slack how many more are allowed in a window.
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+
+	slots [budgetSlots + 1]budgetSlot
+}
+
+// budgetSlots is how many parts a window is counted in; one more part covers the slide.
+const budgetSlots = 20
+
+type budgetSlot struct {
+	number  int64
+	first   int
+	repeats int
+}
+
+func (b *Budget) slot(now time.Duration) *budgetSlot {
+	number := int64(now / (b.Window / budgetSlots))
+	s := &b.slots[number%int64(len(b.slots))]
+	if s.number != number {
+		*s = budgetSlot{number: number}
+	}
+	return s
+}
+
+// Arrived counts a new request of a caller.
+func (b *Budget) Arrived(now time.Duration) { b.slot(now).first++ }
+
+// sums returns the requests and the repeats of the window that ends now.
+func (b *Budget) sums(now time.Duration) (first, repeats int) {
+	current := b.slot(now).number
+	for _, s := range b.slots {
+		if s.number > current-int64(len(b.slots)) {
+			first += s.first
+			repeats += s.repeats
+		}
+	}
+	return first, repeats
+}
+
+// Left returns how many repeats the budget still allows.
+func (b *Budget) Left(now time.Duration) float64 {
+	first, repeats := b.sums(now)
+	return b.Ratio*float64(first) + b.Slack - float64(repeats)
+}
+
+// Take spends one repeat and reports whether there was one to spend, beyond a reserve.
+func (b *Budget) Take(now time.Duration, reserve float64) bool {
+	if b.Left(now) < 1+reserve {
+		return false
+	}
+	b.slot(now).repeats++
+	return true
+}
--- /dev/null
+++ b/internal/placement/end.go
@@ -0,0 +1,165 @@
+package placement
+
+import "time"
+
+// Done is the end of one run.
+type Done struct {
+	ID      ID
+	Target  string
+	Outcome Outcome
+	// Took is the time from the request's sending to its answer.
+	Took time.Duration
+	// Load is the report that came with the answer, or nil.
+	Load *Load
+}
+
+// Done takes in the end of a run and places requests that wait.
+func (h *Home) Done(now time.Duration, d Done) {
+	r := h.requests[d.ID]
+	t := h.byName[d.Target]
+	if t != nil && d.Load != nil && d.Outcome != Misplaced {
+		h.reported(now, t, *d.Load)
+	}
+	var ended *hold
+	if r != nil {
+		for _, held := range r.holds {
+			if held.target.Name == d.Target {
+				ended = held
+			}
+		}
+	}
+	if ended != nil {
+		ended.target.drop(ended)
+		r.drop(ended)
+		h.learn(now, r, ended, d)
+		if len(r.holds) == 0 && !r.waiting {
+			delete(h.requests, r.ID)
+		}
+	}
+	h.Dispatch(now)
+}
+
+// learn takes in what the end of a run says of its target and its service.
+func (h *Home) learn(now time.Duration, r *Request, ended *hold, d Done) {
+	t := ended.target
+	switch d.Outcome {
+	case Answered:
+		t.succeeded(now)
+		h.crash.answered(r.Fingerprint)
+		h.learnTime(r, ended, d.Took)
+	case Failed, Silent:
+		t.failed(now, h.mayEject(now))
+	case Broken:
+		t.failed(now, h.mayEject(now))
+		h.crash.broke(now, r.Fingerprint, t.Name)
+	case NotRun:
+		// The target holds more than is known here.
+		t.foreign, t.foreignAt = max(t.foreign, float64(t.Slots-len(t.holds))), now
+		t.failures = max(t.failures, failureGain)
+	case Unreachable:
+		t.failed(now, h.mayEject(now))
+		t.probe.down = true
+	case Misplaced:
+		t.misplaced = true
+	case Abandoned:
+	}
+}
+
+// learnTime takes the time of a run into the class's base time and into what is known of crowding.
+func (h *Home) learnTime(r *Request, ended *hold, took time.Duration) {
+	seconds := took.Seconds() / max(leastFactor, ended.slowdown)
+	old := h.bases[r.Class]
+	if old == 0 {
+		h.bases[r.Class] = seconds
+		return
+	}
+	if ended.crowded {
+		ratio := min(mostFactor, max(leastFactor, seconds*h.crowding/old))
+		h.crowding += (ratio - h.crowding) * crowdingGain
+		return
+	}
+	h.bases[r.Class] = old + (min(seconds, mostFactor*old)-old)*baseGain
+}
+
+// reported takes in a target's own word.
+func (h *Home) reported(now time.Duration, t *target, l Load) {
+	t.report(now, l)
+	if l.Pace > 0 {
+		h.pace += (min(mostFactor, max(leastFactor, l.Pace)) - h.pace) * paceGain
+	}
+}
+
+// mayEject reports whether one more target can be left out: at least half of them stay in.
+func (h *Home) mayEject(now time.Duration) bool {
+	sound := 0
+	for _, t := range h.targets {
+		if t.sound(now) {
+			sound++
+		}
+	}
+	return 2*(sound-1) >= len(h.targets)
+}
+
+// Withdraw takes a waiting request out of the queue; runs go on until Done.
+func (h *Home) Withdraw(id ID) {
+	r := h.requests[id]
+	if r == nil {
+		return
+	}
+	h.unqueue(r)
+	if len(r.holds) == 0 {
+		delete(h.requests, id)
+	}
+}
+
+func (h *Home) unqueue(r *Request) {
+	if !r.waiting {
+		return
+	}
+	r.waiting = false
+	for i, other := range h.queue {
+		if other == r {
+			h.queue = append(h.queue[:i], h.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// Leave forgets everything of a host whose conversation has ended.
+func (h *Home) Leave(now time.Duration, host uint64) {
+	for id, r := range h.requests {
+		if id.Host != host {
+			continue
+		}
+		h.unqueue(r)
+		h.forget(r)
+	}
+	h.Dispatch(now)
+}
+
+func (h *Home) forget(r *Request) {
+	for _, held := range r.holds {
+		held.target.drop(held)
+	}
+	r.holds = nil
+	delete(h.requests, r.ID)
+}
+
+// forgetAfter is how long after its deadline a run without an end is forgotten.
+const forgetAfter = time.Second
+
+// Tick runs the timers: call it every few milliseconds while requests are known. It reports whether any are.
+func (h *Home) Tick(now time.Duration) bool {
+	h.checkSilence(now)
+	for _, r := range h.requests {
+		if !r.waiting && now > r.Deadline+forgetAfter {
+			h.forget(r)
+		}
+	}
+	h.Dispatch(now)
+	h.hedge(now)
+	return len(h.requests) > 0
+}
+
+// Queued returns the number of waiting requests.
+func (h *Home) Queued() int { return len(h.queue) }
--- /dev/null
+++ b/internal/placement/home.go
@@ -0,0 +1,312 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Weights of what is learned of a service.
+const (
+	// goalShare is the part of its goal that a class's work is taken to need before any was seen.
+	goalShare = 0.4
+	// baseGain is the weight of one run in the class's base time, and paceGain that of one report in the usual pace.
+	baseGain = 0.05
+	paceGain = 0.01
+	// crowdingGain is the weight of one crowded run in what is learned of crowding.
+	crowdingGain = 0.05
+	// firstCrowding and firstPace hold until something was learned.
+	firstCrowding = 1.3
+	firstPace     = 1.5
+	// leastFactor and mostFactor bound learned factors against odd reports.
+	leastFactor = 1.0
+	mostFactor  = 4.0
+	// goalMargin is the part of the time to the goal that a run may be expected to take.
+	goalMargin = 0.9
+	// lateFree is the share of slots that late requests leave free for those that can still meet their goal.
+	lateFree = 0.25
+)
+
+// Config sets up a Home.
+type Config struct {
+	Random *rand.Rand
+	Budget Budget
+	// Notify gets each verdict; it must not call the home.
+	Notify func(*Request, Verdict)
+}
+
+// Home decides for one service. It is not safe for concurrent use.
+type Home struct {
+	config  Config
+	targets []*target
+	byName  map[string]*target
+	// requests are all that wait or hold a place.
+	requests map[ID]*Request
+	queue    []*Request
+	// bases holds the moving base time of each class, in seconds.
+	bases map[string]float64
+	// pace is the usual pace of all targets; crowding is how much one more run slows a nearly full one.
+	pace     float64
+	crowding float64
+	// busyAt is when a request last asked.
+	busyAt time.Duration
+	crash  crashes
+	// returns counts refusals, to spread the callers' return.
+	returns uint64
+}
+
+// New returns a home without targets.
+func New(c Config) *Home {
+	return &Home{
+		config: c, byName: map[string]*target{}, requests: map[ID]*Request{}, bases: map[string]float64{},
+		pace: firstPace, crowding: firstCrowding, busyAt: -time.Hour, crash: crashes{},
+	}
+}
+
+// SetTargets replaces the targets; known ones keep what was learned of them.
+func (h *Home) SetTargets(now time.Duration, list []Target) {
+	next := make([]*target, 0, len(list))
+	names := make(map[string]*target, len(list))
+	for _, spec := range list {
+		t := h.byName[spec.Name]
+		if t == nil || t.Start != spec.Start || t.Address != spec.Address {
+			t = &target{Target: spec, warmUntil: now + spec.Warming, pacedAt: -time.Hour, failedAt: -time.Hour, probe: probe{asked: -time.Hour}}
+		}
+		if spec.Warming > 0 {
+			t.warmUntil = now + spec.Warming
+		}
+		t.Target = spec
+		next = append(next, t)
+		names[spec.Name] = t
+	}
+	h.targets, h.byName = next, names
+	h.Dispatch(now)
+}
+
+// Ask offers a request; verdicts follow through Notify, the first one before Ask returns.
+func (h *Home) Ask(now time.Duration, r *Request) {
+	h.busyAt = now
+	r.asked = now
+	if h.crash.quarantined(now, r.Fingerprint) {
+		h.refuse(now, r, ReasonQuarantined)
+		return
+	}
+	if len(r.Tried) == 0 {
+		h.config.Budget.Arrived(now)
+	} else if !h.config.Budget.Take(now, 0) {
+		h.refuse(now, r, ReasonRetryBudget)
+		return
+	}
+	if known := h.requests[r.ID]; known != nil {
+		// A request that asks again goes on holding what still runs for it.
+		r.holds = known.holds
+	}
+	h.requests[r.ID] = r
+	if reason, hopeless := h.hopeless(now, r); hopeless {
+		h.refuse(now, r, reason)
+		return
+	}
+	r.waiting = true
+	h.queue = append(h.queue, r)
+	h.Dispatch(now)
+	if r.waiting {
+		h.config.Notify(r, Queued{})
+	}
+}
+
+// hopeless reports whether a new request can't be served before its deadline.
+func (h *Home) hopeless(now time.Duration, r *Request) (Reason, bool) {
+	slots := h.slots(now)
+	if slots == 0 {
+		return ReasonNoTargets, true
+	}
+	if now+h.wait(r)+h.base(r) > r.Deadline {
+		return ReasonTooLate, true
+	}
+	return "", false
+}
+
+// slots returns how many slots the targets that may get requests have.
+func (h *Home) slots(now time.Duration) int {
+	sum := 0
+	for _, t := range h.targets {
+		if h.eligible(now, t) {
+			sum += t.Slots
+		}
+	}
+	return sum
+}
+
+// wait returns how long a request will wait behind those that go before it.
+func (h *Home) wait(r *Request) time.Duration {
+	ahead := 0
+	for _, other := range h.queue {
+		if other != r && before(other, r) {
+			ahead++
+		}
+	}
+	slots := 0
+	for _, t := range h.targets {
+		if t.usable() && !t.probe.down {
+			slots += t.Slots
+		}
+	}
+	if slots == 0 || ahead == 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / float64(slots) * h.pace * float64(h.base(r)))
+}
+
+// before orders waiting requests: by rank, then by the goal.
+func before(a, b *Request) bool {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Goal, b.Goal)) < 0
+}
+
+// base returns the time that a request's work takes at the usual pace.
+func (h *Home) base(r *Request) time.Duration {
+	if b := h.bases[r.Class]; b > 0 {
+		return time.Duration(b * float64(time.Second))
+	}
+	return time.Duration(goalShare * float64(max(0, r.Goal-r.asked)))
+}
+
+// eligible reports whether a target may get requests now. When nothing is sound, those that are ejected may.
+func (h *Home) eligible(now time.Duration, t *target) bool { return t.sound(now) }
+
+// Dispatch binds waiting requests to targets and refuses those that have become hopeless.
+func (h *Home) Dispatch(now time.Duration) {
+	if len(h.queue) == 0 {
+		return
+	}
+	slices.SortStableFunc(h.queue, func(a, b *Request) int { return h.order(now, a, b) })
+	waiting := h.queue[:0]
+	ahead := 0
+	for _, r := range h.queue {
+		if h.settle(now, r, ahead) {
+			r.waiting = false
+			continue
+		}
+		ahead++
+		waiting = append(waiting, r)
+	}
+	clear(h.queue[len(waiting):])
+	h.queue = waiting
+}
+
+// order puts requests that can still meet their goal first, then goes by rank and goal.
+func (h *Home) order(now time.Duration, a, b *Request) int {
+	return cmp.Or(
+		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(h.late(now, a), h.late(now, b)),
+		cmp.Compare(a.Goal, b.Goal),
+	)
+}
+
+// late is 1 for a request that can't meet its goal any more, even at the fastest target.
+func (h *Home) late(now time.Duration, r *Request) int {
+	if now+h.base(r) > r.Goal {
+		return 1
+	}
+	return 0
+}
+
+// settle places or refuses a waiting request and reports whether it did.
+func (h *Home) settle(now time.Duration, r *Request, ahead int) bool {
+	t, expected, factor, crowded := h.pick(now, r)
+	if t != nil && h.worthwhile(now, r, expected) {
+		h.place(now, r, t, expected, factor, crowded)
+		h.config.Notify(r, Placed{t.Name, t.Address})
+		return true
+	}
+	slots := h.slots(now)
+	switch {
+	case slots == 0:
+		h.refuse(now, r, ReasonNoTargets)
+		return true
+	case now+time.Duration(float64(ahead)/float64(slots)*h.pace*float64(h.base(r)))+h.base(r) > r.Deadline:
+		h.refuse(now, r, ReasonTooLate)
+		return true
+	}
+	return false
+}
+
+// pick returns the target where a request should end soonest, among those with a free slot.
+func (h *Home) pick(now time.Duration, r *Request) (best *target, expected time.Duration, factor float64, crowded bool) {
+	base := float64(h.base(r))
+	score := math.Inf(1)
+	start := 0
+	if len(h.targets) > 0 {
+		start = h.config.Random.IntN(len(h.targets))
+	}
+	for i := range h.targets {
+		t := h.targets[(start+i)%len(h.targets)]
+		if !h.eligible(now, t) || t.load(now) >= t.Slots || slices.Contains(r.Tried, t.Name) {
+			continue
+		}
+		f, full := t.slowdown(now, h.pace, h.crowding)
+		s := f * farPenalty(t, r) * (1 + loadPenalty*float64(t.load(now))/float64(t.Slots))
+		if s < score {
+			best, expected, factor, crowded, score = t, time.Duration(base*f), f, full, s
+		}
+	}
+	return best, expected, factor, crowded
+}
+
+// Penalties that decide between targets that are about as fast.
+const (
+	// farShare is the cost of sending the answer between failure domains.
+	farShare = 1.05
+	// loadPenalty spreads requests over targets.
+	loadPenalty = 0.1
+)
+
+func farPenalty(t *target, r *Request) float64 {
+	if t.Domain == r.Domain {
+		return 1
+	}
+	return farShare
+}
+
+// worthwhile reports whether to take the best place now rather than wait for a better one.
+func (h *Home) worthwhile(now time.Duration, r *Request, expected time.Duration) bool {
+	if now+time.Duration(float64(expected)*goalMargin) <= r.Goal {
+		return true
+	}
+	if h.late(now, r) == 0 {
+		// A faster target may come free in time.
+		return false
+	}
+	return now+expected < r.Deadline && h.freeShare(now) > lateFree
+}
+
+// freeShare returns the share of all slots that are free.
+func (h *Home) freeShare(now time.Duration) float64 {
+	slots, held := 0, 0
+	for _, t := range h.targets {
+		if t.sound(now) {
+			slots += t.Slots
+			held += min(t.Slots, t.load(now))
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	return 1 - float64(held)/float64(slots)
+}
+
+func (h *Home) place(now time.Duration, r *Request, t *target, expected time.Duration, factor float64, crowded bool) {
+	held := &hold{request: r, target: t, started: now, expected: expected, slowdown: factor, crowded: crowded}
+	t.holds = append(t.holds, held)
+	r.holds = append(r.holds, held)
+}
+
+// refuse ends a request that gets no place.
+func (h *Home) refuse(now time.Duration, r *Request, reason Reason) {
+	r.waiting = false
+	if len(r.holds) == 0 {
+		delete(h.requests, r.ID)
+	}
+	h.config.Notify(r, Refused{reason, h.retryAfter(now, r, reason)})
+}
--- /dev/null
+++ b/internal/placement/request.go
@@ -0,0 +1,131 @@
+// Package placement decides for one service which target runs which request, which requests wait and which are refused.
+// One entry host, the service's home, decides for all hosts. The package knows no sockets and no wall clock:
+// callers pass the time in, and verdicts come back through a function of the caller's.
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// ID names a request among all that a home knows.
+type ID struct {
+	// Host numbers the conversation with the host that asked.
+	Host uint64
+	// Number is the host's own number for the request.
+	Number uint64
+}
+
+// Request asks for a place. Times are on the home's clock.
+type Request struct {
+	ID ID
+	// Class names requests that take about the same work.
+	Class    string
+	Priority int
+	// Goal is when an answer stops being worth most; Deadline is when it is worth nothing.
+	Goal     time.Duration
+	Deadline time.Duration
+	// Repeatable is set for requests that may run more than once.
+	Repeatable bool
+	// Tried names the targets that the request was sent to already.
+	Tried []string
+	// Fingerprint is the same for requests with the same caller, path and body.
+	Fingerprint uint64
+	// Domain is the failure domain of the host that will send the request.
+	Domain string
+
+	holds   []*hold
+	asked   time.Duration
+	hedged  bool
+	waiting bool
+}
+
+// Verdict is what the home decided: Placed, Queued, Refused or Hedge.
+type Verdict interface{ verdict() }
+
+// Placed binds the request to a target.
+type Placed struct {
+	Target  string
+	Address string
+}
+
+// Queued means that the request waits for a place.
+type Queued struct{}
+
+// Refused means that the request gets no place; RetryAfter is when there should be room again.
+type Refused struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Hedge asks for a second run beside the first, which is late.
+type Hedge struct {
+	Target  string
+	Address string
+}
+
+func (Placed) verdict()  {}
+func (Queued) verdict()  {}
+func (Refused) verdict() {}
+func (Hedge) verdict()   {}
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	ReasonNoTargets   Reason = "NoTargets"
+	ReasonTooLate     Reason = "DeadlineCannotBeMet"
+	ReasonQueueFull   Reason = "QueueFull"
+	ReasonRetryBudget Reason = "RetryBudgetSpent"
+	ReasonQuarantined Reason = "Quarantined"
+)
+
+// Outcome is how a run on a target ended.
+type Outcome int
+
+// The outcomes of a run.
+const (
+	// Answered means that a whole answer came.
+	Answered Outcome = iota
+	// Failed means that the target answered with a failure of its own.
+	Failed
+	// NotRun means that the target said it did not run the request.
+	NotRun
+	// Unreachable means that no byte of the request reached the target.
+	Unreachable
+	// Broken means that the connection ended, or nothing usable came, after the request was sent.
+	Broken
+	// Silent means that no answer came in time.
+	Silent
+	// Abandoned means that the host ended the run; it says nothing of the target.
+	Abandoned
+	// Misplaced means that another server has the target's address.
+	Misplaced
+)
+
+// Load is what a target says of itself.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Pace is how long work takes there now, relative to the usual; zero means that it does not say.
+	Pace float64
+}
+
+// hold is one run on a target.
+type hold struct {
+	request *Request
+	target  *target
+	started time.Duration
+	// expected is the time that the run was expected to take.
+	expected time.Duration
+	// slowdown is the factor over the class's base time that was expected.
+	slowdown float64
+	// crowded is set when the run took one of the target's last slots.
+	crowded bool
+}
+
+func (r *Request) drop(h *hold) {
+	r.holds = slices.DeleteFunc(r.holds, func(other *hold) bool { return other == h })
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,223 @@
+// Package roster keeps what the store says is in force: the configuration and the targets that registered themselves.
+// It knows no sockets and no wall clock: callers pass the time in.
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"briarcroft/internal/note"
+	"briarcroft/internal/platform"
+)
+
+// lapseGrace is how long after the store's return a target whose entry lapsed meanwhile stays in use:
+// a living one has registered again by then.
+const lapseGrace = 2 * time.Second
+
+// tombstones bounds the deletions that are remembered so that an older write can't undo them.
+const tombstones = 4096
+
+// Config sets up a Roster.
+type Config struct {
+	Decode DecodeFunc
+	// OnRefused is told of entries that can't be used.
+	OnRefused func(key string, err error)
+	// OnChange is told after each change of the view.
+	OnChange func(*View)
+}
+
+// View is what is in force; it is replaced whole and must not be changed.
+type View struct {
+	Configuration note.Configuration
+	// Targets lists the targets of each service, sorted by name.
+	Targets map[string][]Target
+	// Neighbours are inner addresses of other entry hosts, by store key.
+	Neighbours map[string]string
+}
+
+// record is the newest knowledge of one key.
+type record struct {
+	change platform.Change
+	item   Item
+	// until is when a removed target goes out of use; zero means at once.
+	until time.Duration
+}
+
+// Roster is a replica of the store's entries. It is safe for concurrent use.
+type Roster struct {
+	config  Config
+	mu      sync.Mutex
+	records map[string]*record
+	// revision is the store revision up to which the replica is whole.
+	revision int64
+	// returned is when the store came back after an outage.
+	returned     time.Duration
+	configured   note.Configuration
+	view         atomic.Pointer[View]
+	deletedCount int
+}
+
+// New returns an empty roster.
+func New(c Config) *Roster {
+	r := &Roster{config: c, records: map[string]*record{}, returned: -lapseGrace}
+	r.view.Store(&View{})
+	return r
+}
+
+// View returns what is in force.
+func (r *Roster) View() *View { return r.view.Load() }
+
+// Revision returns the store revision up to which the roster is whole.
+func (r *Roster) Revision() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision
+}
+
+// StoreReturned notes that the store answers again after an outage.
+func (r *Roster) StoreReturned(now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.returned = now
+}
+
+// Apply takes in changes that complete the roster up to a revision; it returns those that were news.
+// Changes may come late or twice: for each key the highest revision holds.
+func (r *Roster) Apply(now time.Duration, changes []platform.Change, revision int64) []platform.Change {
+	r.mu.Lock()
+	var news []platform.Change
+	for _, c := range changes {
+		if r.take(now, c) {
+			news = append(news, c)
+		}
+	}
+	r.revision = max(r.revision, revision)
+	r.publish(now, len(news) > 0)
+	return news
+}
+
+// Replace takes in a snapshot: keys that it lacks were removed at some time before.
+func (r *Roster) Replace(now time.Duration, entries []platform.Entry, revision int64) []platform.Change {
+	listed := map[string]bool{}
+	changes := make([]platform.Change, 0, len(entries))
+	for _, e := range entries {
+		listed[e.Key] = true
+		changes = append(changes, platform.Change{Entry: e})
+	}
+	r.mu.Lock()
+	for key, known := range r.records {
+		if !listed[key] && !known.change.Deleted && known.change.Revision <= revision {
+			changes = append(changes, platform.Change{Entry: platform.Entry{Key: key, Revision: revision}, Deleted: true})
+		}
+	}
+	r.mu.Unlock()
+	return r.Apply(now, changes, revision)
+}
+
+// take stores one change and reports whether it is news.
+func (r *Roster) take(now time.Duration, c platform.Change) bool {
+	old := r.records[c.Key]
+	if old != nil && old.change.Revision >= c.Revision {
+		return false
+	}
+	if c.Deleted {
+		return r.remove(now, old, c)
+	}
+	item, err := r.config.Decode(c.Key, c.Value)
+	if err != nil {
+		r.config.OnRefused(c.Key, err)
+	}
+	if configured, is := item.(Configured); is {
+		r.configure(c.Key, configured.Configuration)
+	}
+	r.records[c.Key] = &record{change: c, item: item}
+	return true
+}
+
+// configure puts a configuration in force unless it is older than the one that is.
+func (r *Roster) configure(key string, c note.Configuration) {
+	if c.Number < r.configured.Number {
+		r.config.OnRefused(key, note.ErrChain.New("note %d is older than note %d, which stays in force", c.Number, r.configured.Number))
+		return
+	}
+	r.configured = c
+}
+
+// remove marks a key as deleted; a target stays in use for a while when its entry may only have lapsed with the store.
+func (r *Roster) remove(now time.Duration, old *record, c platform.Change) bool {
+	next := &record{change: c}
+	if old != nil && !old.change.Deleted && now-r.returned < lapseGrace {
+		next.item, next.until = old.item, r.returned+lapseGrace
+	}
+	r.records[c.Key] = next
+	r.deletedCount++
+	if r.deletedCount > tombstones {
+		r.sweep()
+	}
+	return old != nil
+}
+
+func (r *Roster) sweep() {
+	for key, known := range r.records {
+		if known.change.Deleted && known.item == nil {
+			delete(r.records, key)
+		}
+	}
+	r.deletedCount = 0
+}
+
+// Tick ends the use of targets whose entries lapsed and did not come back.
+func (r *Roster) Tick(now time.Duration) {
+	r.mu.Lock()
+	changed := false
+	for _, known := range r.records {
+		if known.change.Deleted && known.item != nil && now >= known.until {
+			known.item, changed = nil, true
+		}
+	}
+	r.publish(now, changed)
+}
+
+// publish unlocks and, after a change, replaces the view and tells of it.
+func (r *Roster) publish(now time.Duration, changed bool) {
+	if !changed {
+		r.mu.Unlock()
+		return
+	}
+	view := r.build()
+	r.view.Store(view)
+	r.mu.Unlock()
+	r.config.OnChange(view)
+}
+
+func (r *Roster) build() *View {
+	v := &View{Configuration: r.configured, Targets: map[string][]Target{}, Neighbours: map[string]string{}}
+	for key, known := range r.records {
+		switch item := known.item.(type) {
+		case Registered:
+			if _, named := r.configured.Service(item.Target.Service); named {
+				v.Targets[item.Target.Service] = append(v.Targets[item.Target.Service], item.Target)
+			}
+		case Neighbour:
+			v.Neighbours[key] = item.Inner
+		}
+	}
+	for _, list := range v.Targets {
+		slices.SortFunc(list, func(a, b Target) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	return v
+}
+
+// Changes returns everything the roster holds as changes, for a peer that knows nothing, and the revision that it is whole at.
+func (r *Roster) Changes() ([]platform.Change, int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]platform.Change, 0, len(r.records))
+	for _, known := range r.records {
+		list = append(list, known.change)
+	}
+	return list, r.revision
+}
--- /dev/null
+++ b/internal/roster/target.go
@@ -0,0 +1,42 @@
+package roster
+
+import (
+	"time"
+
+	"briarcroft/internal/note"
+)
+
+// Target is one backend server as it registered itself.
+type Target struct {
+	Name    string
+	Service string
+	Address string
+	Domain  string
+	// Slots is how many requests it runs at a time.
+	Slots int
+	// Leaving is set once it takes no new work.
+	Leaving bool
+	// Warming is how long it stays slow, counted from when the entry was read.
+	Warming time.Duration
+	// Start identifies one start of the server; another value means that it holds and knows nothing of before.
+	Start int64
+}
+
+// Item is what one entry of the store says: Configured, Registered or Neighbour.
+type Item interface{ item() }
+
+// Configured is the newest configuration.
+type Configured struct{ Configuration note.Configuration }
+
+// Registered is one target.
+type Registered struct{ Target Target }
+
+// Neighbour is the inner address of an entry host, left in the store for hosts that know none.
+type Neighbour struct{ Inner string }
+
+func (Configured) item() {}
+func (Registered) item() {}
+func (Neighbour) item()  {}
+
+// DecodeFunc reads one entry; it returns nil without error for a key that is none of the project's concern.
+type DecodeFunc = func(key string, value []byte) (Item, error)
