--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -1,19 +1,32 @@
 package command
 
 import (
+	"context"
 	"runtime/debug"
 
 	"briarcroft/internal/entry"
-	"briarcroft/internal/platform"
+	"briarcroft/internal/gateway"
+	internalplatform "briarcroft/internal/platform"
 	"briarcroft/internal/settings"
+	"briarcroft/platform"
+
+	"github.com/rs/zerolog"
 )
 
 // gcPercent is how far the heap may grow between two collections; a host's live heap is a few megabytes.
 const gcPercent = 400
 
+// gatewayPercent is the same for hosts whose memory is paid for.
+const gatewayPercent = 100
+
 type serveCommand struct {
 	*root
-	Config string `long:"config" required:"true" description:"settings file in INI"`
+	Config string `long:"config" required:"true" env:"BRIARCROFT_BOOT" description:"settings file in INI"`
+}
+
+// server is a host of either kind.
+type server interface {
+	Serve(stop, force context.Context) error
 }
 
 // Execute implements flags.Commander.
@@ -22,25 +35,61 @@
 	if err != nil {
 		return err
 	}
-	debug.SetGCPercent(gcPercent)
 	logger := c.logger(s.Log.Level).With().Str("Host", s.Host.Name).Logger()
-	store, closeStore := platform.NewEtcd(platform.EtcdConfig{URL: s.Platform.Store, Timeout: s.Platform.Timeout})
-	defer closeStore()
-	config := entry.Config{Settings: s, Logger: logger, Store: store}
-	if s.Platform.HostList != "" {
-		list, closeList := platform.NewHostList(platform.HostListConfig{URL: s.Platform.HostList, Timeout: s.Platform.Timeout})
-		defer closeList()
-		config.HostList = list
-	}
-	h, closeHost, err := entry.New(config)
+	stop, force, release := signals()
+	defer release()
+	h, closeHost, err := c.open(s, logger)
 	if err != nil {
 		return err
 	}
 	defer closeHost()
-	stop, force, release := signals()
-	defer release()
-	logger.Info().Str("Listen", h.Listen()).Str("Inner", h.Inner()).Msg("entry host started")
+	logger.Info().Str("Listen", s.Host.Listen).Str("Inner", s.Host.Inner).Str("Platform", s.Platform.Kind).Msg("entry host started")
 	err = h.Serve(stop, force)
 	logger.Info().Err(err).Msg("entry host stopped")
 	return err
 }
+
+// open returns the host that the settings ask for and the function that closes it.
+func (c *serveCommand) open(s settings.Settings, logger zerolog.Logger) (server, func(), error) {
+	if s.Platform.Kind == "Native" {
+		h, closeHost := openGateway(s, logger.Output(c.out))
+		return h, closeHost, nil
+	}
+	return openEntry(s, logger)
+}
+
+func openGateway(s settings.Settings, logger zerolog.Logger) (server, func()) {
+	debug.SetGCPercent(gatewayPercent)
+	if s.Limits.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(s.Limits.MemoryBytes))
+	}
+	store, closeStore := platform.NewStore(platform.StoreConfig{URL: s.Platform.Store, Timeout: s.Platform.Timeout})
+	h, closeHost := gateway.New(gateway.Config{Settings: s, Logger: logger, Feed: store, Dialect: platform.Dialect()})
+	return h, func() {
+		closeHost()
+		closeStore()
+	}
+}
+
+func openEntry(s settings.Settings, logger zerolog.Logger) (server, func(), error) {
+	debug.SetGCPercent(gcPercent)
+	store, closeStore := internalplatform.NewEtcd(internalplatform.EtcdConfig{URL: s.Platform.Store, Timeout: s.Platform.Timeout})
+	closeList := func() {}
+	config := entry.Config{Settings: s, Logger: logger, Store: store}
+	if s.Platform.HostList != "" {
+		config.HostList, closeList = internalplatform.NewHostList(internalplatform.HostListConfig{URL: s.Platform.HostList, Timeout: s.Platform.Timeout})
+	}
+	closeAll := func() {
+		closeList()
+		closeStore()
+	}
+	h, closeHost, err := entry.New(config)
+	if err != nil {
+		closeAll()
+		return nil, nil, err
+	}
+	return h, func() {
+		closeHost()
+		closeAll()
+	}, nil
+}
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -165,18 +165,7 @@
 
 func (h *Host) explainMembership() {
 	for _, e := range h.table.TakeEvents() {
-		r := record.Record{Note: h.chain.Number(), Evidence: record.Evidence{Peer: e.Member.Name, Detail: e.Member.Inner}}
-		switch e.Kind {
-		case host.Joined:
-			r.Kind, r.Cause = record.HostJoined, "Heartbeat"
-		case host.Returned:
-			r.Kind, r.Cause = record.HostJoined, "HeartbeatReturned"
-		case host.Left:
-			r.Kind, r.Cause = record.HostLeft, "GracefulStop"
-		case host.Died:
-			r.Kind, r.Cause = record.HostLeft, "HeartbeatMissing"
-		}
-		h.book.Add(r)
+		h.book.Add(record.OfMembership(e, h.chain.Number()))
 	}
 	h.explainHomes()
 }
--- /dev/null
+++ b/internal/gateway/homes.go
@@ -0,0 +1,252 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"briarcroft/internal/inner"
+	"briarcroft/internal/placement"
+	"briarcroft/internal/ring"
+	"briarcroft/internal/roster"
+)
+
+// Times of the homes.
+const (
+	// tickEvery is the time between two runs of the timers of services that have requests.
+	tickEvery = 10 * time.Millisecond
+	// idleTickEvery is the same while no service has any.
+	idleTickEvery = 100 * time.Millisecond
+	// aliveEvery is how often a home shows hosts that wait for a place that it still listens.
+	aliveEvery = 150 * time.Millisecond
+)
+
+// Shares of the retry slack. All homes and all hosts that decide alone must stay within it together.
+const (
+	homeSlackShare  = 0.4
+	aloneSlackShare = 0.4
+	// ratioShare leaves room for repeats that were decided by a home that has just been replaced.
+	ratioShare = 0.9
+)
+
+// verdictRing is how many verdicts may wait for a host that reads slowly.
+const verdictRing = 1024
+
+// homes holds the decisions for those services that ask here, whether as their home or because no home answers.
+type homes struct {
+	gateway *Gateway
+	mu      sync.Mutex
+	byName  map[string]*home
+	// desks are the conversations with the hosts that ask.
+	desks map[uint64]*desk
+	last  uint64
+}
+
+// home is the decision for one service.
+type home struct {
+	homes   *homes
+	service string
+	mu      sync.Mutex
+	home    *placement.Home
+	health  string
+}
+
+// desk is the conversation with one host that asks for places; verdicts go out in order.
+type desk struct {
+	number   uint64
+	verdicts *ring.Ring[*inner.PlaceVerdict]
+	// local gets the verdicts of the own host instead.
+	local func(number uint64, v placement.Verdict)
+}
+
+func newHomes(g *Gateway) *homes {
+	return &homes{gateway: g, byName: map[string]*home{}, desks: map[uint64]*desk{}}
+}
+
+// openDesk begins a conversation; local is nil for one with another host.
+func (o *homes) openDesk(local func(uint64, placement.Verdict)) *desk {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.last++
+	d := &desk{number: o.last, local: local}
+	if local == nil {
+		d.verdicts = ring.New[*inner.PlaceVerdict](ring.Config{Capacity: verdictRing})
+	}
+	o.desks[d.number] = d
+	return d
+}
+
+// closeDesk ends a conversation and forgets all that its host held.
+func (o *homes) closeDesk(d *desk) {
+	o.mu.Lock()
+	delete(o.desks, d.number)
+	o.mu.Unlock()
+	for _, h := range o.all() {
+		h.mu.Lock()
+		h.home.Leave(o.gateway.now(), d.number)
+		h.mu.Unlock()
+	}
+}
+
+func (o *homes) all() []*home {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	list := make([]*home, 0, len(o.byName))
+	for _, h := range o.byName {
+		list = append(list, h)
+	}
+	return list
+}
+
+// get returns the decision for a service, beginning it with the targets known here.
+func (o *homes) get(service string) *home {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	h := o.byName[service]
+	if h == nil {
+		h = &home{homes: o, service: service}
+		h.home = placement.New(placement.Config{
+			Random: rand.New(rand.NewPCG(o.gateway.incarnation, uint64(len(o.byName)))), Budget: o.budget(), Notify: o.notify,
+		})
+		o.byName[service] = h
+		h.adopt(o.gateway.roster.View())
+	}
+	return h
+}
+
+// budget returns the part of the retry budget that this host may decide on.
+func (o *homes) budget() placement.Budget {
+	s := o.gateway.settings.Retries
+	return placement.Budget{Ratio: ratioShare * s.Ratio, Window: s.Window}
+}
+
+// slack returns how many repeats beyond the ratio this host may decide on: many as the service's home, few otherwise.
+func (o *homes) slack(service string) float64 {
+	total := float64(o.gateway.settings.Retries.Slack)
+	ranked := o.gateway.links.rank(service)
+	if len(ranked) > 0 && ranked[0].Name == o.gateway.settings.Host.Name {
+		return homeSlackShare * total
+	}
+	return aloneSlackShare * total / float64(max(1, len(ranked)))
+}
+
+// adopt hands new targets to every decision.
+func (o *homes) adopt(v *roster.View) {
+	for _, h := range o.all() {
+		h.mu.Lock()
+		h.adopt(v)
+		h.mu.Unlock()
+	}
+}
+
+func (h *home) adopt(v *roster.View) {
+	list := v.Targets[h.service]
+	targets := make([]placement.Target, 0, len(list))
+	for _, t := range list {
+		targets = append(targets, placement.Target{
+			Name: t.Name, Address: t.Address, Domain: t.Domain, Slots: t.Slots, Leaving: t.Leaving, Warming: t.Warming, Start: t.Start,
+		})
+	}
+	if s, named := v.Configuration.Service(h.service); named {
+		h.health = s.ReportPath
+	}
+	h.home.SetTargets(h.homes.gateway.now(), targets)
+}
+
+// ask offers a request of a desk's host.
+func (o *homes) ask(service string, r *placement.Request) {
+	h := o.get(service)
+	slack := o.slack(service)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.home.SetRetrySlack(slack)
+	h.home.Ask(o.gateway.now(), r)
+}
+
+// done takes in the end of a run.
+func (o *homes) done(service string, d placement.Done) {
+	h := o.get(service)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.home.Done(o.gateway.now(), d)
+}
+
+// abandon ends a run of whichever service has it.
+func (o *homes) abandon(d placement.Done) {
+	for _, h := range o.all() {
+		h.mu.Lock()
+		h.home.Done(o.gateway.now(), d)
+		h.mu.Unlock()
+	}
+}
+
+// withdraw takes a request out of the queue.
+func (o *homes) withdraw(service string, id placement.ID) {
+	h := o.get(service)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.home.Withdraw(id)
+}
+
+// notify hands a verdict to the host that asked; it runs under the lock of the decision.
+func (o *homes) notify(r *placement.Request, v placement.Verdict) {
+	o.mu.Lock()
+	d := o.desks[r.ID.Host]
+	o.mu.Unlock()
+	if d == nil {
+		return
+	}
+	if d.local != nil {
+		d.local(r.ID.Number, v)
+		return
+	}
+	d.verdicts.Push(inner.ToVerdict(r.ID.Number, v))
+}
+
+// tickDuty runs the timers of the decisions and sends their probes.
+func (g *Gateway) tickDuty(ctx context.Context) {
+	wait := idleTickEvery
+	var alive time.Duration
+	for sleep(ctx, wait) {
+		wait = idleTickEvery
+		now := g.now()
+		for _, h := range g.homes.all() {
+			h.mu.Lock()
+			if h.home.Tick(now) {
+				wait = tickEvery
+			}
+			due := h.home.Probes(now)
+			h.mu.Unlock()
+			for _, p := range due {
+				go h.probe(ctx, p)
+			}
+		}
+		if now-alive >= aliveEvery {
+			alive = now
+			g.homes.showAlive()
+		}
+	}
+}
+
+// showAlive tells every host in conversation that this one still listens.
+func (o *homes) showAlive() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, d := range o.desks {
+		if d.verdicts != nil {
+			d.verdicts.Push(&inner.PlaceVerdict{})
+		}
+	}
+}
+
+// queued returns how many requests wait at the decisions here, by service.
+func (o *homes) queued() map[string]int {
+	counts := map[string]int{}
+	for _, h := range o.all() {
+		h.mu.Lock()
+		counts[h.service] = h.home.Queued()
+		h.mu.Unlock()
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"briarcroft/internal/note"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// defaultLimits hold until a configuration names others.
+var defaultLimits = note.Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
+// lineSlack is what the request line and the reader's look-ahead may take beyond the header limit, in bytes.
+const lineSlack = 4 << 10
+
+// request is what a caller sent.
+type request struct {
+	id      string
+	method  string
+	uri     string
+	path    string
+	host    string
+	header  http.Header
+	body    []byte
+	caller  string
+	arrived time.Duration
+	// patience is how long the caller will wait; zero means that it does not say.
+	patience time.Duration
+	// last is set when the caller sends nothing more on its connection.
+	last bool
+	// release gives back the memory of the body.
+	release func()
+}
+
+// errHeaderTooLong reports a request head beyond the limit.
+var errHeaderTooLong = errors.New("request head is too long")
+
+// meteredReader stops reading once a request head has taken more than it may.
+type meteredReader struct {
+	net.Conn
+	left int
+}
+
+// Read implements io.Reader.
+func (m *meteredReader) Read(p []byte) (int, error) {
+	if m.left <= 0 {
+		return 0, errHeaderTooLong
+	}
+	n, err := m.Conn.Read(p[:min(len(p), m.left)])
+	m.left -= n
+	return n, err
+}
+
+// rejection is a request that is answered without being understood; its connection ends.
+type rejection struct {
+	status int
+	reason string
+}
+
+// readRequest reads one request whole. It returns neither when the caller has gone.
+func (c *callerConn) readRequest() (*request, *rejection) {
+	limits := c.gateway.limits()
+	if !c.awaitFirst(limits) {
+		return nil, nil
+	}
+	arrived := c.gateway.now()
+	c.metered.left = limits.HeaderBytes + lineSlack
+	_ = c.metered.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	r, err := http.ReadRequest(c.reader)
+	if err != nil {
+		return nil, rejectionOf(err)
+	}
+	// Bodies have a limit of their own.
+	c.metered.left = int(^uint(0) >> 1)
+	_ = c.metered.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+	q := &request{
+		id: r.Header.Get(c.gateway.dialect.AttemptHeader), method: r.Method, uri: r.RequestURI, path: r.URL.Path, host: r.Host,
+		header: r.Header, caller: c.address, arrived: arrived, last: r.Close || !r.ProtoAtLeast(1, 1), release: func() {},
+	}
+	if ms, err := strconv.ParseFloat(r.Header.Get(c.gateway.dialect.DeadlineHeader), 64); err == nil && ms > 0 {
+		q.patience = time.Duration(ms * float64(time.Millisecond))
+	}
+	if r.ContentLength == 0 {
+		return q, nil
+	}
+	return c.readBody(q, r, limits)
+}
+
+// awaitFirst waits for the first byte of a request and reports whether one came.
+func (c *callerConn) awaitFirst(limits note.Limits) bool {
+	c.metered.left = limits.HeaderBytes + lineSlack
+	c.setIdleDeadline(limits.IdleTimeout)
+	_, err := c.reader.Peek(1)
+	return err == nil
+}
+
+func rejectionOf(err error) *rejection {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, errHeaderTooLong):
+		return &rejection{http.StatusRequestHeaderFieldsTooLarge, "HeaderTooLong"}
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return &rejection{http.StatusRequestTimeout, "HeaderTooSlow"}
+	case errors.As(err, &netErr), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return nil
+	}
+	return &rejection{http.StatusBadRequest, "NotARequest"}
+}
+
+// readBody reads the body of a request whole.
+func (c *callerConn) readBody(q *request, r *http.Request, limits note.Limits) (*request, *rejection) {
+	if r.ContentLength > int64(limits.BodyBytes) {
+		return nil, &rejection{http.StatusRequestEntityTooLarge, "BodyTooLong"}
+	}
+	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		if _, err := io.WriteString(c.metered.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, nil
+		}
+	}
+	reserved := r.ContentLength
+	if reserved < 0 {
+		reserved = int64(c.gateway.settings.Limits.KeyedBodyBytes)
+	}
+	if !c.gateway.bodies.take(reserved) {
+		return nil, &rejection{http.StatusServiceUnavailable, "NoMemoryForBody"}
+	}
+	q.release = func() { c.gateway.bodies.give(reserved) }
+	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limits.BodyBytes)+1))
+	switch {
+	case err != nil:
+		q.release()
+		return nil, rejectionOf(err)
+	case len(body) > limits.BodyBytes:
+		q.release()
+		return nil, &rejection{http.StatusRequestEntityTooLarge, "BodyTooLong"}
+	}
+	q.body = body
+	return q, nil
+}
+
+// limits returns what callers may send.
+func (g *Gateway) limits() note.Limits {
+	if l := g.rules.Load().limits; l.HeaderBytes > 0 && l.IdleTimeout > 0 {
+		return l
+	}
+	return defaultLimits
+}
+
+// fingerprint is the same for requests with the same caller, path and body.
+func (q *request) fingerprint() uint64 {
+	d := xxhash.New()
+	for _, part := range []string{q.caller, q.host, q.method, q.uri} {
+		// A hash never fails to write.
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(q.body)
+	return d.Sum64()
+}
+
+// bodyBudget bounds the memory that request bodies take.
+type bodyBudget struct {
+	limit int64
+	held  atomic.Int64
+}
+
+func (b *bodyBudget) take(n int64) bool {
+	if b.held.Add(n) > b.limit {
+		b.held.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (b *bodyBudget) give(n int64) { b.held.Add(-n) }
+
+// newReader returns the buffered reader of a caller's connection.
+func newReader(m *meteredReader) *bufio.Reader { return bufio.NewReaderSize(m, callerReadBytes) }
+
+// requestContext ends when the caller leaves, for requests that may be given up.
+func (c *callerConn) requestContext(repeatable bool) context.Context {
+	if repeatable {
+		return c.ctx
+	}
+	return c.gateway.background
+}
--- /dev/null
+++ b/internal/gateway/rules.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"net"
+	"slices"
+	"strings"
+	"sync"
+
+	"briarcroft/internal/note"
+)
+
+// ruleIndex finds the rule of a request: by host, then the longest path.
+type ruleIndex struct {
+	byHost map[string][]note.Rule
+	limits note.Limits
+	number int
+}
+
+func newRuleIndex(c note.Configuration) *ruleIndex {
+	x := &ruleIndex{byHost: map[string][]note.Rule{}, number: c.Number}
+	if c.Limits != nil {
+		x.limits = *c.Limits
+	}
+	for _, r := range c.Rules {
+		x.byHost[r.Host] = append(x.byHost[r.Host], r)
+	}
+	for _, rules := range x.byHost {
+		slices.SortStableFunc(rules, func(a, b note.Rule) int { return len(b.Path) - len(a.Path) })
+	}
+	return x
+}
+
+// match returns the rule for a request.
+func (x *ruleIndex) match(host, path string) (note.Rule, bool) {
+	rules, known := x.byHost[host]
+	if !known {
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			rules = x.byHost[name]
+		}
+	}
+	for _, r := range rules {
+		if strings.HasPrefix(path, r.Path) {
+			return r, true
+		}
+	}
+	return note.Rule{}, false
+}
+
+// shares divides the requests of rules that name several services.
+type shares struct {
+	mu     sync.Mutex
+	byRule map[string][]float64
+}
+
+// choose returns the service for the next request of a rule. Each service's credit grows by its weight and the
+// richest one pays for the request, so that any few requests in a row are divided as the weights say.
+func (s *shares) choose(r note.Rule) string {
+	if len(r.Shares) == 0 {
+		return r.Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byRule == nil {
+		s.byRule = map[string][]float64{}
+	}
+	credit := s.byRule[r.Name]
+	if len(credit) != len(r.Shares) {
+		credit = make([]float64, len(r.Shares))
+		s.byRule[r.Name] = credit
+	}
+	total, best := 0.0, 0
+	for i, share := range r.Shares {
+		credit[i] += float64(share.Weight)
+		total += float64(share.Weight)
+		if credit[i] > credit[best] {
+			best = i
+		}
+	}
+	credit[best] -= total
+	return r.Shares[best].Service
+}
--- /dev/null
+++ b/internal/gateway/watch.go
@@ -0,0 +1,266 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"briarcroft/internal/host"
+	"briarcroft/internal/inner"
+	"briarcroft/internal/platform"
+	"briarcroft/internal/record"
+
+	"github.com/joomcode/errorx"
+)
+
+// Times and counts of following the store.
+const (
+	// watchersPerDomain is how many hosts of a failure domain follow the store itself.
+	watchersPerDomain = 1
+	// watchWait is how long the store may hold a watch without changes; a store that turned silent shows after it.
+	watchWait = 2500 * time.Millisecond
+	// watchRetry is the pause after a failed call.
+	watchRetry = 300 * time.Millisecond
+	// lostRetry is the pause of a host whose store is lost while others can reach it.
+	lostRetry = 2 * time.Second
+	// followAliveEvery is how often a host shows its followers that it still listens.
+	followAliveEvery = 500 * time.Millisecond
+	// followSilence is how long the followed host may send nothing.
+	followSilence = 3 * followAliveEvery
+	// followed is how many watchers each host follows.
+	followed = 2
+	// lapseCheck is how often targets are checked whose entries lapsed during an outage.
+	lapseCheck = 200 * time.Millisecond
+)
+
+// watchState is what the duties that follow the store share.
+type watchState struct {
+	// lost is set while the store can't be reached from here.
+	lost atomic.Bool
+	// watching is set while this host follows the store itself.
+	watching atomic.Bool
+	// whole is set once the store was read.
+	whole atomic.Bool
+}
+
+// watchers returns the hosts that follow the store, those of the own failure domain first.
+func (g *Gateway) watchers() []host.Member {
+	live := g.table.Live(g.now())
+	reaching := slices.DeleteFunc(slices.Clone(live), func(m host.Member) bool { return m.StoreLost })
+	var list []host.Member
+	for _, m := range reaching {
+		if host.IsWatcher(m, reaching, watchersPerDomain) {
+			list = append(list, m)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b host.Member) int { return g.distance(a) - g.distance(b) })
+	return list
+}
+
+func (g *Gateway) distance(m host.Member) int {
+	if m.Domain == g.settings.Host.Domain {
+		return 0
+	}
+	return 1
+}
+
+// isWatcher reports whether this host follows the store itself: as one of the few, or because nobody else does.
+func (g *Gateway) isWatcher() bool {
+	list := g.watchers()
+	return len(list) == 0 || slices.ContainsFunc(list, func(m host.Member) bool { return m.Name == g.settings.Host.Name })
+}
+
+// watchDuty reads the store at the start, and follows it while this host is a watcher.
+func (g *Gateway) watchDuty(ctx context.Context) {
+	revision, registered := int64(0), false
+	for ctx.Err() == nil {
+		watching := !g.watch.whole.Load() || g.isWatcher()
+		g.watch.watching.Store(watching)
+		if !watching {
+			registered = false
+			revision = 0
+			if !sleep(ctx, watchRetry) {
+				return
+			}
+			continue
+		}
+		var err error
+		switch {
+		case revision == 0:
+			revision, err = g.snapshot(ctx)
+		case !registered && g.isWatcher():
+			err = g.register(ctx)
+			registered = err == nil
+		default:
+			revision, err = g.follow(ctx, revision)
+		}
+		if err == nil {
+			g.watch.whole.Store(true)
+		}
+		g.noteStore(err)
+		if errorx.IsOfType(err, platform.ErrCompacted) {
+			revision = 0
+			continue
+		}
+		if err != nil && !g.pauseAfter(ctx) {
+			return
+		}
+	}
+}
+
+// pauseAfter waits before the next call of a store that failed; the wait is longer when others can reach it.
+func (g *Gateway) pauseAfter(ctx context.Context) bool {
+	if len(g.watchers()) > 0 && g.chain.Number() > 0 {
+		return sleep(ctx, lostRetry)
+	}
+	return sleep(ctx, watchRetry)
+}
+
+// snapshot reads the store whole.
+func (g *Gateway) snapshot(ctx context.Context) (int64, error) {
+	g.stats.storeCalls.Add(1)
+	entries, revision, err := g.config.Feed.Snapshot(ctx, "")
+	if err != nil {
+		return 0, err
+	}
+	g.returned(g.watch.lost.Load())
+	g.tell(g.roster.Replace(g.now(), entries, revision), revision, false)
+	return revision, nil
+}
+
+// follow waits for the next changes.
+func (g *Gateway) follow(ctx context.Context, revision int64) (int64, error) {
+	g.stats.storeCalls.Add(1)
+	changes, next, err := g.config.Feed.Follow(ctx, "", revision, watchWait)
+	if err != nil {
+		return revision, err
+	}
+	g.returned(g.watch.lost.Load())
+	g.tell(g.roster.Apply(g.now(), changes, next), next, false)
+	return next, nil
+}
+
+// register leaves the own address in the store, for hosts that know no peer.
+func (g *Gateway) register(ctx context.Context) error {
+	key := g.dialect.NeighbourKey(g.settings.Host.Name)
+	if g.roster.View().Neighbours[key] == g.settings.Host.Inner {
+		return nil
+	}
+	g.stats.storeCalls.Add(1)
+	return g.config.Feed.Write(ctx, []platform.Entry{{Key: key, Value: []byte(g.settings.Host.Inner)}}, nil)
+}
+
+// returned notes the end of an outage of the store, here and for the followers.
+func (g *Gateway) returned(was bool) {
+	if !was {
+		return
+	}
+	g.roster.StoreReturned(g.now())
+	g.followers.tell(news{returned: true})
+}
+
+func (g *Gateway) tell(changes []platform.Change, revision int64, returned bool) {
+	if len(changes) > 0 || returned {
+		g.followers.tell(news{changes, revision, returned})
+	}
+}
+
+// noteStore keeps whether the store can be reached, and explains changes of that.
+func (g *Gateway) noteStore(err error) {
+	lost := err != nil && !errorx.IsOfType(err, platform.ErrCompacted)
+	if g.watch.lost.Swap(lost) == lost {
+		return
+	}
+	r := record.Record{Kind: record.StoreReturned, Cause: "Call", Note: g.chain.Number()}
+	if lost {
+		r.Kind, r.Evidence.Detail = record.StoreLost, err.Error()
+	}
+	g.book.Add(r)
+	g.table.SetStoreLost(lost)
+	g.kick.Push(struct{}{})
+}
+
+// rosterDuty ends the use of targets whose entries lapsed and did not come back.
+func (g *Gateway) rosterDuty(ctx context.Context) {
+	for sleep(ctx, lapseCheck) {
+		g.roster.Tick(g.now())
+	}
+}
+
+// followDuty hears of the store's changes from the watchers while this host is none.
+func (g *Gateway) followDuty(ctx context.Context) {
+	streams := map[string]context.CancelFunc{}
+	ended := make(chan string, followed)
+	for {
+		g.chooseFollowed(ctx, streams, ended)
+		wait, cancel := context.WithTimeout(ctx, watchRetry)
+		select {
+		case name := <-ended:
+			delete(streams, name)
+		case <-wait.Done():
+		}
+		cancel()
+		if ctx.Err() != nil {
+			for range streams {
+				<-ended
+			}
+			return
+		}
+	}
+}
+
+// chooseFollowed begins and ends streams so that the first few watchers are followed.
+func (g *Gateway) chooseFollowed(ctx context.Context, streams map[string]context.CancelFunc, ended chan<- string) {
+	wanted := map[string]bool{}
+	if !g.watch.watching.Load() || !g.watch.whole.Load() || g.watch.lost.Load() {
+		for _, m := range g.watchers() {
+			if m.Name == g.settings.Host.Name || len(wanted) == followed {
+				continue
+			}
+			wanted[m.Name] = true
+			if streams[m.Name] != nil {
+				continue
+			}
+			following, cancel := context.WithCancel(ctx)
+			streams[m.Name] = cancel
+			go func() {
+				g.followPeer(following, m)
+				cancel()
+				ended <- m.Name
+			}()
+		}
+	}
+	for name, cancel := range streams {
+		if !wanted[name] {
+			cancel()
+		}
+	}
+}
+
+// followPeer takes in what one watcher tells until its stream ends.
+func (g *Gateway) followPeer(ctx context.Context, m host.Member) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silent := time.AfterFunc(followSilence, cancel)
+	defer silent.Stop()
+	stream, err := g.client.Peer(ctx, m.Inner).FollowStore(ctx, &inner.FollowStoreRequest{})
+	for err == nil {
+		var reply *inner.FollowStoreReply
+		if reply, err = stream.Recv(); err != nil {
+			break
+		}
+		silent.Reset(followSilence)
+		n := fromFollowReply(reply)
+		if n.returned {
+			g.roster.StoreReturned(g.now())
+		}
+		if len(n.changes) > 0 {
+			g.roster.Apply(g.now(), n.changes, n.revision)
+		}
+	}
+	if ctx.Err() == nil {
+		g.logger.Info().Str("Peer", m.Name).Err(err).Msg("stream of store changes ended")
+	}
+	sleep(ctx, watchRetry)
+}
--- /dev/null
+++ b/internal/inner/verdict.go
@@ -0,0 +1,76 @@
+package inner
+
+import (
+	"time"
+
+	"briarcroft/internal/placement"
+)
+
+// ToVerdict encodes a home's verdict on the request of that number.
+func ToVerdict(number uint64, v placement.Verdict) *PlaceVerdict {
+	wire := &PlaceVerdict{Number: number}
+	switch v := v.(type) {
+	case placement.Placed:
+		wire.Kind, wire.Target, wire.Address = VerdictKind_Placed, v.Target, v.Address
+	case placement.Queued:
+		wire.Kind = VerdictKind_Queued
+	case placement.Refused:
+		wire.Kind, wire.Reason, wire.RetryAfterMicroseconds = VerdictKind_Refused, string(v.Reason), v.RetryAfter.Microseconds()
+	case placement.Hedge:
+		wire.Kind, wire.Target, wire.Address = VerdictKind_Hedge, v.Target, v.Address
+	}
+	return wire
+}
+
+// FromVerdict decodes a home's verdict; it returns nil for one that only shows that the home still listens.
+func FromVerdict(wire *PlaceVerdict) placement.Verdict {
+	switch wire.Kind {
+	case VerdictKind_Placed:
+		return placement.Placed{Target: wire.Target, Address: wire.Address}
+	case VerdictKind_Queued:
+		return placement.Queued{}
+	case VerdictKind_Refused:
+		return placement.Refused{Reason: placement.Reason(wire.Reason), RetryAfter: microseconds(wire.RetryAfterMicroseconds)}
+	case VerdictKind_Hedge:
+		return placement.Hedge{Target: wire.Target, Address: wire.Address}
+	}
+	return nil
+}
+
+// ToAsk encodes a request for a place; the times left count from now.
+func ToAsk(now time.Duration, r *placement.Request) *PlaceAsk {
+	return &PlaceAsk{
+		Class: r.Class, Priority: uint32(r.Priority), GoalMicroseconds: (r.Goal - now).Microseconds(),
+		DeadlineMicroseconds: (r.Deadline - now).Microseconds(), Repeatable: r.Repeatable, Tried: r.Tried,
+		Fingerprint: r.Fingerprint, Domain: r.Domain,
+	}
+}
+
+// FromAsk decodes a request for a place that came now.
+func FromAsk(now time.Duration, id placement.ID, wire *PlaceAsk) *placement.Request {
+	return &placement.Request{
+		ID: id, Class: wire.Class, Priority: int(wire.Priority), Goal: now + microseconds(wire.GoalMicroseconds),
+		Deadline: now + microseconds(wire.DeadlineMicroseconds), Repeatable: wire.Repeatable, Tried: wire.Tried,
+		Fingerprint: wire.Fingerprint, Domain: wire.Domain,
+	}
+}
+
+// ToEnd encodes the end of a run.
+func ToEnd(d placement.Done) *RunEnd {
+	wire := &RunEnd{Target: d.Target, Outcome: uint32(d.Outcome), TookMicroseconds: d.Took.Microseconds()}
+	if l := d.Load; l != nil {
+		wire.Load = &TargetLoad{Running: uint32(l.Running), Waiting: uint32(l.Waiting), Slots: uint32(l.Slots), Pace: l.Pace}
+	}
+	return wire
+}
+
+// FromEnd decodes the end of a run.
+func FromEnd(id placement.ID, wire *RunEnd) placement.Done {
+	d := placement.Done{ID: id, Target: wire.Target, Outcome: placement.Outcome(wire.Outcome), Took: microseconds(wire.TookMicroseconds)}
+	if l := wire.Load; l != nil {
+		d.Load = &placement.Load{Running: int(l.Running), Waiting: int(l.Waiting), Slots: int(l.Slots), Pace: l.Pace}
+	}
+	return d
+}
+
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -65,6 +65,9 @@
 	}
 }
 
+// SetRetrySlack changes how many repeats are allowed beyond the budget's ratio.
+func (h *Home) SetRetrySlack(slack float64) { h.config.Budget.Slack = slack }
+
 // SetTargets replaces the targets; known ones keep what was learned of them.
 func (h *Home) SetTargets(now time.Duration, list []Target) {
 	next := make([]*target, 0, len(list))
--- /dev/null
+++ b/internal/record/membership.go
@@ -0,0 +1,19 @@
+package record
+
+import "briarcroft/internal/host"
+
+// OfMembership returns the record of one change of the membership.
+func OfMembership(e host.Event, number int) Record {
+	r := Record{Note: number, Evidence: Evidence{Peer: e.Member.Name, Detail: e.Member.Inner}}
+	switch e.Kind {
+	case host.Joined:
+		r.Kind, r.Cause = HostJoined, "Heartbeat"
+	case host.Returned:
+		r.Kind, r.Cause = HostJoined, "HeartbeatReturned"
+	case host.Left:
+		r.Kind, r.Cause = HostLeft, "GracefulStop"
+	case host.Died:
+		r.Kind, r.Cause = HostLeft, "HeartbeatMissing"
+	}
+	return r
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,10 @@
 	Region string
 	Listen string `required:"true"`
 	Inner  string `required:"true"`
+	// Ready, Directory and Metrics are addresses of the host's own pages, for hosts whose requests are placed by homes.
+	Ready     string
+	Directory string
+	Metrics   string
 }
 
 // Platform locates the platform's key-value service and host list.
@@ -32,6 +36,16 @@
 	Store    string `required:"true"`
 	HostList string
 	Timeout  time.Duration
+	// Kind is the protocol of the store: Etcd for notes published with this program, Native for the users' platform.
+	Kind string `allowed:"Etcd|Native"`
+}
+
+// Retries is the budget of arrivals at a service beyond the first of each request, over all hosts.
+type Retries struct {
+	// Ratio is the most repeats per request within Window, and Slack how many more there may be.
+	Ratio  float64
+	Window time.Duration
+	Slack  int
 }
 
 // Peers lists inner addresses to ask first after a start.
@@ -52,6 +66,10 @@
 	KeptEntries    int
 	KeptBytes      int
 	ClaimsPerSec   float64
+	// HeldBytes bounds the memory that request bodies take.
+	HeldBytes int
+	// MemoryBytes is what the process may use before it collects garbage harder; zero means no limit.
+	MemoryBytes int
 }
 
 // Budget bounds the cost of measuring load and latency.
@@ -84,21 +102,23 @@
 	Budget   Budget
 	TLS      TLS
 	Log      Log
+	Retries  Retries
 }
 
 // Default returns settings with every optional key at its default.
 func Default() Settings {
 	return Settings{
 		Host:     Host{Region: "default"},
-		Platform: Platform{Timeout: 2 * time.Second},
+		Platform: Platform{Timeout: 2 * time.Second, Kind: "Etcd"},
 		Limits: Limits{
 			HeaderBytes: 32 << 10, KeyedBodyBytes: 1 << 20, BodyBytes: 64 << 20,
 			HeaderTimeout: 5 * time.Second, IdleTimeout: 90 * time.Second, StopTimeout: 20 * time.Second,
 			AddressMaxAge: 2 * time.Second, GrantWindow: 30 * time.Second,
-			KeptEntries: 100_000, KeptBytes: 16 << 20, ClaimsPerSec: 20,
+			KeptEntries: 100_000, KeptBytes: 16 << 20, ClaimsPerSec: 20, HeldBytes: 64 << 20,
 		},
-		Budget: Budget{ProbesPerSec: 20, BytesPerSec: 10_000, CoreShare: 0.01},
-		Log:    Log{Level: "info"},
+		Budget:  Budget{ProbesPerSec: 20, BytesPerSec: 10_000, CoreShare: 0.01},
+		Log:     Log{Level: "info"},
+		Retries: Retries{Ratio: 0.2, Window: 10 * time.Second, Slack: 20},
 	}
 }
 
@@ -123,7 +143,7 @@
 		target any
 	}{
 		{"Host", &s.Host}, {"Platform", &s.Platform}, {"Peers", &s.Peers}, {"Limits", &s.Limits},
-		{"Budget", &s.Budget}, {"TLS", &s.TLS}, {"Log", &s.Log},
+		{"Budget", &s.Budget}, {"TLS", &s.TLS}, {"Log", &s.Log}, {"Retries", &s.Retries},
 	}
 	known := map[string]bool{}
 	var names []string
@@ -156,6 +176,11 @@
 			return d.Fail(a.section, a.key, "has value \""+a.value+"\"; write an IP number and port such as 127.0.0.1:8080")
 		}
 	}
+	for _, a := range []struct{ key, value string }{{"Ready", s.Host.Ready}, {"Directory", s.Host.Directory}, {"Metrics", s.Host.Metrics}} {
+		if a.value != "" && !isAddress(a.value) {
+			return d.Fail("Host", a.key, "has value \""+a.value+"\"; write an IP number and port such as 127.0.0.1:8080")
+		}
+	}
 	if !isURL(s.Platform.Store) {
 		return d.Fail("Platform", "Store", "must be a URL such as http://127.0.0.1:2379")
 	}
@@ -177,7 +202,7 @@
 		{"BodyBytes", s.Limits.BodyBytes > 0}, {"HeaderTimeout", s.Limits.HeaderTimeout > 0},
 		{"StopTimeout", s.Limits.StopTimeout > 0}, {"GrantWindow", s.Limits.GrantWindow > 0},
 		{"KeptEntries", s.Limits.KeptEntries > 0}, {"KeptBytes", s.Limits.KeptBytes > 0},
-		{"AddressMaxAge", s.Limits.AddressMaxAge >= time.Second},
+		{"AddressMaxAge", s.Limits.AddressMaxAge >= time.Second}, {"HeldBytes", s.Limits.HeldBytes > 0},
 	}
 	for _, p := range positive {
 		if !p.ok {
@@ -187,6 +212,9 @@
 	if s.Platform.Timeout <= 0 {
 		return d.Fail("Platform", "Timeout", "must be above zero; write a duration such as 2s")
 	}
+	if s.Retries.Window < time.Second {
+		return d.Fail("Retries", "Window", "must be at least 1s; write a duration such as 10s")
+	}
 	if s.Budget.CoreShare > 1 {
 		return d.Fail("Budget", "CoreShare", "must lie between 0 and 1")
 	}
