--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -54,7 +54,10 @@
 		g.open.Add(1)
 		go func() {
 			defer g.open.Add(-1)
-			newCallerConn(g, conn).serve()
+			c := newCallerConn(g, conn)
+			g.conns.Store(c, nil)
+			defer g.conns.Delete(c)
+			c.serve()
 		}()
 	}
 }
@@ -174,6 +177,16 @@
 	}
 }
 
+// closeIfIdle ends the connection when nothing is under way on it.
+func (c *callerConn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.taken == c.answered {
+		c.closing = true
+		_ = c.metered.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // setIdleDeadline bounds the wait for the next request, unless one is under way.
 func (c *callerConn) setIdleDeadline(idle time.Duration) {
 	c.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -104,7 +105,9 @@
 	bodies      bodyBudget
 	// stopping is set once a graceful stop has begun.
 	stopping atomic.Bool
-	open     atomic.Int64
+	// conns holds the open connections of callers, and open counts them.
+	conns sync.Map
+	open  atomic.Int64
 	// background is the context of requests that go on when their caller leaves.
 	background context.Context
 }
@@ -208,7 +211,11 @@
 	}
 	failed := make(chan error, len(listeners))
 	for _, l := range listeners {
-		d.start(func(ctx context.Context) { failed <- l.serve(ctx) })
+		d.start(func(ctx context.Context) {
+			if err := l.serve(ctx); err != nil {
+				failed <- err
+			}
+		})
 	}
 	select {
 	case err := <-failed:
@@ -217,7 +224,10 @@
 		return nil
 	case <-stop.Done():
 	}
-	g.stopGracefully(force)
+	g.stopGracefully(force, func() {
+		// The front listener is of no more use, whatever Close says.
+		_ = listeners[frontListener].Close()
+	})
 	return nil
 }
 
@@ -240,6 +250,9 @@
 	return err
 }
 
+// frontListener is the place of the callers' listener among a host's listeners.
+const frontListener = 1
+
 func (g *Gateway) listen() ([]listener, error) {
 	s := g.settings.Host
 	places := []struct {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -11,13 +11,15 @@
 const (
 	// stopMargin is how long before the platform's own limit the process ends.
 	stopMargin = 400 * time.Millisecond
+	// keptAtMost is how many times longer than they are told callers may keep addresses.
+	keptAtMost = 3
 	// stopCheck is how often to look whether everything has ended.
 	stopCheck = 50 * time.Millisecond
 )
 
-// stopGracefully leaves the membership and goes on serving until callers have gone to other hosts or the time is over.
-// Callers keep addresses for a while, so new connections are still taken.
-func (g *Gateway) stopGracefully(force context.Context) {
+// stopGracefully leaves the membership and goes on serving until callers have heard of it: they keep addresses for up
+// to three times as long as they are told. Then it takes nothing new and lets what is under way end.
+func (g *Gateway) stopGracefully(force context.Context, front func()) {
 	started := g.now()
 	g.stopping.Store(true)
 	g.table.SetReady(false)
@@ -25,13 +27,19 @@
 	g.kick.Push(struct{}{})
 	g.book.Add(record.Record{Kind: record.HostLeft, Cause: "GracefulStop", Note: g.chain.Number()})
 	limit := g.settings.Limits.StopTimeout - stopMargin
-	stay := min(limit, 2*g.settings.Limits.AddressMaxAge)
-	for g.now()-started < limit {
-		if g.open.Load() == 0 && g.now()-started > stay {
-			return
-		}
-		if !sleep(force, stopCheck) {
-			return
-		}
+	hearing := min(limit/2, keptAtMost*g.settings.Limits.AddressMaxAge)
+	sleep(force, hearing)
+	front()
+	g.closeIdle()
+	for force.Err() == nil && g.now()-started < limit && g.open.Load() > 0 {
+		sleep(force, stopCheck)
 	}
 }
+
+// closeIdle ends the connections of callers that have nothing under way, and all others after their next answer.
+func (g *Gateway) closeIdle() {
+	g.conns.Range(func(key, _ any) bool {
+		key.(*callerConn).closeIfIdle()
+		return true
+	})
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -18,12 +18,16 @@
 const (
 	// watchersPerDomain is how many hosts of a failure domain follow the store itself.
 	watchersPerDomain = 1
-	// watchWait is how long the store may hold a watch without changes; a store that turned silent shows after it.
-	watchWait = 2500 * time.Millisecond
-	// watchRetry is the pause after a failed call.
+	// watchWait is how long the store may hold a watch without changes. A store that turned silent shows after it, and
+	// changes that it made meanwhile must be in force within 2 s.
+	watchWait = 1500 * time.Millisecond
+	// firstRetry is the pause after the first failed call in a row, and watchRetry after the next ones.
+	firstRetry = 20 * time.Millisecond
 	watchRetry = 300 * time.Millisecond
 	// lostRetry is the pause of a host whose store is lost while others can reach it.
-	lostRetry = 2 * time.Second
+	lostRetry = time.Second
+	// failuresToLose is how many calls in a row must fail for the store to count as lost.
+	failuresToLose = 2
 	// followAliveEvery is how often a host shows its followers that it still listens.
 	followAliveEvery = 500 * time.Millisecond
 	// followSilence is how long the followed host may send nothing.
@@ -73,48 +77,69 @@
 
 // watchDuty reads the store at the start, and follows it while this host is a watcher.
 func (g *Gateway) watchDuty(ctx context.Context) {
-	revision, registered := int64(0), false
+	w := watcher{gateway: g}
 	for ctx.Err() == nil {
 		watching := !g.watch.whole.Load() || g.isWatcher()
 		g.watch.watching.Store(watching)
 		if !watching {
-			registered = false
-			revision = 0
-			if !sleep(ctx, watchRetry) {
-				return
-			}
-			continue
-		}
-		var err error
-		switch {
-		case revision == 0:
-			revision, err = g.snapshot(ctx)
-		case !registered && g.isWatcher():
-			err = g.register(ctx)
-			registered = err == nil
-		default:
-			revision, err = g.follow(ctx, revision)
-		}
-		if err == nil {
-			g.watch.whole.Store(true)
-		}
-		g.noteStore(err)
-		if errorx.IsOfType(err, platform.ErrCompacted) {
-			revision = 0
+			w = watcher{gateway: g}
+			sleep(ctx, watchRetry)
 			continue
 		}
-		if err != nil && !g.pauseAfter(ctx) {
-			return
+		if err := w.step(ctx); err != nil && ctx.Err() == nil {
+			sleep(ctx, w.failed(err))
 		}
 	}
 }
 
-// pauseAfter waits before the next call of a store that failed; the wait is longer when others can reach it.
-func (g *Gateway) pauseAfter(ctx context.Context) bool {
+// watcher follows the store from a revision on.
+type watcher struct {
+	gateway *Gateway
+	// revision is where to go on; 0 asks for a snapshot.
+	revision   int64
+	registered bool
+	// failures counts failed calls in a row.
+	failures int
+}
+
+// step makes the next call to the store.
+func (w *watcher) step(ctx context.Context) error {
+	g := w.gateway
+	var err error
+	switch {
+	case w.revision == 0:
+		w.revision, err = g.snapshot(ctx)
+	case !w.registered && g.isWatcher():
+		err = g.register(ctx)
+		w.registered = err == nil
+	default:
+		w.revision, err = g.follow(ctx, w.revision)
+	}
+	if err == nil {
+		w.failures = 0
+		g.watch.whole.Store(true)
+		g.noteStore(nil)
+	}
+	return err
+}
+
+// failed takes in a failed call and returns the pause before the next. What was missed meanwhile may have left the
+// store's history, so the next call asks for a snapshot.
+func (w *watcher) failed(err error) time.Duration {
+	g := w.gateway
+	w.revision = 0
+	if errorx.IsOfType(err, platform.ErrCompacted) {
+		return 0
+	}
+	w.failures++
+	if w.failures < failuresToLose {
+		return firstRetry
+	}
+	g.noteStore(err)
 	if len(g.watchers()) > 0 && g.chain.Number() > 0 {
-		return sleep(ctx, lostRetry)
+		return lostRetry
 	}
-	return sleep(ctx, watchRetry)
+	return watchRetry
 }
 
 // snapshot reads the store whole.
@@ -168,7 +193,7 @@
 
 // noteStore keeps whether the store can be reached, and explains changes of that.
 func (g *Gateway) noteStore(err error) {
-	lost := err != nil && !errorx.IsOfType(err, platform.ErrCompacted)
+	lost := err != nil
 	if g.watch.lost.Swap(lost) == lost {
 		return
 	}
