--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -16,7 +16,7 @@
 const (
 	// traceBacklog is how many lines may wait for the writer.
 	traceBacklog = 512
-	// plainLines and oddLines are how many lines a second requests get that ended well at the first try, and all others.
+	// plainLines and oddLines are how many lines a second requests get that met their goal at the first try, and all others.
 	plainLines = 10
 	oddLines   = 100
 )
@@ -28,7 +28,7 @@
 	outcome, reason, targets string
 	status, note             int
 	asks, hedges             int
-	queued, sent             bool
+	queued, sent, late       bool
 	took, left               time.Duration
 }
 
@@ -66,7 +66,7 @@
 // add queues a line unless there were too many lately.
 func (t *trace) add(l line) {
 	limiter := t.odd
-	if l.status < 300 && l.asks == 1 && l.hedges == 0 && l.sent {
+	if l.status < 300 && l.asks == 1 && l.hedges == 0 && l.sent && !l.late {
 		limiter = t.plain
 	}
 	if !limiter.Allow() || !t.lines.Push(l) {
@@ -78,7 +78,7 @@
 	t.logger.Info().
 		Time("At", l.at).Str("Request", l.id).Str("Rule", l.rule).Str("Service", l.service).Str("Home", l.home).
 		Str("Targets", l.targets).Str("Outcome", l.outcome).Str("Reason", l.reason).Int("Status", l.status).Int("Note", l.note).
-		Int("Asks", l.asks).Int("Hedges", l.hedges).Bool("Queued", l.queued).Bool("Sent", l.sent).
+		Int("Asks", l.asks).Int("Hedges", l.hedges).Bool("Queued", l.queued).Bool("Sent", l.sent).Bool("Late", l.late).
 		Dur("TookMilliseconds", l.took).Dur("LeftMilliseconds", l.left).Int64("Unwritten", t.unwritten.Load()).
 		Msg("request ended")
 }
@@ -108,7 +108,7 @@
 	l := line{
 		at: time.Now().UTC(), id: x.request.id, rule: x.rule.Name, service: x.service, outcome: x.lastOutcome, reason: a.reason,
 		status: a.status, note: x.number, asks: x.asks, hedges: x.hedges, queued: x.queued, sent: sent, took: took,
-		left: x.deadline - g.now(),
+		left: x.deadline - g.now(), late: x.matched && g.now() > x.goal,
 	}
 	if x.seat != nil {
 		l.home = x.seat.name()
