Probe targets for a request that finds nothing fresh, and idle targets while requests wait

Requests now wait up to 8 ms for probes of the three best targets when nothing is fresh; while requests wait, targets with free slots are asked every 25 ms.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,7 +50,11 @@
 		r.took = x.gateway.now() - started
 	}
 	x.gateway.stats.attempts.Add(1)
-	from.end(x.errand, placement.Done{Target: p.Target, Outcome: r.outcome, Took: r.took, Load: r.load})
+	done := placement.Done{Target: p.Target, Outcome: r.outcome, Took: r.took, Load: r.load}
+	if r.answer != nil {
+		done.Bytes = len(r.answer.body)
+	}
+	from.end(x.errand, done)
 	return r
 }
 
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -41,6 +41,8 @@
 	// desks are the conversations with the hosts that ask.
 	desks map[uint64]*desk
 	last  uint64
+	// woken ends the pause of the timers while nothing was under way.
+	woken *ring.Ring[struct{}]
 }
 
 // home is the decision for one service.
@@ -61,7 +63,7 @@
 }
 
 func newHomes(g *Gateway) *homes {
-	return &homes{gateway: g, byName: map[string]*home{}, desks: map[uint64]*desk{}}
+	return &homes{gateway: g, byName: map[string]*home{}, desks: map[uint64]*desk{}, woken: ring.New[struct{}](ring.Config{Capacity: 1})}
 }
 
 // openDesk begins a conversation; local is nil for one with another host.
@@ -162,6 +164,16 @@
 	defer h.mu.Unlock()
 	h.home.SetRetrySlack(slack)
 	h.home.Ask(o.gateway.now(), r)
+	h.sendProbes()
+	// The timers must run while requests wait.
+	o.woken.Push(struct{}{})
+}
+
+// sendProbes begins the probes that are due; the caller holds the lock.
+func (h *home) sendProbes() {
+	for _, p := range h.home.Probes(h.homes.gateway.now()) {
+		go h.probe(h.homes.gateway.background, p)
+	}
 }
 
 // done takes in the end of a run.
@@ -208,21 +220,24 @@
 func (g *Gateway) tickDuty(ctx context.Context) {
 	wait := idleTickEvery
 	var alive time.Duration
-	for sleep(ctx, wait) {
+	for ctx.Err() == nil {
+		if wait == idleTickEvery {
+			woken, cancel := context.WithTimeout(ctx, wait)
+			g.homes.woken.Pop(woken)
+			cancel()
+		} else {
+			sleep(ctx, wait)
+		}
 		wait = idleTickEvery
-		now := g.now()
 		for _, h := range g.homes.all() {
 			h.mu.Lock()
-			if h.home.Tick(now) {
+			if h.home.Tick(g.now()) {
 				wait = tickEvery
 			}
-			due := h.home.Probes(now)
+			h.sendProbes()
 			h.mu.Unlock()
-			for _, p := range due {
-				go h.probe(ctx, p)
-			}
 		}
-		if now-alive >= aliveEvery {
+		if now := g.now(); now-alive >= aliveEvery {
 			alive = now
 			g.homes.showAlive()
 		}
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -16,7 +16,7 @@
 	// targetSilence is how long a target may leave bytes unacknowledged.
 	targetSilence = 2 * time.Second
 	// targetProof is how long after its last answer a connection may carry a request that must not run twice.
-	targetProof = 3 * time.Second
+	targetProof = 5 * time.Second
 	// targetConnections is the most connections of one host to one target.
 	targetConnections = 32
 )
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -26,6 +26,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.home.Probed(g.now(), p.Target, health, load)
+	h.sendProbes()
 }
 
 func (g *Gateway) askHealth(ctx context.Context, p placement.Placed, path string) (placement.Health, *placement.Load) {
--- a/internal/inner/verdict.go
+++ b/internal/inner/verdict.go
@@ -57,7 +57,7 @@
 
 // ToEnd encodes the end of a run.
 func ToEnd(d placement.Done) *RunEnd {
-	wire := &RunEnd{Target: d.Target, Outcome: uint32(d.Outcome), TookMicroseconds: d.Took.Microseconds()}
+	wire := &RunEnd{Target: d.Target, Outcome: uint32(d.Outcome), TookMicroseconds: d.Took.Microseconds(), Bytes: uint32(d.Bytes)}
 	if l := d.Load; l != nil {
 		wire.Load = &TargetLoad{Running: uint32(l.Running), Waiting: uint32(l.Waiting), Slots: uint32(l.Slots), Pace: l.Pace}
 	}
@@ -66,7 +66,7 @@
 
 // FromEnd decodes the end of a run.
 func FromEnd(id placement.ID, wire *RunEnd) placement.Done {
-	d := placement.Done{ID: id, Target: wire.Target, Outcome: placement.Outcome(wire.Outcome), Took: microseconds(wire.TookMicroseconds)}
+	d := placement.Done{ID: id, Target: wire.Target, Outcome: placement.Outcome(wire.Outcome), Took: microseconds(wire.TookMicroseconds), Bytes: int(wire.Bytes)}
 	if l := wire.Load; l != nil {
 		d.Load = &placement.Load{Running: int(l.Running), Waiting: int(l.Waiting), Slots: int(l.Slots), Pace: l.Pace}
 	}
--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -9,6 +9,8 @@
 	Outcome Outcome
 	// Took is the time from the request's sending to its answer.
 	Took time.Duration
+	// Bytes is the size of the answer.
+	Bytes int
 	// Load is the report that came with the answer, or nil.
 	Load *Load
 }
@@ -47,6 +49,7 @@
 		t.succeeded(now)
 		h.crash.answered(r.Fingerprint)
 		h.learnTime(r, ended, d.Took)
+		h.bytes[r.Class] += (float64(d.Bytes) - h.bytes[r.Class]) * bytesGain
 	case Failed, Silent:
 		t.failed(now, h.mayEject(now))
 	case Broken:
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -47,6 +47,8 @@
 	queue    []*Request
 	// bases holds the moving base time of each class, in seconds.
 	bases map[string]float64
+	// bytes holds the moving size of each class's answers.
+	bytes map[string]float64
 	// pace is the usual pace of all targets; crowding is how much one more run slows a nearly full one.
 	pace     float64
 	crowding float64
@@ -60,7 +62,7 @@
 // New returns a home without targets.
 func New(c Config) *Home {
 	return &Home{
-		config: c, byName: map[string]*target{}, requests: map[ID]*Request{}, bases: map[string]float64{},
+		config: c, byName: map[string]*target{}, requests: map[ID]*Request{}, bases: map[string]float64{}, bytes: map[string]float64{},
 		pace: firstPace, crowding: firstCrowding, busyAt: -time.Hour, crash: crashes{},
 	}
 }
@@ -135,7 +137,7 @@
 func (h *Home) slots(now time.Duration) int {
 	sum := 0
 	for _, t := range h.targets {
-		if h.eligible(now, t) {
+		if t.sound(now) {
 			sum += t.Slots
 		}
 	}
@@ -175,9 +177,6 @@
 	return time.Duration(goalShare * float64(max(0, r.Goal-r.asked)))
 }
 
-// eligible reports whether a target may get requests now. When nothing is sound, those that are ejected may.
-func (h *Home) eligible(now time.Duration, t *target) bool { return t.sound(now) }
-
 // Dispatch binds waiting requests to targets and refuses those that have become hopeless.
 func (h *Home) Dispatch(now time.Duration) {
 	if len(h.queue) == 0 {
@@ -217,9 +216,12 @@
 
 // settle places or refuses a waiting request and reports whether it did.
 func (h *Home) settle(now time.Duration, r *Request, ahead int) bool {
-	t, expected, factor, crowded := h.pick(now, r)
-	if t != nil && h.worthwhile(now, r, expected) {
-		h.place(now, r, t, expected, factor, crowded)
+	t, c := h.pickBut(now, r, r.Tried)
+	if t != nil && h.worthwhile(now, r, c.expected) {
+		if h.awaitsProbe(now, r, t) {
+			return false
+		}
+		h.place(now, r, t, c)
 		h.config.Notify(r, Placed{t.Name, t.Address})
 		return true
 	}
@@ -235,41 +237,57 @@
 	return false
 }
 
-// pick returns the target where a request should end soonest, among those with a free slot.
-func (h *Home) pick(now time.Duration, r *Request) (best *target, expected time.Duration, factor float64, crowded bool) {
-	base := float64(h.base(r))
+// cost is what a run that starts now at a target should take.
+type cost struct {
+	expected time.Duration
+	// slowdown is the factor over the base time; crowded is set when the run takes one of the last slots.
+	slowdown float64
+	crowded  bool
+}
+
+// pickBut returns the target where a request should end soonest, among those with a free slot that are not skipped.
+func (h *Home) pickBut(now time.Duration, r *Request, skip []string) (*target, cost) {
+	var best *target
+	var chosen cost
 	score := math.Inf(1)
 	start := 0
 	if len(h.targets) > 0 {
 		start = h.config.Random.IntN(len(h.targets))
 	}
+	base := float64(h.base(r))
 	for i := range h.targets {
 		t := h.targets[(start+i)%len(h.targets)]
-		if !h.eligible(now, t) || t.load(now) >= t.Slots || slices.Contains(r.Tried, t.Name) {
+		if !t.sound(now) || t.load(now) >= t.Slots || slices.Contains(skip, t.Name) {
 			continue
 		}
-		f, full := t.slowdown(now, h.pace, h.crowding)
-		s := f * farPenalty(t, r) * (1 + loadPenalty*float64(t.load(now))/float64(t.Slots))
+		f, crowded := t.slowdown(now, h.pace, h.crowding)
+		s := f * h.farPenalty(t, r) * (1 + loadPenalty*float64(t.load(now))/float64(t.Slots))
 		if s < score {
-			best, expected, factor, crowded, score = t, time.Duration(base*f), f, full, s
+			best, chosen, score = t, cost{time.Duration(base * f), f, crowded}, s
 		}
 	}
-	return best, expected, factor, crowded
+	return best, chosen
 }
 
 // Penalties that decide between targets that are about as fast.
 const (
-	// farShare is the cost of sending the answer between failure domains.
-	farShare = 1.05
 	// loadPenalty spreads requests over targets.
 	loadPenalty = 0.1
+	// farBytes is the size of an answer that is worth twice the time when it comes from the own failure domain:
+	// traffic between failure domains is paid by the byte.
+	farBytes = 256 << 10
+	// mostFar bounds the penalty, so that the largest answers still go to a target that is much faster.
+	mostFar = 0.5
+	// bytesGain is the weight of one answer in the moving size of a class's answers.
+	bytesGain = 0.05
 )
 
-func farPenalty(t *target, r *Request) float64 {
+// farPenalty is the cost of sending the answer between failure domains.
+func (h *Home) farPenalty(t *target, r *Request) float64 {
 	if t.Domain == r.Domain {
 		return 1
 	}
-	return farShare
+	return 1 + min(mostFar, h.bytes[r.Class]/farBytes)
 }
 
 // worthwhile reports whether to take the best place now rather than wait for a better one.
@@ -299,8 +317,8 @@
 	return 1 - float64(held)/float64(slots)
 }
 
-func (h *Home) place(now time.Duration, r *Request, t *target, expected time.Duration, factor float64, crowded bool) {
-	held := &hold{request: r, target: t, started: now, expected: expected, slowdown: factor, crowded: crowded}
+func (h *Home) place(now time.Duration, r *Request, t *target, c cost) {
+	held := &hold{request: r, target: t, started: now, expected: c.expected, slowdown: c.slowdown, crowded: c.crowded}
 	t.holds = append(t.holds, held)
 	r.holds = append(r.holds, held)
 }
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -1,11 +1,16 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// Times of probing.
+// Times and counts of probing.
 const (
-	// probeEvery is how old knowledge of a target may get while its service is busy.
-	probeEvery = 50 * time.Millisecond
+	// probeEvery is how often each target is asked while its service is busy, so that one that went silent is noticed.
+	probeEvery = 250 * time.Millisecond
+	// queuedProbeEvery is how often targets with free slots are asked while requests wait.
+	queuedProbeEvery = 25 * time.Millisecond
 	// idleProbeEvery is the same while the service has no requests.
 	idleProbeEvery = time.Second
 	// busyFor is how long after a request a service counts as busy.
@@ -14,6 +19,13 @@
 	silentAfter = 150 * time.Millisecond
 	// downProbeEvery is how often a target that is down is asked.
 	downProbeEvery = 100 * time.Millisecond
+	// freshFor is how old knowledge of a target's pace may be for a placement without asking: a fraction of the few
+	// hundred milliseconds in which neighbours' load shifts.
+	freshFor = 25 * time.Millisecond
+	// freshWait is how long a request waits for probes: a round trip and the time of two wake-ups.
+	freshWait = 8 * time.Millisecond
+	// askedAtOnce is how many targets are probed for a request that finds nothing fresh.
+	askedAtOnce = 3
 )
 
 // probe is the state of the health probes of one target.
@@ -21,6 +33,8 @@
 	// asked is when the last probe was sent; pending is set while it has no answer.
 	asked   time.Duration
 	pending bool
+	// wanted is set when a request waits for fresh knowledge of the target.
+	wanted bool
 	// down is set while probes get no answer or the target says it is ill.
 	down bool
 }
@@ -43,26 +57,50 @@
 // Probes returns the targets to probe now; each must be followed by Probed.
 func (h *Home) Probes(now time.Duration) []Placed {
 	var due []Placed
-	every := probeEvery
-	if now-h.busyAt > busyFor {
-		every = idleProbeEvery
-	}
 	for _, t := range h.targets {
-		p := &t.probe
-		wait := every
-		if p.down {
-			wait = max(downProbeEvery, every)
-		}
-		fresh := !p.down && now-t.pacedAt < wait
-		if p.pending || t.Leaving || fresh || now-p.asked < wait {
+		if t.probe.pending || t.Leaving || !t.probe.wanted && !h.probeDue(now, t) {
 			continue
 		}
-		p.asked, p.pending = now, true
+		t.probe.asked, t.probe.pending, t.probe.wanted = now, true, false
 		due = append(due, Placed{t.Name, t.Address})
 	}
 	return due
 }
 
+// probeDue reports whether it is time to look at a target again.
+func (h *Home) probeDue(now time.Duration, t *target) bool {
+	every := probeEvery
+	switch {
+	case now-h.busyAt > busyFor:
+		every = idleProbeEvery
+	case len(h.queue) > 0 && t.sound(now) && t.load(now) < t.Slots:
+		// Requests wait although the target has room: it was slow when last seen.
+		every = queuedProbeEvery
+	}
+	if t.probe.down {
+		return now-t.probe.asked >= max(downProbeEvery, every/2)
+	}
+	return now-max(t.probe.asked, t.pacedAt) >= every
+}
+
+// awaitsProbe reports whether a request should wait for a probe of the target that looks best, because what is known
+// of it is old. It asks for probes of the few best targets.
+func (h *Home) awaitsProbe(now time.Duration, r *Request, best *target) bool {
+	if now-r.asked >= freshWait || now-best.pacedAt < freshFor || best.probe.asked >= r.asked && !best.probe.pending {
+		return false
+	}
+	skip := slices.Clone(r.Tried)
+	for range askedAtOnce {
+		t, _ := h.pickBut(now, r, skip)
+		if t == nil {
+			break
+		}
+		skip = append(skip, t.Name)
+		t.probe.wanted = !t.probe.pending && now-t.pacedAt >= freshFor
+	}
+	return true
+}
+
 // Probed takes in the result of a probe that Probes asked for.
 func (h *Home) Probed(now time.Duration, name string, health Health, load *Load) {
 	t := h.byName[name]
