Let late requests wait until half of the slots are free, and count as on time only with a margin

Cause: under overload requests that had missed their goal took every fourth slot from those that could still meet it, and requests were started that could meet it only with luck.

--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -24,9 +24,9 @@
 	leastFactor = 1.0
 	mostFactor  = 4.0
 	// goalMargin is the part of the time to the goal that a run may be expected to take.
-	goalMargin = 0.9
+	goalMargin = 1.15
 	// lateFree is the share of slots that late requests leave free for those that can still meet their goal.
-	lateFree = 0.25
+	lateFree = 0.5
 )
 
 // Config sets up a Home.
@@ -208,7 +208,7 @@
 
 // late is 1 for a request that can't meet its goal any more, even at the fastest target.
 func (h *Home) late(now time.Duration, r *Request) int {
-	if now+h.base(r) > r.Goal {
+	if now+time.Duration(goalMargin*float64(h.base(r))) > r.Goal {
 		return 1
 	}
 	return 0
