--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -20,7 +20,12 @@
 	r := h.requests[d.ID]
 	t := h.byName[d.Target]
 	if t != nil && d.Load != nil && d.Outcome != Misplaced {
-		h.reported(now, t, *d.Load)
+		load := *d.Load
+		if d.Outcome != NotRun {
+			// The report on an answer still counts the run that it answers.
+			load.Running = max(0, load.Running-1)
+		}
+		h.reported(now, t, load)
 	}
 	var ended *hold
 	if r != nil {
@@ -57,7 +62,7 @@
 		h.crash.broke(now, r.Fingerprint, t.Name)
 	case NotRun:
 		// The target holds more than is known here.
-		t.foreign, t.foreignAt = max(t.foreign, float64(t.Slots-len(t.holds))), now
+		t.seen, t.seenAt = max(t.Slots, t.seen), now
 		t.failures = max(t.failures, failureGain)
 	case Unreachable:
 		t.failed(now, h.mayEject(now))
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -77,7 +77,7 @@
 	for _, spec := range list {
 		t := h.byName[spec.Name]
 		if t == nil || t.Start != spec.Start || t.Address != spec.Address {
-			t = &target{Target: spec, warmUntil: now + spec.Warming, pacedAt: -time.Hour, failedAt: -time.Hour, probe: probe{asked: -time.Hour}}
+			t = &target{Target: spec, warmUntil: now + spec.Warming, pacedAt: -time.Hour, seenAt: -time.Hour, failedAt: -time.Hour, probe: probe{asked: -time.Hour}}
 		}
 		if spec.Warming > 0 {
 			t.warmUntil = now + spec.Warming
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -10,8 +10,10 @@
 const (
 	// paceHorizon is how long a reported pace stays telling: neighbours' load shifts within a few hundred milliseconds.
 	paceHorizon = 300 * time.Millisecond
-	// foreignHorizon is how long requests of others, seen in a report, are taken to stay.
-	foreignHorizon = 200 * time.Millisecond
+	// loadHorizon is how long a reported load counts; after it only own runs do.
+	loadHorizon = 100 * time.Millisecond
+	// travelTime is how long a request may be on its way to a target that does not count it yet.
+	travelTime = 8 * time.Millisecond
 	// failureHorizon is how long a failure makes a target less attractive.
 	failureHorizon = 3 * time.Second
 	// failureGain is the weight of one outcome in the moving share of failures.
@@ -52,9 +54,9 @@
 	// pace is the last one reported, at pacedAt.
 	pace    float64
 	pacedAt time.Duration
-	// foreign is how many requests of others the last report showed, at foreignAt.
-	foreign   float64
-	foreignAt time.Duration
+	// seen is how many requests the target held by its last report, at seenAt.
+	seen   int
+	seenAt time.Duration
 	// failures is the moving share of runs that failed, last changed at failedAt.
 	failures float64
 	failedAt time.Duration
@@ -75,9 +77,19 @@
 	return math.Exp(-float64(age) / float64(horizon))
 }
 
-// load returns how many requests the target holds, whoever sent them.
+// load returns how many requests the target holds, whoever sent them. A fresh report goes before own counts: runs whose
+// answers were lost hold no slot any more.
 func (t *target) load(now time.Duration) int {
-	return len(t.holds) + int(math.Round(t.foreign*fade(now-t.foreignAt, foreignHorizon)))
+	if now-t.seenAt > loadHorizon {
+		return len(t.holds)
+	}
+	load := t.seen
+	for _, h := range t.holds {
+		if h.started > t.seenAt-travelTime {
+			load++
+		}
+	}
+	return load
 }
 
 // usable reports whether the target may get requests at all.
@@ -126,7 +138,7 @@
 	if l.Slots > 0 {
 		t.Slots = l.Slots
 	}
-	t.foreign, t.foreignAt = max(0, float64(l.Running+l.Waiting-len(t.holds))), now
+	t.seen, t.seenAt = l.Running+l.Waiting, now
 }
 
 // succeeded takes in a run that ended well.
