Test gateways as whole fleets in virtual time, against a stand-in of the platform's store

Two faults found and mended: a host that starts while the store is down found no peer to hear of the configuration from, when all of them had lost the store; and the header limit was counted anew after the first buffer. The in-memory network moves to a package of its own, used by both kinds of host.

--- a/internal/entry/chain_test.go
+++ b/internal/entry/chain_test.go
@@ -27,7 +27,7 @@
 		var tries [chainLayers]atomic.Int64
 		var text strings.Builder
 		text.WriteString("[Note]\nFollows = 0\nOperator = test\nReason = chain\n")
-		client := &http.Transport{DialContext: f.net.dialer("layers"), MaxIdleConnsPerHost: 64}
+		client := &http.Transport{DialContext: f.net.Dialer("layers"), MaxIdleConnsPerHost: 64}
 		for layer := range chainLayers {
 			fmt.Fprintf(&text, "[Service s%d]\n[Rule r%d]\nPath = /%d/\nService = s%d\nDeadline = 5s\n", layer, layer, layer, layer)
 			for i := range chainTargets {
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -45,7 +45,7 @@
 		f.warm(host, 200)
 		silenced := 0
 		for _, b := range backends {
-			silenced += f.net.silence("entry-1", b.name)
+			silenced += f.net.Silence("entry-1", b.name)
 		}
 		f.is.True(silenced >= 8)
 		var worst time.Duration
@@ -255,7 +255,7 @@
 	inService(t, 1, 1, behave, func(f *fleet, _ []*fakeBackend) {
 		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 		defer cancel()
-		transport := &http.Transport{DialContext: f.net.dialer("caller")}
+		transport := &http.Transport{DialContext: f.net.Dialer("caller")}
 		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.nodes["entry-1"].listen+"/x", nil)
 		f.is.NoErr(err)
 		_, err = transport.RoundTrip(r)
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"briarcroft/internal/caller"
+	"briarcroft/internal/fakenet"
 	"briarcroft/internal/note"
 	"briarcroft/internal/platform"
 	"briarcroft/internal/platform/standin"
@@ -26,7 +27,7 @@
 // fleet is a set of entry hosts, backend servers and a platform on an in-memory network, in virtual time.
 type fleet struct {
 	is      *is.I
-	net     *network
+	net     *fakenet.Network
 	store   *standin.Standin
 	archive *note.Archive
 	nodes   map[string]*node
@@ -56,7 +57,7 @@
 // inFleet runs a test in virtual time with a platform and no hosts yet.
 func inFleet(t *testing.T, run func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{is: is.New(t), net: newNetwork(), store: standin.New(), nodes: map[string]*node{}}
+		f := &fleet{is: is.New(t), net: fakenet.New(), store: standin.New(), nodes: map[string]*node{}}
 		f.serve("store", storeAddress, f.store)
 		client, closeClient := f.openStore("operator")
 		f.closers = append(f.closers, closeClient)
@@ -67,12 +68,12 @@
 }
 
 func (f *fleet) openStore(node string) (*platform.Etcd, func()) {
-	return platform.NewEtcd(platform.EtcdConfig{URL: storeURL, Timeout: time.Second, Dial: f.net.dialer(node)})
+	return platform.NewEtcd(platform.EtcdConfig{URL: storeURL, Timeout: time.Second, Dial: f.net.Dialer(node)})
 }
 
 // serve runs an HTTP server of a node and returns its address.
 func (f *fleet) serve(node, address string, handler http.Handler) string {
-	l := f.net.listen(node, address)
+	l := f.net.Listen(node, address)
 	server := &http.Server{Handler: handler}
 	f.servers = append(f.servers, server)
 	f.running.Go(func() { _ = server.Serve(l) })
@@ -90,7 +91,7 @@
 	for _, c := range f.closers {
 		c()
 	}
-	f.net.closeAll()
+	f.net.CloseAll()
 	for _, s := range f.servers {
 		_ = s.Close()
 	}
@@ -108,7 +109,7 @@
 	} else {
 		f.order = append(f.order, name)
 	}
-	listener, innerListener := f.net.listen(name, n.listen), f.net.listen(name, n.inner)
+	listener, innerListener := f.net.Listen(name, n.listen), f.net.Listen(name, n.inner)
 	n.listen, n.inner = listener.Addr().String(), innerListener.Addr().String()
 	s := settings.Default()
 	s.Host = settings.Host{Name: name, Domain: n.domain, Region: "home", Listen: n.listen, Inner: n.inner}
@@ -121,9 +122,9 @@
 		f.limits(&s)
 	}
 	store, closeStore := f.openStore(name)
-	list, closeList := platform.NewHostList(platform.HostListConfig{URL: storeURL + "/Hosts", Timeout: time.Second, Dial: f.net.dialer(name)})
+	list, closeList := platform.NewHostList(platform.HostListConfig{URL: storeURL + "/Hosts", Timeout: time.Second, Dial: f.net.Dialer(name)})
 	h, closeHost, err := New(Config{
-		Settings: s, Logger: zerolog.Nop(), Store: store, HostList: list, Listener: listener, InnerListener: innerListener, Dial: f.net.dialer(name),
+		Settings: s, Logger: zerolog.Nop(), Store: store, HostList: list, Listener: listener, InnerListener: innerListener, Dial: f.net.Dialer(name),
 	})
 	f.is.NoErr(err)
 	n.host = h
@@ -150,11 +151,11 @@
 // crash ends a host at once, as when its machine fails.
 func (f *fleet) crash(name string) {
 	n := f.nodes[name]
-	f.net.crash(name)
+	f.net.Crash(name)
 	n.force()
 	<-n.done
 	n.close()
-	f.net.crash(name)
+	f.net.Crash(name)
 }
 
 // stop stops a host gracefully and waits for its end.
@@ -222,7 +223,7 @@
 			seeds = append(seeds, n.listen)
 		}
 	}
-	c, closeCaller := caller.New(caller.Config{Seeds: seeds, Domain: "a", Seed: seed, Dial: f.net.dialer("caller")})
+	c, closeCaller := caller.New(caller.Config{Seeds: seeds, Domain: "a", Seed: seed, Dial: f.net.Dialer("caller")})
 	f.closers = append(f.closers, closeCaller)
 	return c
 }
@@ -292,7 +293,7 @@
 
 // get sends one request to a host on a new connection.
 func (f *fleet) send(host *node, method, path, body string, header map[string]string) (*http.Response, string, error) {
-	transport := &http.Transport{DialContext: f.net.dialer("caller"), DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: f.net.Dialer("caller"), DisableKeepAlives: true}
 	defer transport.CloseIdleConnections()
 	r, err := http.NewRequest(method, "http://"+host.listen+path, strings.NewReader(body))
 	f.is.NoErr(err)
--- a/internal/entry/recovery_test.go
+++ b/internal/entry/recovery_test.go
@@ -77,20 +77,20 @@
 					}
 				}
 			}
-			parting(f.net.part)
+			parting(f.net.Part)
 			time.Sleep(20 * time.Second)
 			number := f.publish(next(1))
 			time.Sleep(inForceBound)
 			f.is.Equal(len(f.nodes["entry-2"].host.table.Live(f.nodes["entry-2"].host.now())), 4)
 			f.is.Equal(f.nodes["entry-1"].host.Number(), 1)
 			f.is.Equal(f.nodes["entry-2"].host.Number(), number)
-			parting(f.net.heal)
+			parting(f.net.Heal)
 			return f.await(number, liveBound) + f.awaitLive(6, liveBound)
 		}},
 		{"connections silent in one direction", func(f *fleet) time.Duration {
 			for i, a := range f.order {
 				for _, b := range f.order[i:] {
-					f.net.silenceOneWay(a, b)
+					f.net.SilenceOneWay(a, b)
 				}
 			}
 			number := f.publish(next(1))
@@ -111,14 +111,14 @@
 		{"store down while a domain is cut off", func(f *fleet) time.Duration {
 			f.store.SetFaults(standin.Faults{Down: true})
 			for _, b := range []string{"entry-2", "entry-3", "entry-5", "entry-6"} {
-				f.net.part("entry-1", b)
-				f.net.part("entry-4", b)
+				f.net.Part("entry-1", b)
+				f.net.Part("entry-4", b)
 			}
 			time.Sleep(10 * time.Second)
 			f.serves(3)
 			for _, b := range []string{"entry-2", "entry-3", "entry-5", "entry-6"} {
-				f.net.heal("entry-1", b)
-				f.net.heal("entry-4", b)
+				f.net.Heal("entry-1", b)
+				f.net.Heal("entry-4", b)
 			}
 			return f.awaitLive(6, liveBound)
 		}},
--- a/internal/entry/serve_test.go
+++ b/internal/entry/serve_test.go
@@ -92,7 +92,7 @@
 // TestStalledCallerLosesItsConnection checks that a caller who takes no byte holds neither the host nor a slot.
 func TestStalledCallerLosesItsConnection(t *testing.T) {
 	inService(t, 1, 1, document(`"v"`), func(f *fleet, _ []*fakeBackend) {
-		conn, err := f.net.dialer("caller")(context.Background(), "tcp", f.nodes["entry-1"].listen)
+		conn, err := f.net.Dialer("caller")(context.Background(), "tcp", f.nodes["entry-1"].listen)
 		f.is.NoErr(err)
 		_, err = conn.Write([]byte("GET /scan HTTP/1.1\r\nHost: x\r\n\r\n"))
 		f.is.NoErr(err)
--- a/internal/entry/soak_test.go
+++ b/internal/entry/soak_test.go
@@ -247,14 +247,14 @@
 	case "crash", "stop":
 		s.replace(a, kind, last)
 	case "silent backend":
-		s.f.net.silence(a, s.backends[s.intN(len(s.backends))].name)
+		s.f.net.Silence(a, s.backends[s.intN(len(s.backends))].name)
 	case "silent peer":
-		s.f.net.silence(a, b)
+		s.f.net.Silence(a, b)
 	case "parted":
 		if a != b {
-			s.f.net.part(a, b)
+			s.f.net.Part(a, b)
 			time.Sleep(last)
-			s.f.net.heal(a, b)
+			s.f.net.Heal(a, b)
 		}
 	case "store down":
 		s.store(standin.Faults{Down: true}, last)
--- a/internal/entry/network_test.go
+++ b/internal/fakenet/network.go
@@ -1,4 +1,5 @@
-package entry
+// Package fakenet is an in-memory network for tests in virtual time; its connections can go silent and its nodes can be parted.
+package fakenet
 
 import (
 	"context"
@@ -9,8 +10,8 @@
 	"time"
 )
 
-// network is an in-memory network for virtual time; its connections can go silent and its nodes can be parted.
-type network struct {
+// Network holds the listeners and connections of all nodes.
+type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
 	parted    map[[2]string]bool
@@ -20,12 +21,13 @@
 
 var errRefused = errors.New("connection refused")
 
-func newNetwork() *network {
-	return &network{listeners: map[string]*pipeListener{}, parted: map[[2]string]bool{}, conns: map[*pipeConn]bool{}}
+// New returns a network without nodes.
+func New() *Network {
+	return &Network{listeners: map[string]*pipeListener{}, parted: map[[2]string]bool{}, conns: map[*pipeConn]bool{}}
 }
 
 type pipeListener struct {
-	network *network
+	network *Network
 	node    string
 	address pipeAddress
 	accept  chan net.Conn
@@ -35,9 +37,13 @@
 
 type pipeAddress string
 
+// Network implements net.Addr.
 func (a pipeAddress) Network() string { return "tcp" }
-func (a pipeAddress) String() string  { return string(a) }
 
+// String implements net.Addr.
+func (a pipeAddress) String() string { return string(a) }
+
+// Accept implements net.Listener.
 func (l *pipeListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.accept:
@@ -47,6 +53,7 @@
 	}
 }
 
+// Close implements net.Listener.
 func (l *pipeListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
 	l.network.mu.Lock()
@@ -57,10 +64,11 @@
 	return nil
 }
 
+// Addr implements net.Listener.
 func (l *pipeListener) Addr() net.Addr { return l.address }
 
-// listen opens a listener of a node at an address; an empty address means a new one.
-func (n *network) listen(node, address string) *pipeListener {
+// Listen opens a listener of a node at an address; an empty address means a new one.
+func (n *Network) Listen(node, address string) net.Listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if address == "" {
@@ -75,11 +83,12 @@
 // pipeConn is one end of a connection; what a silent end writes is lost.
 type pipeConn struct {
 	net.Conn
-	network  *network
+	network  *Network
 	from, to string
 	silent   bool
 }
 
+// Write implements net.Conn.
 func (c *pipeConn) Write(p []byte) (int, error) {
 	c.network.mu.Lock()
 	lost := c.silent || c.network.parted[[2]string{c.from, c.to}]
@@ -91,6 +100,7 @@
 	return c.Conn.Write(p)
 }
 
+// Close implements net.Conn.
 func (c *pipeConn) Close() error {
 	c.network.mu.Lock()
 	silent := c.silent
@@ -103,10 +113,11 @@
 	return c.Conn.Close()
 }
 
+// RemoteAddr implements net.Conn.
 func (c *pipeConn) RemoteAddr() net.Addr { return pipeAddress("10.9.9.9:9") }
 
-// dialer returns the dial function of a node.
-func (n *network) dialer(node string) func(ctx context.Context, network, address string) (net.Conn, error) {
+// Dialer returns the dial function of a node.
+func (n *Network) Dialer(node string) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		n.mu.Lock()
 		l := n.listeners[address]
@@ -136,17 +147,20 @@
 	}
 }
 
-// part cuts two nodes off from each other; heal joins them again.
-func (n *network) part(a, b string) { n.setParted(a, b, true) }
-func (n *network) heal(a, b string) { n.setParted(a, b, false) }
-func (n *network) setParted(a, b string, parted bool) {
+// Part cuts two nodes off from each other.
+func (n *Network) Part(a, b string) { n.setParted(a, b, true) }
+
+// Heal joins two nodes again.
+func (n *Network) Heal(a, b string) { n.setParted(a, b, false) }
+
+func (n *Network) setParted(a, b string, parted bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.parted[[2]string{a, b}], n.parted[[2]string{b, a}] = parted, parted
 }
 
-// silence makes every open connection between two nodes silent for good; new ones work.
-func (n *network) silence(a, b string) int {
+// Silence makes every open connection between two nodes silent for good; new ones work.
+func (n *Network) Silence(a, b string) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	count := 0
@@ -159,8 +173,8 @@
 	return count
 }
 
-// silenceOneWay makes what one node sends another on open connections get lost for good; new ones work.
-func (n *network) silenceOneWay(from, to string) {
+// SilenceOneWay makes what one node sends another on open connections get lost for good; new ones work.
+func (n *Network) SilenceOneWay(from, to string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for c := range n.conns {
@@ -170,8 +184,8 @@
 	}
 }
 
-// crash closes every connection and listener of a node at once.
-func (n *network) crash(node string) {
+// Crash closes every connection and listener of a node at once.
+func (n *Network) Crash(node string) {
 	n.mu.Lock()
 	var conns []*pipeConn
 	for c := range n.conns {
@@ -194,8 +208,8 @@
 	}
 }
 
-// closeAll ends what is left, so that no goroutine waits for ever.
-func (n *network) closeAll() {
+// CloseAll ends what is left, so that no goroutine waits for ever.
+func (n *Network) CloseAll() {
 	n.mu.Lock()
 	conns := make([]*pipeConn, 0, len(n.conns))
 	for c := range n.conns {
--- /dev/null
+++ b/internal/gateway/fleet_test.go
@@ -0,0 +1,322 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"briarcroft/internal/fakenet"
+	"briarcroft/internal/gateway"
+	"briarcroft/internal/settings"
+	"briarcroft/platform"
+	"briarcroft/platform/standin"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// fleet is a set of gateways, backend servers and a store on an in-memory network, in virtual time.
+type fleet struct {
+	is      *is.I
+	net     *fakenet.Network
+	store   *standin.Store
+	hosts   map[string]*node
+	targets map[string]*target
+	servers []*http.Server
+	running sync.WaitGroup
+	// closers end what gateways hold.
+	closers []func()
+	last    int
+}
+
+// node is one gateway.
+type node struct {
+	name                           string
+	front, inner, ready, directory string
+	stop, force                    context.CancelFunc
+	done                           chan error
+	close                          func()
+}
+
+// domainOf spreads hosts over three failure domains.
+func domainOf(i int) string { return []string{"a", "b", "c"}[i%3] }
+
+// inFleet runs a test in virtual time with a store, its configuration, some targets of one service and some gateways.
+func inFleet(t *testing.T, hosts, targets int, run func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{is: is.New(t), net: fakenet.New(), store: standin.New(), hosts: map[string]*node{}, targets: map[string]*target{}}
+		defer f.close()
+		f.configure(1, safeRule("lookup", "/lookup/"), unsafeRule("order", "/order/"))
+		for i := range targets {
+			f.addTarget(fmt.Sprintf("t%d", i))
+		}
+		for i := range hosts {
+			f.start(fmt.Sprintf("h%d", i), domainOf(i))
+		}
+		time.Sleep(4 * time.Second)
+		run(f)
+	})
+}
+
+func (f *fleet) close() {
+	for _, n := range f.hosts {
+		n.force()
+	}
+	for _, n := range f.hosts {
+		<-n.done
+	}
+	for _, c := range f.closers {
+		c()
+	}
+	f.net.CloseAll()
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	f.running.Wait()
+	// Handlers that still sleep end before the test does.
+	time.Sleep(10 * time.Second)
+}
+
+// serve runs an HTTP server of a node and returns its address.
+func (f *fleet) serve(node, address string, handler http.Handler) string {
+	l := f.net.Listen(node, address)
+	server := &http.Server{Handler: handler}
+	f.servers = append(f.servers, server)
+	f.running.Go(func() { _ = server.Serve(l) })
+	return l.Addr().String()
+}
+
+// rule is one route of the platform's configuration.
+type rule map[string]any
+
+func safeRule(name, prefix string) rule {
+	return rule{"name": name, "host": "www.example", "prefix": prefix, "kind": "safe", "timeout-ms": 1000, "latency-goal-ms": 400,
+		"priority": 2, "service": "stock", "max-attempts": 2}
+}
+
+func unsafeRule(name, prefix string) rule {
+	r := safeRule(name, prefix)
+	r["kind"] = "unsafe"
+	return r
+}
+
+// configure writes a configuration, as the operator does.
+func (f *fleet) configure(version int, rules ...rule) {
+	value, err := json.Marshal(map[string]any{
+		"version": fmt.Sprintf("%08x", version), "routes": rules,
+		"services": []any{map[string]any{"name": "stock", "health-path": "/health", "max-connections": 100}, map[string]any{"name": "other", "health-path": "/health", "max-connections": 100}},
+		"limits":   map[string]any{"max-header-bytes": 4096, "max-body-bytes": 1 << 20, "header-timeout-ms": 2000, "idle-timeout-ms": 15000},
+	})
+	f.is.NoErr(err)
+	f.store.Put("op/config", value)
+}
+
+// start starts a gateway, anew with its old addresses when there was one of that name.
+func (f *fleet) start(name, domain string) *node {
+	n := f.hosts[name]
+	if n == nil {
+		n = &node{name: name}
+		n.front, n.inner, n.ready, n.directory = f.address(), f.address(), f.address(), f.address()
+		f.hosts[name] = n
+	}
+	s := settings.Default()
+	s.Host = settings.Host{Name: name, Domain: domain, Region: "home", Listen: n.front, Inner: n.inner, Ready: n.ready, Directory: n.directory}
+	s.Platform.Kind = "Native"
+	s.Limits.StopTimeout, s.Limits.AddressMaxAge = 6*time.Second, time.Second
+	if first := f.hosts["h0"]; first != nil && first != n {
+		s.Peers.Seeds = []string{first.inner}
+	}
+	dial := f.net.Dialer(name)
+	storeAddress := f.serve("store", "", f.store.For(name))
+	feed, closeFeed := platform.NewStore(platform.StoreConfig{URL: "http://" + storeAddress, Timeout: time.Second, Dial: dial})
+	g, closeHost := gateway.New(gateway.Config{
+		Settings: s, Dialect: platform.Dialect(), Feed: feed, Logger: zerolog.Nop(), Dial: dial,
+		Listen: func(_, address string) (net.Listener, error) { return f.net.Listen(name, address), nil },
+	})
+	stop, cancelStop := context.WithCancel(context.Background())
+	force, cancelForce := context.WithCancel(context.Background())
+	n.stop, n.force, n.done = cancelStop, cancelForce, make(chan error, 1)
+	f.closers = append(f.closers, func() { closeHost(); closeFeed() })
+	go func() { n.done <- g.Serve(stop, force) }()
+	return n
+}
+
+func (f *fleet) address() string {
+	f.last++
+	return fmt.Sprintf("10.5.%d.%d:80", f.last/250, f.last%250+1)
+}
+
+// kill ends a gateway at once, as a crash does.
+func (f *fleet) kill(name string) {
+	n := f.hosts[name]
+	f.net.Crash(name)
+	n.force()
+	<-n.done
+	n.done <- nil
+}
+
+// target is a backend server of the platform.
+type target struct {
+	name    string
+	fleet   *fleet
+	address string
+	mu      sync.Mutex
+	// work is how long a request takes; lose drops the connection after the run, shed declines, cut shortens answers.
+	work            time.Duration
+	lose, shed, cut bool
+	pace            int
+	running         int
+	// runs counts how often each attempt ran; cancelled counts runs whose connection closed early.
+	runs      map[string]int
+	cancelled int
+	last      time.Time
+}
+
+func (f *fleet) addTarget(name string) *target {
+	t := &target{name: name, fleet: f, work: 50 * time.Millisecond, pace: 100, runs: map[string]int{}}
+	t.address = f.serve(name, "", t)
+	f.targets[name] = t
+	t.register("ready")
+	return t
+}
+
+// register writes the target's entry.
+func (t *target) register(state string) {
+	value, err := json.Marshal(map[string]any{
+		"service": "stock", "address": t.address, "zone": "a", "version": "v1", "slots": 3, "state": state, "warmup-left-ms": 0, "sequence": 1, "born": 1700000000000,
+	})
+	t.fleet.is.NoErr(err)
+	t.fleet.store.Put("servers/"+t.name, value)
+}
+
+// set changes how the target behaves.
+func (t *target) set(change func(*target)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change(t)
+}
+
+// ServeHTTP implements http.Handler.
+func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	t.mu.Lock()
+	load := fmt.Sprintf("%d,0,3,%d", t.running, t.pace)
+	t.mu.Unlock()
+	w.Header().Set("X-Server-Load", load)
+	w.Header().Set("X-Instance-Id", t.name)
+	if r.URL.Path == "/health" {
+		return
+	}
+	id := r.Header.Get("X-Attempt-Id")
+	w.Header().Set("X-Attempt-Id", id)
+	if r.Header.Get("X-Expect-Instance") != t.name {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	t.mu.Lock()
+	shed := t.shed || t.running >= 6
+	if !shed {
+		t.running++
+		t.runs[id]++
+		t.last = time.Now()
+	}
+	work, lose, cut := t.work, t.lose, t.cut
+	t.mu.Unlock()
+	if shed {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer t.set(func(t *target) { t.running-- })
+	timer := time.NewTimer(work)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+		t.set(func(t *target) { t.cancelled++ })
+		return
+	}
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Response-Seal", "seal."+id)
+	body := "answer to " + id
+	if cut {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = io.WriteString(w, body[:3])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, body)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+	took   time.Duration
+}
+
+// call sends one request on a new connection.
+func (f *fleet) call(host, method, path, id string) reply {
+	started := time.Now()
+	transport := &http.Transport{DialContext: f.net.Dialer("caller"), DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	r, err := http.NewRequest(method, "http://"+f.hosts[host].front+path, nil)
+	f.is.NoErr(err)
+	r.Host = "www.example"
+	r.Header.Set("X-Attempt-Id", id)
+	r.Header.Set("X-Deadline-Ms", "1000")
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	response, err := transport.RoundTrip(r.WithContext(ctx))
+	if err != nil {
+		return reply{err: err, took: time.Since(started)}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header, string(body), err, time.Since(started)}
+}
+
+// runsOf returns how often an attempt ran, on all targets.
+func (f *fleet) runsOf(id string) int {
+	sum := 0
+	for _, t := range f.targets {
+		t.mu.Lock()
+		sum += t.runs[id]
+		t.mu.Unlock()
+	}
+	return sum
+}
+
+// pipeline sends requests ahead on one connection and returns the answers' bodies in order.
+func (f *fleet) pipeline(host string, ids ...string) []string {
+	conn, err := f.net.Dialer("caller")(context.Background(), "tcp", f.hosts[host].front)
+	f.is.NoErr(err)
+	defer conn.Close()
+	go func() {
+		for _, id := range ids {
+			fmt.Fprintf(conn, "GET /lookup/%s HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 1000\r\n\r\n", id, id)
+		}
+	}()
+	reader := bufio.NewReader(conn)
+	var bodies []string
+	for range ids {
+		response, err := http.ReadResponse(reader, nil)
+		f.is.NoErr(err)
+		body, err := io.ReadAll(response.Body)
+		f.is.NoErr(err)
+		bodies = append(bodies, strings.TrimPrefix(string(body), "answer to "))
+	}
+	return bodies
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,373 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"briarcroft/internal/host"
+)
+
+// home returns the name of the host that is home to the service.
+func (f *fleet) home() string {
+	var members []host.Member
+	for name := range f.hosts {
+		members = append(members, host.Member{Name: name})
+	}
+	return host.Rank("stock", members)[0].Name
+}
+
+// other returns a host that is not home to the service.
+func (f *fleet) other() string {
+	for name := range f.hosts {
+		if name != f.home() {
+			return name
+		}
+	}
+	return ""
+}
+
+// TestEveryHostServes sends requests to every host: each gets its target's whole answer, whoever is home.
+func TestEveryHostServes(t *testing.T) {
+	inFleet(t, 4, 4, func(f *fleet) {
+		for name := range f.hosts {
+			for i := range 5 {
+				id := fmt.Sprintf("%s-%d", name, i)
+				r := f.call(name, http.MethodGet, "/lookup/1", id)
+				f.is.NoErr(r.err)
+				f.is.Equal(r.status, 200)
+				f.is.Equal(r.body, "answer to "+id)
+				f.is.Equal(r.header.Get("X-Response-Seal"), "seal."+id)
+				f.is.Equal(f.runsOf(id), 1)
+			}
+		}
+	})
+}
+
+// TestRoutes checks the answers where no rule matches.
+func TestRoutes(t *testing.T) {
+	inFleet(t, 1, 1, func(f *fleet) {
+		f.is.Equal(f.call("h0", http.MethodGet, "/nowhere/1", "a").status, 404)
+		f.is.Equal(f.call("h0", http.MethodGet, "/lookup/1", "b").status, 200)
+	})
+}
+
+// TestAddresses asks the directory: hosts of the caller's failure domain come alone when there are enough of them.
+func TestAddresses(t *testing.T) {
+	inFleet(t, 9, 1, func(f *fleet) {
+		transport := &http.Transport{DialContext: f.net.Dialer("caller")}
+		defer transport.CloseIdleConnections()
+		r, err := http.NewRequest(http.MethodGet, "http://"+f.hosts["h1"].directory+"/api/resolve?name=www.example&region=home&zone=b", nil)
+		f.is.NoErr(err)
+		response, err := transport.RoundTrip(r)
+		f.is.NoErr(err)
+		defer response.Body.Close()
+		var answer struct {
+			Addresses []string `json:"addresses"`
+			TTL       float64  `json:"ttl-s"`
+		}
+		f.is.NoErr(json.NewDecoder(response.Body).Decode(&answer))
+		f.is.Equal(len(answer.Addresses), 3)
+		f.is.Equal(answer.TTL, 1.0)
+	})
+}
+
+// TestSentAheadIsAnsweredInOrder sends requests ahead: they run beside each other and are answered in order.
+func TestSentAheadIsAnsweredInOrder(t *testing.T) {
+	inFleet(t, 2, 4, func(f *fleet) {
+		f.call("h0", http.MethodGet, "/lookup/0", "warm")
+		started := time.Now()
+		ids := []string{"p0", "p1", "p2", "p3"}
+		f.is.Equal(f.pipeline("h0", ids...), ids)
+		f.is.True(time.Since(started) < 3*50*time.Millisecond)
+	})
+}
+
+// TestUnsafeRunsAtMostOnce breaks answers and sheds: an unsafe request runs once at most, and one that is refused never.
+func TestUnsafeRunsAtMostOnce(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*target)
+	}{
+		{"answer lost", func(t *target) { t.lose = true }},
+		{"target sheds", func(t *target) { t.shed = true }},
+		{"answer cut", func(t *target) { t.cut = true }},
+		{"too slow", func(t *target) { t.work = 2 * time.Second }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inFleet(t, 3, 4, func(f *fleet) {
+				for _, name := range []string{"t0", "t1", "t2"} {
+					f.targets[name].set(c.change)
+				}
+				for i := range 30 {
+					id := fmt.Sprintf("o%d", i)
+					r := f.call(fmt.Sprintf("h%d", i%3), http.MethodPost, "/order/1", id)
+					f.is.NoErr(r.err)
+					f.is.True(f.runsOf(id) <= 1)
+					if r.status == 503 {
+						f.is.Equal(f.runsOf(id), 0)
+						f.is.True(r.header.Get("Retry-After") != "")
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestSafeIsTriedAgain breaks the answers of one target: no caller of a safe request notices.
+func TestSafeIsTriedAgain(t *testing.T) {
+	inFleet(t, 2, 4, func(f *fleet) {
+		f.targets["t0"].set(func(t *target) { t.lose = true })
+		f.targets["t1"].set(func(t *target) { t.cut = true })
+		for i := range 20 {
+			id := fmt.Sprintf("s%d", i)
+			r := f.call("h0", http.MethodGet, "/lookup/1", id)
+			f.is.NoErr(r.err)
+			f.is.Equal(r.status, 200)
+			f.is.Equal(r.body, "answer to "+id)
+		}
+	})
+}
+
+// TestConfigurationInForce writes configurations while hosts that follow the store are turned away by it: every host
+// follows the new rules within 2 s and never goes back.
+func TestConfigurationInForce(t *testing.T) {
+	inFleet(t, 5, 2, func(f *fleet) {
+		for version := 2; version <= 6; version++ {
+			turned := fmt.Sprintf("h%d", version%5)
+			f.store.SetFaults(turned, standinRefusal)
+			path := fmt.Sprintf("/v%d/", version)
+			f.configure(version, safeRule("lookup", "/lookup/"), safeRule("new", path))
+			time.Sleep(2 * time.Second)
+			for name := range f.hosts {
+				f.is.Equal(f.call(name, http.MethodGet, path+"1", fmt.Sprintf("c%d-%s", version, name)).status, 200)
+			}
+			f.store.SetFaults(turned, standinHealthy)
+		}
+		f.configure(3, safeRule("lookup", "/lookup/"))
+		time.Sleep(2 * time.Second)
+		f.is.Equal(f.call("h0", http.MethodGet, "/v6/1", "late").status, 200)
+	})
+}
+
+// TestHistoryForgotten drops the store's history while a configuration changes.
+func TestHistoryForgotten(t *testing.T) {
+	inFleet(t, 3, 2, func(f *fleet) {
+		f.configure(2, safeRule("lookup", "/lookup/"), safeRule("new", "/new/"))
+		f.store.Compact()
+		time.Sleep(2 * time.Second)
+		for name := range f.hosts {
+			f.is.Equal(f.call(name, http.MethodGet, "/new/1", "c-"+name).status, 200)
+		}
+	})
+}
+
+// TestLeavingTargetGetsNothing reports one target as draining and removes another's entry.
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	inFleet(t, 3, 4, func(f *fleet) {
+		f.targets["t0"].register("draining")
+		f.store.Delete("servers/t1")
+		left := time.Now()
+		for i := range 60 {
+			f.is.Equal(f.call(fmt.Sprintf("h%d", i%3), http.MethodGet, "/lookup/1", fmt.Sprintf("d%d", i)).status, 200)
+			time.Sleep(50 * time.Millisecond)
+		}
+		for _, name := range []string{"t0", "t1"} {
+			f.targets[name].set(func(t *target) { f.is.True(t.last.Before(left.Add(time.Second))) })
+		}
+	})
+}
+
+// TestLapsedEntriesStay takes entries away while the store is down: their targets serve on, and those that do not
+// register again within 2 s of the store's return are gone.
+func TestLapsedEntriesStay(t *testing.T) {
+	inFleet(t, 3, 2, func(f *fleet) {
+		f.store.SetFaults("", standinRefusal)
+		time.Sleep(3 * time.Second)
+		f.store.Delete("servers/t0")
+		f.store.Delete("servers/t1")
+		f.is.Equal(f.call("h0", http.MethodGet, "/lookup/1", "down").status, 200)
+		f.store.SetFaults("", standinHealthy)
+		time.Sleep(1200 * time.Millisecond)
+		f.is.Equal(f.call("h1", http.MethodGet, "/lookup/1", "back").status, 200)
+		f.targets["t1"].register("ready")
+		time.Sleep(4 * time.Second)
+		for i := range 10 {
+			f.is.Equal(f.call("h2", http.MethodGet, "/lookup/1", fmt.Sprintf("g%d", i)).status, 200)
+		}
+		f.targets["t0"].set(func(t *target) { f.is.True(time.Since(t.last) > 2*time.Second) })
+	})
+}
+
+// TestUnreadableEntryHarmsNone writes entries that can't be used beside good ones.
+func TestUnreadableEntryHarmsNone(t *testing.T) {
+	inFleet(t, 2, 2, func(f *fleet) {
+		for i, value := range []string{"\xff\x00", "{}", `{"service":7}`, `{"service":"stock","address":"10.9.9.9:1","slots":3,"state":"odd"}`} {
+			f.store.Put(fmt.Sprintf("servers/bad%d", i), []byte(value))
+		}
+		f.store.Put("op/config", []byte(`{"version":"zz"}`))
+		time.Sleep(time.Second)
+		for i := range 10 {
+			f.is.Equal(f.call("h1", http.MethodGet, "/lookup/1", fmt.Sprintf("u%d", i)).status, 200)
+		}
+	})
+}
+
+// TestHomeLost kills and silences the service's home while requests come: all are answered.
+func TestHomeLost(t *testing.T) {
+	cases := []struct {
+		name string
+		lose func(f *fleet, home string)
+	}{
+		{"killed", func(f *fleet, home string) { f.kill(home) }},
+		{"silent", func(f *fleet, home string) {
+			for name := range f.hosts {
+				f.net.Part(name, home)
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inFleet(t, 4, 4, func(f *fleet) {
+				home, caller := f.home(), f.other()
+				f.call(caller, http.MethodGet, "/lookup/1", "before")
+				var worst time.Duration
+				var mu sync.Mutex
+				var group sync.WaitGroup
+				for i := range 40 {
+					if i == 10 {
+						c.lose(f, home)
+					}
+					group.Go(func() {
+						r := f.call(caller, http.MethodGet, "/lookup/1", fmt.Sprintf("k%d", i))
+						f.is.NoErr(r.err)
+						f.is.Equal(r.status, 200)
+						mu.Lock()
+						defer mu.Unlock()
+						worst = max(worst, r.took)
+					})
+					time.Sleep(25 * time.Millisecond)
+				}
+				group.Wait()
+				t.Logf("slowest answer %v", worst)
+				f.is.True(worst < 400*time.Millisecond) // the goal holds through the loss
+			})
+		})
+	}
+}
+
+// TestGracefulStopCutsNothing stops each host in turn while callers go on.
+func TestGracefulStopCutsNothing(t *testing.T) {
+	inFleet(t, 3, 3, func(f *fleet) {
+		f.targets["t0"].set(func(t *target) { t.work = 300 * time.Millisecond })
+		for name := range f.hosts {
+			var group sync.WaitGroup
+			for i := range 10 {
+				group.Go(func() {
+					time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+					r := f.call(name, http.MethodPost, "/order/1", fmt.Sprintf("%s-%d", name, i))
+					f.is.NoErr(r.err)
+					f.is.Equal(r.status, 200)
+				})
+			}
+			time.Sleep(100 * time.Millisecond)
+			f.hosts[name].stop()
+			group.Wait()
+			f.is.NoErr(<-f.hosts[name].done)
+			f.start(name, "a")
+			time.Sleep(3 * time.Second)
+		}
+	})
+}
+
+// TestCallerLeaves closes a caller's connection: a safe run ends within half a second, an unsafe one goes on.
+func TestCallerLeaves(t *testing.T) {
+	inFleet(t, 2, 2, func(f *fleet) {
+		for _, x := range f.targets {
+			x.set(func(t *target) { t.work = 900 * time.Millisecond })
+		}
+		for _, path := range []string{"GET /lookup/1", "POST /order/1"} {
+			conn, err := f.net.Dialer("caller")(context.Background(), "tcp", f.hosts["h0"].front)
+			f.is.NoErr(err)
+			_, err = fmt.Fprintf(conn, "%s HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: x\r\nX-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n", path)
+			f.is.NoErr(err)
+			time.Sleep(100 * time.Millisecond)
+			f.is.NoErr(conn.Close())
+		}
+		time.Sleep(500 * time.Millisecond)
+		cancelled, running := 0, 0
+		for _, x := range f.targets {
+			x.set(func(t *target) { cancelled += t.cancelled; running += t.running })
+		}
+		f.is.Equal(cancelled, 1)
+		f.is.Equal(running, 1)
+		time.Sleep(time.Second)
+	})
+}
+
+// TestStartWithoutStore starts hosts while the store is down: one finds the configuration at its peers, and one that
+// knows no peers says that it isn't ready.
+func TestStartWithoutStore(t *testing.T) {
+	inFleet(t, 3, 2, func(f *fleet) {
+		f.store.SetFaults("", standinRefusal)
+		time.Sleep(2 * time.Second)
+		f.kill("h2")
+		f.start("h2", "c")
+		time.Sleep(4 * time.Second)
+		f.is.Equal(f.call("h2", http.MethodGet, "/lookup/1", "peer").status, 200)
+		for _, name := range []string{"h0", "h1", "h2"} {
+			f.kill(name)
+		}
+		f.start("h0", "a")
+		time.Sleep(2 * time.Second)
+		r := f.call("h0", http.MethodGet, "/lookup/1", "alone")
+		f.is.Equal(r.status, 503)
+		f.is.True(r.header.Get("Retry-After") != "")
+		f.store.SetFaults("", standinHealthy)
+		time.Sleep(2 * time.Second)
+		f.is.Equal(f.call("h0", http.MethodGet, "/lookup/1", "again").status, 200)
+	})
+}
+
+// TestRejections checks what is no proper request.
+func TestRejections(t *testing.T) {
+	inFleet(t, 1, 1, func(f *fleet) {
+		cases := []struct {
+			name, text string
+			status     int
+		}{
+			{"no HTTP", "HELLO\r\n\r\n", 400},
+			{"two lengths", "POST /order/1 HTTP/1.1\r\nHost: www.example\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
+			{"long header", "GET /lookup/1 HTTP/1.1\r\nHost: www.example\r\nX-Long: " + strings.Repeat("a", 10000) + "\r\n\r\n", 431},
+			{"long body", "POST /order/1 HTTP/1.1\r\nHost: www.example\r\nContent-Length: 99999999\r\n\r\n", 413},
+		}
+		for _, c := range cases {
+			conn, err := f.net.Dialer("caller")(context.Background(), "tcp", f.hosts["h0"].front)
+			f.is.NoErr(err)
+			go func() { _, _ = io.WriteString(conn, c.text) }()
+			line := make([]byte, 12)
+			_, err = io.ReadFull(conn, line)
+			f.is.NoErr(err)
+			f.is.Equal(string(line), fmt.Sprintf("HTTP/1.1 %d", c.status))
+			f.is.NoErr(conn.Close())
+		}
+	})
+}
+
+// TestStoreCalls bounds the calls to the store of a calm fleet: a few hosts follow it for all.
+func TestStoreCalls(t *testing.T) {
+	inFleet(t, 9, 4, func(f *fleet) {
+		time.Sleep(4 * time.Second) // the watchers have left their addresses in the store
+		before := f.store.Calls()
+		time.Sleep(30 * time.Second)
+		t.Logf("%d calls in 30 s", f.store.Calls()-before)
+		f.is.True(f.store.Calls()-before <= 3*(30*2/3+2)) // one watch in 1.5 s for each failure domain
+	})
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -74,7 +74,6 @@
 		return nil, nil
 	}
 	arrived := c.gateway.now()
-	c.metered.left = limits.HeaderBytes + lineSlack
 	_ = c.metered.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	r, err := http.ReadRequest(c.reader)
 	if err != nil {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -245,7 +245,7 @@
 func (g *Gateway) chooseFollowed(ctx context.Context, streams map[string]context.CancelFunc, ended chan<- string) {
 	wanted := map[string]bool{}
 	if !g.watch.watching.Load() || !g.watch.whole.Load() || g.watch.lost.Load() {
-		for _, m := range g.watchers() {
+		for _, m := range g.informed() {
 			if m.Name == g.settings.Host.Name || len(wanted) == followed {
 				continue
 			}
@@ -269,6 +269,14 @@
 	}
 }
 
+// informed returns the hosts to hear of the store from: the watchers, or any ready host while none reaches the store.
+func (g *Gateway) informed() []host.Member {
+	if list := g.watchers(); len(list) > 0 {
+		return list
+	}
+	return g.table.Live(g.now())
+}
+
 // followPeer takes in what one watcher tells until its stream ends.
 func (g *Gateway) followPeer(ctx context.Context, m host.Member) {
 	ctx, cancel := context.WithCancel(ctx)
