--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -45,7 +45,6 @@
 	front, inner, ready, directory string
 	stop, force                    context.CancelFunc
 	done                           chan error
-	close                          func()
 }
 
 // domainOf spreads hosts over three failure domains.
--- a/internal/model/server.go
+++ b/internal/model/server.go
@@ -17,7 +17,6 @@
 	goal, deadline time.Duration
 	work           float64
 	ended          bool
-	tries          int
 }
 
 // server is one backend server: so many slots and a short queue, on a machine that it shares with noisy neighbours.
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -34,12 +34,16 @@
 // Arrived counts a new request of a caller.
 func (b *Budget) Arrived(now time.Duration) { b.slot(now).first++ }
 
-// sums returns the requests and the repeats of the window that ends now.
+// sums returns the repeats of the window that ends now, and the requests of its second half. A window that ends later
+// holds the same repeats and fewer of the requests before them; those of the last half are in it, or in the one half a
+// window before, as long as the repeats count.
 func (b *Budget) sums(now time.Duration) (first, repeats int) {
 	current := b.slot(now).number
 	for _, s := range b.slots {
-		if s.number > current-int64(len(b.slots)) {
+		if s.number > current-budgetSlots/2 {
 			first += s.first
+		}
+		if s.number > current-int64(len(b.slots)) {
 			repeats += s.repeats
 		}
 	}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,140 @@
+package roster
+
+import (
+	"errors"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"briarcroft/internal/note"
+	"briarcroft/internal/platform"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// decode reads the entries of these tests: "config" holds a number, "t/NAME" an address.
+func decode(key string, value []byte) (Item, error) {
+	switch {
+	case key == "config":
+		n, err := strconv.Atoi(string(value))
+		if err != nil {
+			return nil, err
+		}
+		return Configured{note.Configuration{Number: n, Services: []note.Service{{Name: "s"}}}}, nil
+	case strings.HasPrefix(key, "t/"):
+		if len(value) == 0 {
+			return nil, errors.New("no address")
+		}
+		return Registered{Target{Name: key[2:], Service: "s", Address: string(value), Slots: 1}}, nil
+	}
+	return nil, nil
+}
+
+// book counts what a roster tells.
+type book struct {
+	*Roster
+	refused, changes int
+}
+
+func newBook() *book {
+	b := &book{}
+	b.Roster = New(Config{Decode: decode, OnRefused: func(string, error) { b.refused++ }, OnChange: func(*View) { b.changes++ }})
+	return b
+}
+
+func set(key, value string, revision int64) platform.Change {
+	return platform.Change{Entry: platform.Entry{Key: key, Value: []byte(value), Revision: revision}}
+}
+
+func gone(key string, revision int64) platform.Change {
+	return platform.Change{Entry: platform.Entry{Key: key, Revision: revision}, Deleted: true}
+}
+
+func (b *book) targets() int { return len(b.View().Targets["s"]) }
+
+// TestNeverBack applies changes late and twice, and a configuration with a lower number.
+func TestNeverBack(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	b.Apply(time.Minute, []platform.Change{set("config", "7", 5)}, 5)
+	is.Equal(len(b.Apply(time.Minute, []platform.Change{set("config", "6", 4), set("config", "7", 5)}, 5)), 0)
+	b.Apply(time.Minute, []platform.Change{set("config", "3", 9)}, 9)
+	is.Equal(b.View().Configuration.Number, 7)
+	is.Equal(b.refused, 1)
+	b.Apply(time.Minute, []platform.Change{set("config", "odd", 10)}, 10)
+	is.Equal(b.View().Configuration.Number, 7)
+	is.Equal(b.refused, 2)
+}
+
+// TestRemovedTargets removes targets in calm, in a snapshot, and after an outage of the store.
+func TestRemovedTargets(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	now := time.Minute
+	b.Apply(now, []platform.Change{set("config", "1", 1), set("t/a", "x", 2), set("t/b", "y", 3), set("t/c", "z", 4)}, 4)
+	is.Equal(b.targets(), 3)
+	b.Apply(now, []platform.Change{gone("t/a", 5)}, 5)
+	is.Equal(b.targets(), 2)
+	b.Replace(now, []platform.Entry{{Key: "config", Value: []byte("1"), Revision: 1}, {Key: "t/b", Value: []byte("y"), Revision: 3}}, 9)
+	is.Equal(b.targets(), 1)
+	is.True(b.StoreReturned(now))
+	is.True(!b.StoreReturned(now + time.Second)) // the same return, noticed by another host
+	b.Apply(now+time.Second, []platform.Change{gone("t/b", 11)}, 11)
+	b.Tick(now + time.Second)
+	is.Equal(b.targets(), 1)
+	b.Tick(now + lapseGrace)
+	is.Equal(b.targets(), 0)
+	b.Apply(now+3*time.Second, []platform.Change{set("t/b", "y", 12)}, 12)
+	is.Equal(b.targets(), 1)
+}
+
+// TestUnreadable writes an entry that can't be used in place of a good one.
+func TestUnreadable(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	b.Apply(0, []platform.Change{set("config", "1", 1), set("t/a", "x", 2), set("t/b", "y", 3)}, 3)
+	b.Apply(0, []platform.Change{set("t/a", "", 4)}, 4)
+	is.Equal(b.targets(), 1)
+	is.Equal(b.refused, 1)
+}
+
+// TestAnyOrder applies the same changes in any order, some of them twice: the view is the same.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []platform.Change
+		last := map[string]string{}
+		for i := range rapid.IntRange(1, 30).Draw(t, "changes") {
+			key := rapid.SampledFrom([]string{"t/a", "t/b", "t/c"}).Draw(t, "key")
+			if rapid.Bool().Draw(t, "delete") {
+				all = append(all, gone(key, int64(i+2)))
+				delete(last, key)
+				continue
+			}
+			all = append(all, set(key, strconv.Itoa(i), int64(i+2)))
+			last[key] = strconv.Itoa(i)
+		}
+		b := newBook()
+		b.Apply(time.Minute, []platform.Change{set("config", "1", 1)}, 1)
+		for _, i := range rapid.Permutation(append(indexes(len(all)), indexes(len(all))...)).Draw(t, "order") {
+			b.Apply(time.Minute, []platform.Change{all[i]}, all[i].Revision)
+		}
+		if b.targets() != len(last) {
+			t.Fatalf("%d targets, want %d", b.targets(), len(last))
+		}
+		for _, x := range b.View().Targets["s"] {
+			if last["t/"+x.Name] != x.Address {
+				t.Fatalf("target %s has address %s, want %s", x.Name, x.Address, last["t/"+x.Name])
+			}
+		}
+	})
+}
+
+func indexes(n int) []int {
+	var list []int
+	for i := range n {
+		list = append(list, i)
+	}
+	return list
+}
--- a/internal/settings/follow.go
+++ b/internal/settings/follow.go
@@ -21,19 +21,19 @@
 // Follow reads a settings file again and again until the context ends, and reports its end on the channel.
 // A file that can't be used changes nothing.
 func Follow(ctx context.Context, c FollowConfig) <-chan struct{} {
+	last, err := os.ReadFile(c.File)
+	if err != nil {
+		c.OnRefused(ErrFile.New("%v; the settings in force stay", err))
+	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		follow(ctx, c)
+		follow(ctx, c, last)
 	}()
 	return done
 }
 
-func follow(ctx context.Context, c FollowConfig) {
-	last, err := os.ReadFile(c.File)
-	if err != nil {
-		c.OnRefused(ErrFile.New("%v; the settings in force stay", err))
-	}
+func follow(ctx context.Context, c FollowConfig, last []byte) {
 	ticker := time.NewTicker(c.Every)
 	defer ticker.Stop()
 	for {
--- /dev/null
+++ b/internal/settings/follow_test.go
@@ -0,0 +1,47 @@
+package settings
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const goodSettings = "[Host]\nName = h\nDomain = d\nListen = 127.0.0.1:1\nInner = 127.0.0.1:2\n[Platform]\nStore = http://127.0.0.1:3\n[Peers]\nSeeds = "
+
+// TestFollow changes a settings file, with a signal and without, and spoils it in between.
+func TestFollow(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.ini")
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		write := func(text string) { is.NoErr(os.WriteFile(file, []byte(text), 0o600)) }
+		write(goodSettings + "127.0.0.1:4\n")
+		ctx, cancel := context.WithCancel(context.Background())
+		hup := make(chan os.Signal, 1)
+		var seeds []string
+		refused := 0
+		done := Follow(ctx, FollowConfig{
+			File: file, Every: 2 * time.Second, Hup: hup,
+			OnChange: func(s Settings) { seeds = s.Peers.Seeds }, OnRefused: func(error) { refused++ },
+		})
+		write(goodSettings + "127.0.0.1:5\n")
+		hup <- syscall.SIGHUP
+		synctest.Wait()
+		is.Equal(seeds, []string{"127.0.0.1:5"})
+		write("[Host]\nName = ")
+		time.Sleep(3 * time.Second)
+		is.Equal(refused, 1)
+		is.Equal(seeds, []string{"127.0.0.1:5"})
+		write(goodSettings + "127.0.0.1:6\n")
+		time.Sleep(3 * time.Second)
+		is.Equal(seeds, []string{"127.0.0.1:6"})
+		is.Equal(refused, 1)
+		cancel()
+		<-done
+	})
+}
