--- a/internal/placement/home_test.go
+++ b/internal/placement/home_test.go
@@ -3,13 +3,18 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
+	"briarcroft/internal/fixedseed"
+
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
+func TestMain(m *testing.M) { os.Exit(fixedseed.Main(m)) }
+
 // desk collects what a home decides.
 type desk struct {
 	home     *Home
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"briarcroft/internal/fixedseed"
 	"briarcroft/internal/note"
 	"briarcroft/internal/platform"
 
@@ -14,6 +16,8 @@
 	"pgregory.net/rapid"
 )
 
+func TestMain(m *testing.M) { os.Exit(fixedseed.Main(m)) }
+
 // decode reads the entries of these tests: "config" holds a number, "t/NAME" an address.
 func decode(key string, value []byte) (Item, error) {
 	switch {
