--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -44,6 +44,8 @@
 	asks, hedges int
 	queued       bool
 	lastOutcome  string
+	// decided is the last verdict that placed or refused the request.
+	decided placement.Verdict
 	// cancel ends what is left of the runs; an answer that is still being read needs its run until it was sent.
 	cancel context.CancelFunc
 }
@@ -217,6 +219,7 @@
 			}
 			switch e.verdict.(type) {
 			case placement.Placed, placement.Refused:
+				x.decided = e.verdict
 				return e.verdict, false
 			case placement.Queued:
 				x.queued = true
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"briarcroft/internal/meter"
+	"briarcroft/internal/placement"
 	"briarcroft/internal/ring"
 
 	"github.com/rs/zerolog"
@@ -30,6 +31,8 @@
 	asks, hedges             int
 	queued, sent, late       bool
 	took, left               time.Duration
+	// decided is what the home based its last decision on.
+	decided placement.Verdict
 }
 
 // trace writes lines without ever holding up a request.
@@ -75,7 +78,14 @@
 }
 
 func (t *trace) write(l line) {
-	t.logger.Info().
+	e := t.logger.Info()
+	switch d := l.decided.(type) {
+	case placement.Placed:
+		e.Dur("ExpectedMilliseconds", d.Expected).Dur("KnowledgeAgeMilliseconds", d.KnowledgeAge)
+	case placement.Refused:
+		e.Dur("ExpectedMilliseconds", d.Expected).Int("Waiting", d.Waiting).Int("Slots", d.Slots)
+	}
+	e.
 		Time("At", l.at).Str("Request", l.id).Str("Rule", l.rule).Str("Service", l.service).Str("Home", l.home).
 		Str("Targets", l.targets).Str("Outcome", l.outcome).Str("Reason", l.reason).Int("Status", l.status).Int("Note", l.note).
 		Int("Asks", l.asks).Int("Hedges", l.hedges).Bool("Queued", l.queued).Bool("Sent", l.sent).Bool("Late", l.late).
@@ -108,7 +118,7 @@
 	l := line{
 		at: time.Now().UTC(), id: x.request.id, rule: x.rule.Name, service: x.service, outcome: x.lastOutcome, reason: a.reason,
 		status: a.status, note: x.number, asks: x.asks, hedges: x.hedges, queued: x.queued, sent: sent, took: took,
-		left: x.deadline - g.now(), late: x.matched && g.now() > x.goal,
+		left: x.deadline - g.now(), late: x.matched && g.now() > x.goal, decided: x.decided,
 	}
 	if x.seat != nil {
 		l.home = x.seat.name()
--- a/internal/inner/verdict.go
+++ b/internal/inner/verdict.go
@@ -8,35 +8,52 @@
 
 // ToVerdict encodes a home's verdict on the request of that number.
 func ToVerdict(number uint64, v placement.Verdict) *PlaceVerdict {
-	wire := &PlaceVerdict{Number: number}
 	switch v := v.(type) {
 	case placement.Placed:
-		wire.Kind, wire.Target, wire.Address = VerdictKind_Placed, v.Target, v.Address
-	case placement.Queued:
-		wire.Kind = VerdictKind_Queued
-	case placement.Refused:
-		wire.Kind, wire.Reason, wire.RetryAfterMicroseconds = VerdictKind_Refused, string(v.Reason), v.RetryAfter.Microseconds()
+		return toPlaced(number, VerdictKind_Placed, v)
 	case placement.Hedge:
-		wire.Kind, wire.Target, wire.Address = VerdictKind_Hedge, v.Target, v.Address
+		return toPlaced(number, VerdictKind_Hedge, placement.Placed(v))
+	case placement.Refused:
+		return &PlaceVerdict{
+			Number: number, Kind: VerdictKind_Refused, Reason: string(v.Reason), RetryAfterMicroseconds: v.RetryAfter.Microseconds(),
+			Waiting: uint32(v.Waiting), Slots: uint32(v.Slots), ExpectedMicroseconds: v.Expected.Microseconds(),
+		}
+	}
+	return &PlaceVerdict{Number: number, Kind: VerdictKind_Queued}
+}
+
+func toPlaced(number uint64, kind VerdictKind, p placement.Placed) *PlaceVerdict {
+	return &PlaceVerdict{
+		Number: number, Kind: kind, Target: p.Target, Address: p.Address,
+		ExpectedMicroseconds: p.Expected.Microseconds(), KnowledgeAgeMicroseconds: p.KnowledgeAge.Microseconds(),
 	}
-	return wire
 }
 
 // FromVerdict decodes a home's verdict; it returns nil for one that only shows that the home still listens.
 func FromVerdict(wire *PlaceVerdict) placement.Verdict {
 	switch wire.Kind {
 	case VerdictKind_Placed:
-		return placement.Placed{Target: wire.Target, Address: wire.Address}
+		return fromPlaced(wire)
+	case VerdictKind_Hedge:
+		return placement.Hedge(fromPlaced(wire))
 	case VerdictKind_Queued:
 		return placement.Queued{}
 	case VerdictKind_Refused:
-		return placement.Refused{Reason: placement.Reason(wire.Reason), RetryAfter: microseconds(wire.RetryAfterMicroseconds)}
-	case VerdictKind_Hedge:
-		return placement.Hedge{Target: wire.Target, Address: wire.Address}
+		return placement.Refused{
+			Reason: placement.Reason(wire.Reason), RetryAfter: microseconds(wire.RetryAfterMicroseconds),
+			Waiting: int(wire.Waiting), Slots: int(wire.Slots), Expected: microseconds(wire.ExpectedMicroseconds),
+		}
 	}
 	return nil
 }
 
+func fromPlaced(wire *PlaceVerdict) placement.Placed {
+	return placement.Placed{
+		Target: wire.Target, Address: wire.Address,
+		Expected: microseconds(wire.ExpectedMicroseconds), KnowledgeAge: microseconds(wire.KnowledgeAgeMicroseconds),
+	}
+}
+
 // ToAsk encodes a request for a place; the times left count from now.
 func ToAsk(now time.Duration, r *placement.Request) *PlaceAsk {
 	return &PlaceAsk{
--- a/internal/placement/hedge.go
+++ b/internal/placement/hedge.go
@@ -53,7 +53,7 @@
 	}
 	r.hedged = true
 	h.place(now, r, t, c)
-	h.config.Notify(r, Hedge{t.Name, t.Address})
+	h.config.Notify(r, Hedge(placed(now, t, c)))
 }
 
 // tickSlack is the time between two looks at the runs under way.
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -221,7 +221,7 @@
 			return false
 		}
 		h.place(now, r, t, c)
-		h.config.Notify(r, Placed{t.Name, t.Address})
+		h.config.Notify(r, placed(now, t, c))
 		return true
 	}
 	slots := h.slots(now)
@@ -236,6 +236,11 @@
 	return false
 }
 
+// placed is the verdict on a request that goes to a target, with what it was based on.
+func placed(now time.Duration, t *target, c cost) Placed {
+	return Placed{Target: t.Name, Address: t.Address, Expected: c.expected, KnowledgeAge: now - t.pacedAt}
+}
+
 // cost is what a run that starts now at a target should take.
 type cost struct {
 	expected time.Duration
@@ -328,5 +333,7 @@
 	if len(r.holds) == 0 {
 		delete(h.requests, r.ID)
 	}
-	h.config.Notify(r, Refused{reason, h.retryAfter(now, r, reason)})
+	h.config.Notify(r, Refused{
+		Reason: reason, RetryAfter: h.retryAfter(now, r, reason), Waiting: len(h.queue), Slots: h.slots(now), Expected: h.base(r),
+	})
 }
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -79,7 +79,7 @@
 			continue
 		}
 		t.probe.asked, t.probe.pending, t.probe.wanted = now, true, false
-		due = append(due, Placed{t.Name, t.Address})
+		due = append(due, Placed{Target: t.Name, Address: t.Address})
 	}
 	return due
 }
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -47,6 +47,9 @@
 type Placed struct {
 	Target  string
 	Address string
+	// Expected is how long the run should take, and KnowledgeAge how old the target's last word on its pace is.
+	Expected     time.Duration
+	KnowledgeAge time.Duration
 }
 
 // Queued means that the request waits for a place.
@@ -56,13 +59,14 @@
 type Refused struct {
 	Reason     Reason
 	RetryAfter time.Duration
+	// Waiting and Slots are how many requests waited and how many slots there were, and Expected what a run should take.
+	Waiting  int
+	Slots    int
+	Expected time.Duration
 }
 
 // Hedge asks for a second run beside the first, which is late.
-type Hedge struct {
-	Target  string
-	Address string
-}
+type Hedge Placed
 
 func (Placed) verdict()  {}
 func (Queued) verdict()  {}
