--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -175,14 +175,15 @@
 	lose, shed, cut bool
 	pace            int
 	running         int
-	// runs counts how often each attempt ran; cancelled counts runs whose connection closed early.
+	// arrivals counts how often each attempt came, and runs how often it ran; cancelled counts runs whose connection closed early.
+	arrivals  map[string]int
 	runs      map[string]int
 	cancelled int
 	last      time.Time
 }
 
 func (f *fleet) addTarget(name string) *target {
-	t := &target{name: name, fleet: f, work: 50 * time.Millisecond, pace: 100, runs: map[string]int{}}
+	t := &target{name: name, fleet: f, work: 50 * time.Millisecond, pace: 100, runs: map[string]int{}, arrivals: map[string]int{}}
 	t.address = f.serve(name, "", t)
 	f.targets[name] = t
 	t.register("ready")
@@ -222,6 +223,7 @@
 		return
 	}
 	t.mu.Lock()
+	t.arrivals[id]++
 	shed := t.shed || t.running >= 6
 	if !shed {
 		t.running++
@@ -298,6 +300,17 @@
 	return sum
 }
 
+// arrivalsOf returns how many targets an attempt came to.
+func (f *fleet) arrivalsOf(id string) int {
+	sum := 0
+	for _, t := range f.targets {
+		t.mu.Lock()
+		sum += t.arrivals[id]
+		t.mu.Unlock()
+	}
+	return sum
+}
+
 // pipeline sends requests ahead on one connection and returns the answers' bodies in order.
 func (f *fleet) pipeline(host string, ids ...string) []string {
 	conn, err := f.net.Dialer("caller")(context.Background(), "tcp", f.hosts[host].front)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -148,6 +148,29 @@
 	}
 }
 
+// TestRepeatsStayWithinBudget lets every target shed, through all hosts: no request reaches more targets than its rule
+// allows, and the repeats of all hosts together stay within the service's budget.
+func TestRepeatsStayWithinBudget(t *testing.T) {
+	inFleet(t, 4, 6, func(f *fleet) {
+		for _, x := range f.targets {
+			x.set(func(t *target) { t.shed = true })
+		}
+		const requests = 200
+		repeats := 0
+		for i := range requests {
+			id := fmt.Sprintf("r%d", i)
+			f.is.Equal(f.call(fmt.Sprintf("h%d", i%4), http.MethodGet, "/lookup/1", id).status, 503)
+			arrivals := f.arrivalsOf(id)
+			f.is.True(arrivals <= 2)
+			repeats += max(0, arrivals-1)
+			time.Sleep(20 * time.Millisecond)
+		}
+		t.Logf("%d repeats for %d requests", repeats, requests)
+		f.is.True(float64(repeats) <= 0.2*requests+20)
+		f.is.True(repeats > 0)
+	})
+}
+
 // TestConfigurationInForce writes configurations while hosts that follow the store are turned away by it: every host
 // follows the new rules within 2 s and never goes back.
 func TestConfigurationInForce(t *testing.T) {
--- /dev/null
+++ b/internal/gateway/rules_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"math"
+	"os"
+	"testing"
+
+	"briarcroft/internal/fixedseed"
+	"briarcroft/internal/note"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { os.Exit(fixedseed.Main(m)) }
+
+// TestShares divides requests by weight: after any number of them no service is off by more than one for each service.
+func TestShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rule := note.Rule{Name: "r"}
+		total := 0
+		for i := range rapid.IntRange(1, 5).Draw(t, "services") {
+			weight := rapid.IntRange(1, 100).Draw(t, "weight")
+			rule.Shares = append(rule.Shares, note.Share{Service: string(rune('a' + i)), Weight: weight})
+			total += weight
+		}
+		var s shares
+		counts := map[string]int{}
+		for n := 1; n <= 400; n++ {
+			counts[s.choose(rule)]++
+			for _, share := range rule.Shares {
+				want := float64(n) * float64(share.Weight) / float64(total)
+				if math.Abs(float64(counts[share.Service])-want) > float64(len(rule.Shares)) {
+					t.Fatalf("%s got %d of %d, want %.1f", share.Service, counts[share.Service], n, want)
+				}
+			}
+		}
+	})
+}
+
+// TestMatch takes the longest path of the request's host.
+func TestMatch(t *testing.T) {
+	is := is.New(t)
+	x := newRuleIndex(note.Configuration{Rules: []note.Rule{
+		{Name: "short", Host: "h", Path: "/a/"}, {Name: "long", Host: "h", Path: "/a/b/"}, {Name: "other", Host: "i", Path: "/a/"},
+	}})
+	cases := []struct {
+		host, path, want string
+	}{
+		{"h", "/a/x", "short"}, {"h", "/a/b/x", "long"}, {"h", "/a/b", "short"}, {"h:80", "/a/x", "short"}, {"i", "/a/b/x", "other"},
+		{"h", "/b/", ""}, {"j", "/a/x", ""}, {"h", "/a", ""},
+	}
+	for _, c := range cases {
+		r, found := x.match(c.host, c.path)
+		is.Equal(r.Name, c.want)
+		is.Equal(found, c.want != "")
+	}
+}
