--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -21,7 +21,7 @@
 const gcPercent = 400
 
 // gatewayPercent is the same for hosts whose memory is paid for.
-const gatewayPercent = 100
+const gatewayPercent = 40
 
 type serveCommand struct {
 	*root
