Let explain and verify work on gateways; adopt the newest view only

Two views could be adopted in the wrong order when changes came at once over several ways: a host takes the newest view at the time of adoption now. Changes of targets are recorded.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -35,6 +35,9 @@
 type server interface {
 	Serve(stop, force context.Context) error
 	Reload(settings.Settings)
+	// Listen and Inner are the addresses for callers and for peers.
+	Listen() string
+	Inner() string
 }
 
 // Execute implements flags.Commander.
@@ -51,7 +54,7 @@
 		return err
 	}
 	defer closeHost()
-	logger.Info().Str("Listen", s.Host.Listen).Str("Inner", s.Host.Inner).Str("Platform", s.Platform.Kind).Msg("entry host started")
+	logger.Info().Str("Listen", h.Listen()).Str("Inner", h.Inner()).Str("Platform", s.Platform.Kind).Msg("entry host started")
 	defer c.follow(h, logger)()
 	err = h.Serve(stop, force)
 	logger.Info().Err(err).Msg("entry host stopped")
--- a/internal/command/verify.go
+++ b/internal/command/verify.go
@@ -5,24 +5,24 @@
 	"fmt"
 
 	"briarcroft/internal/operator"
-	"briarcroft/internal/platform"
+	internalplatform "briarcroft/internal/platform"
+	"briarcroft/platform"
 )
 
 type verifyCommand struct {
 	*root
 	hostsOption
 	Store string `long:"store" required:"true" description:"URL of the platform's key-value service"`
+	Kind  string `long:"kind" choice:"Etcd" choice:"Native" default:"Etcd" description:"protocol of the store: Etcd, or Native for the users' platform"`
 	JSON  bool   `long:"json" description:"print the findings as JSON"`
 }
 
 // Execute implements flags.Commander.
 func (c *verifyCommand) Execute([]string) error {
-	store, closeStore := platform.NewEtcd(platform.EtcdConfig{URL: c.Store, Timeout: c.Timeout})
-	defer closeStore()
 	client, closeClient := operator.New(operator.Config{Hosts: c.Hosts, Timeout: c.Timeout})
 	defer closeClient()
 	ctx := context.Background()
-	v, err := operator.Verify(ctx, store, client.Status(ctx))
+	v, err := c.verify(ctx, client.Status(ctx))
 	if err != nil {
 		return err
 	}
@@ -37,6 +37,22 @@
 	return err
 }
 
+// verify compares the hosts with the store, whose kind decides what it holds.
+func (c *verifyCommand) verify(ctx context.Context, hosts []operator.HostStatus) (operator.Verification, error) {
+	if c.Kind == "Native" {
+		store, closeStore := platform.NewStore(platform.StoreConfig{URL: c.Store, Timeout: c.Timeout})
+		defer closeStore()
+		newest, err := store.Configuration(ctx)
+		if err != nil {
+			return operator.Verification{}, err
+		}
+		return operator.VerifyNewest(newest, hosts), nil
+	}
+	store, closeStore := internalplatform.NewEtcd(internalplatform.EtcdConfig{URL: c.Store, Timeout: c.Timeout})
+	defer closeStore()
+	return operator.Verify(ctx, store, hosts)
+}
+
 func (c *verifyCommand) print(v operator.Verification) error {
 	if v.Chain != "" {
 		fmt.Fprintf(c.out, "chain: broken after note %d: %s\n", v.Number, v.Chain)
--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -9,6 +9,7 @@
 	"briarcroft/internal/claim"
 	"briarcroft/internal/host"
 	"briarcroft/internal/meter"
+	"briarcroft/internal/note"
 	"briarcroft/internal/record"
 	"briarcroft/internal/steering"
 )
@@ -56,24 +57,11 @@
 	return address.Address{Host: m.Name, Address: m.Listen, Domain: m.Domain, Incarnation: m.Incarnation}
 }
 
-// NoteStatus is which note is in force on a host.
-type NoteStatus struct {
-	Host          string
-	Incarnation   uint64
-	Number        int
-	Hash          string
-	Configuration string
-	// InForceSince is when this host put the note in force.
-	InForceSince time.Time
-	Operator     string
-	Reason       string
-}
-
 func (f *front) serveNote(w http.ResponseWriter, _ *http.Request) {
 	head, hash, _ := f.host.chain.Head()
-	writeJSON(w, http.StatusOK, NoteStatus{
-		f.host.Name(), f.host.incarnation, head.Number, hash, head.Configuration,
-		time.UnixMilli(f.host.inForce.Load()).UTC(), head.Note.Operator, head.Note.Reason,
+	writeJSON(w, http.StatusOK, note.Status{
+		Host: f.host.Name(), Incarnation: f.host.incarnation, Number: head.Number, Hash: hash, Configuration: head.Configuration,
+		InForceSince: time.UnixMilli(f.host.inForce.Load()).UTC(), Operator: head.Note.Operator, Reason: head.Note.Reason,
 	})
 }
 
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"briarcroft/internal/host"
+	"briarcroft/internal/meter"
+	"briarcroft/internal/note"
+	"briarcroft/internal/record"
 )
 
 // Times and counts of the directory.
@@ -99,18 +102,46 @@
 		// A reader that has gone reads no error either.
 		_, _ = w.Write([]byte(g.vars().String() + "\n"))
 	})
-	mux.HandleFunc("GET /Note", func(w http.ResponseWriter, _ *http.Request) {
-		head, hash, _ := g.chain.Head()
-		writeJSON(w, struct {
-			Number int
-			Hash   string
-			Note   any
-		}{head.Number, hash, head.Note})
+	mux.HandleFunc("GET /Note", g.serveNote)
+	mux.HandleFunc("GET /Status", g.serveStatus)
+	mux.HandleFunc("GET /Explain", g.serveExplain)
+	return serveHTTP(ctx, l, mux)
+}
+
+func (g *Gateway) serveNote(w http.ResponseWriter, _ *http.Request) {
+	head, hash, _ := g.chain.Head()
+	writeJSON(w, note.Status{
+		Host: g.settings.Host.Name, Incarnation: g.incarnation, Number: head.Number, Hash: hash, Configuration: head.Configuration,
+		InForceSince: time.UnixMilli(g.inForce.Load()).UTC(), Operator: head.Note.Operator, Reason: head.Note.Reason,
 	})
-	mux.HandleFunc("GET /Explain", func(w http.ResponseWriter, r *http.Request) {
-		writeJSON(w, g.book.Since(r.URL.Query().Get("Target"), time.Time{}))
+}
+
+func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	self := g.table.Self()
+	writeJSON(w, struct {
+		Host, Domain   string
+		Incarnation    uint64
+		Ready, Leaving bool
+		Note           int
+		Peers          []host.Member
+		Latency        []meter.Summary
+		Unwritten      int64
+	}{
+		self.Name, self.Domain, g.incarnation, self.Ready, self.Leaving, self.Note, g.table.Peers(),
+		g.histograms.Summaries(), g.trace.unwritten.Load() + g.book.Unwritten(),
 	})
-	return serveHTTP(ctx, l, mux)
+}
+
+func (g *Gateway) serveExplain(w http.ResponseWriter, r *http.Request) {
+	since := time.Time{}
+	if text := r.URL.Query().Get("Since"); text != "" {
+		var err error
+		if since, err = time.Parse(time.RFC3339, text); err != nil {
+			http.Error(w, "Since is not a time; write it as 2006-01-02T15:04:05Z", http.StatusBadRequest)
+			return
+		}
+	}
+	writeJSON(w, struct{ Records []record.Record }{g.book.Since(r.URL.Query().Get("Target"), since)})
 }
 
 // vars returns the counters and histograms.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,8 +106,13 @@
 	followers   followers
 	watch       watchState
 	bodies      bodyBudget
+	// adopting is held while a view is put in force; targetStates is what was last explained.
+	adopting     sync.Mutex
+	targetStates map[string]string
 	// stopping is set once a graceful stop has begun.
 	stopping atomic.Bool
+	// inForce is when the note in force was adopted, in Unix milliseconds.
+	inForce atomic.Int64
 	// conns holds the open connections of callers, and open counts them.
 	conns sync.Map
 	open  atomic.Int64
@@ -159,6 +164,12 @@
 // now is the host's monotonic clock.
 func (g *Gateway) now() time.Duration { return time.Since(g.start) }
 
+// Listen returns the address that callers connect to.
+func (g *Gateway) Listen() string { return g.settings.Host.Listen }
+
+// Inner returns the address that peers connect to.
+func (g *Gateway) Inner() string { return g.settings.Host.Inner }
+
 // Reload takes new settings; addresses and names hold until the next start.
 func (g *Gateway) Reload(s settings.Settings) {
 	g.tunable.Store(&s)
@@ -171,9 +182,13 @@
 	g.book.Add(record.Record{Kind: record.NoteRejected, Cause: "StoreEntry", Note: g.chain.Number(), Evidence: record.Evidence{Detail: key + ": " + err.Error()}})
 }
 
-// adopt puts a new view of the store in force.
-func (g *Gateway) adopt(v *roster.View) {
+// adopt puts the newest view of the store in force.
+func (g *Gateway) adopt() {
+	g.adopting.Lock()
+	defer g.adopting.Unlock()
+	v := g.roster.View()
 	g.adoptNote(v.Configuration)
+	g.explainTargets(v)
 	g.rules.Store(newRuleIndex(v.Configuration))
 	g.homes.adopt(v)
 	g.pools.adopt(v)
@@ -192,6 +207,7 @@
 		g.book.Add(record.Record{Kind: record.NoteRejected, Cause: "Snapshot", Note: c.Number, Evidence: record.Evidence{Detail: err.Error()}})
 		return
 	}
+	g.inForce.Store(time.Now().UnixMilli())
 	g.table.SetNote(c.Number)
 	g.book.Add(record.Record{
 		Kind: record.NoteAdopted, Note: c.Number, Cause: "Store",
@@ -199,6 +215,29 @@
 	})
 }
 
+// explainTargets writes a record for each target that came, began to leave or went. Only one view is adopted at a time.
+func (g *Gateway) explainTargets(v *roster.View) {
+	now := map[string]string{}
+	for service, list := range v.Targets {
+		for _, t := range list {
+			state := "Live"
+			if t.Leaving {
+				state = "Draining"
+			}
+			now[t.Name] = state
+			if old := g.targetStates[t.Name]; old != state {
+				g.book.Add(record.Record{Kind: record.TargetMoved, Service: service, Target: t.Name, From: old, To: state, Cause: "Registered", Note: g.chain.Number()})
+			}
+		}
+	}
+	for name := range g.targetStates {
+		if now[name] == "" {
+			g.book.Add(record.Record{Kind: record.TargetForgotten, Target: name, Cause: "EntryRemoved", Note: g.chain.Number()})
+		}
+	}
+	g.targetStates = now
+}
+
 // refreshReady makes the host ready once it knows a configuration and is not stopping.
 func (g *Gateway) refreshReady() {
 	ready := g.chain.Number() > 0 && !g.stopping.Load()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -49,7 +49,7 @@
 type HostStatus struct {
 	Address string
 	Error   string `json:",omitempty"`
-	Note    entry.NoteStatus
+	Note    note.Status
 	Status  entry.Status
 }
 
@@ -148,6 +148,26 @@
 	return v, nil
 }
 
+// VerifyNewest compares every host's answer with the configuration that the users' platform holds as the newest.
+func VerifyNewest(newest note.Configuration, hosts []HostStatus) Verification {
+	v := Verification{Number: newest.Number, Hash: newest.Hash()}
+	for _, s := range hosts {
+		f := Finding{Address: s.Address, Host: s.Note.Host, Number: s.Note.Number}
+		switch {
+		case s.Error != "":
+			f.Detail = "did not answer: " + s.Error
+		case s.Note.Number != newest.Number:
+			f.Detail = fmt.Sprintf("has note %d in force; the newest is %d", s.Note.Number, newest.Number)
+		case s.Note.Configuration != v.Hash:
+			f.Detail = "has another configuration of that number in force"
+		default:
+			f.Agrees = true
+		}
+		v.Findings = append(v.Findings, f)
+	}
+	return v
+}
+
 // compare checks one host's note against the chain.
 func compare(s HostStatus, head note.Record, hashes map[int]string) Finding {
 	f := Finding{Address: s.Address, Host: s.Note.Host, Number: s.Note.Number}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -25,8 +25,8 @@
 	Decode DecodeFunc
 	// OnRefused is told of entries that can't be used.
 	OnRefused func(key string, err error)
-	// OnChange is told after each change of the view.
-	OnChange func(*View)
+	// OnChange is told after each change of the view, which may have changed again by then.
+	OnChange func()
 }
 
 // View is what is in force; it is replaced whole and must not be changed.
@@ -192,10 +192,9 @@
 		r.mu.Unlock()
 		return
 	}
-	view := r.build()
-	r.view.Store(view)
+	r.view.Store(r.build())
 	r.mu.Unlock()
-	r.config.OnChange(view)
+	r.config.OnChange()
 }
 
 func (r *Roster) build() *View {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -44,7 +44,7 @@
 
 func newBook() *book {
 	b := &book{}
-	b.Roster = New(Config{Decode: decode, OnRefused: func(string, error) { b.refused++ }, OnChange: func(*View) { b.changes++ }})
+	b.Roster = New(Config{Decode: decode, OnRefused: func(string, error) { b.refused++ }, OnChange: func() { b.changes++ }})
 	return b
 }
 
