Do not probe the targets of an idle service

Every host that had once decided alone, at its start, went on probing each target once a second for ever. An idle service's targets are left alone now; its next request waits for fresh knowledge as after any pause, and no target stays out for what was known before.

--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -92,6 +92,7 @@
 
 // Ask offers a request; verdicts follow through Notify, the first one before Ask returns.
 func (h *Home) Ask(now time.Duration, r *Request) {
+	h.wake(now)
 	h.busyAt = now
 	r.asked = now
 	if h.crash.quarantined(now, r.Fingerprint) {
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -11,9 +11,8 @@
 	probeEvery = 250 * time.Millisecond
 	// queuedProbeEvery is how often targets with free slots are asked while requests wait.
 	queuedProbeEvery = 25 * time.Millisecond
-	// idleProbeEvery is the same while the service has no requests.
-	idleProbeEvery = time.Second
-	// busyFor is how long after a request a service counts as busy.
+	// busyFor is how long after a request a service counts as busy. An idle one isn't probed: many hosts may once have
+	// decided alone, and each would go on for ever.
 	busyFor = 2 * time.Second
 	// silentAfter is how long a probe may take before its target counts as down.
 	silentAfter = 150 * time.Millisecond
@@ -86,18 +85,29 @@
 
 // probeDue reports whether it is time to look at a target again.
 func (h *Home) probeDue(now time.Duration, t *target) bool {
-	every := probeEvery
 	switch {
-	case now-h.busyAt > busyFor:
-		every = idleProbeEvery
+	case !h.busy(now):
+		return false
+	case t.probe.down:
+		return now-t.probe.asked >= downProbeEvery
 	case len(h.queue) > 0 && t.sound(now) && t.load(now) < t.Slots:
 		// Requests wait although the target has room: it was slow when last seen.
-		every = queuedProbeEvery
+		return now-max(t.probe.asked, t.pacedAt) >= queuedProbeEvery
+	}
+	return now-max(t.probe.asked, t.pacedAt) >= probeEvery
+}
+
+// busy reports whether the service had requests lately.
+func (h *Home) busy(now time.Duration) bool { return now-h.busyAt <= busyFor }
+
+// wake begins to look at the targets of a service that was idle: what was known of them then is no reason to leave any out.
+func (h *Home) wake(now time.Duration) {
+	if h.busy(now) {
+		return
 	}
-	if t.probe.down {
-		return now-t.probe.asked >= max(downProbeEvery, every/2)
+	for _, t := range h.targets {
+		t.probe.down = false
 	}
-	return now-max(t.probe.asked, t.pacedAt) >= every
 }
 
 // awaitsProbe reports whether a request should wait for a probe of the target that looks best, because what is known
