--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -161,8 +162,10 @@
 	switch {
 	case x.failure != nil:
 		return x.failure
-	case ctx.Err() != nil:
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return own(http.StatusGatewayTimeout, "TimedOut", 0)
+	case ctx.Err() != nil:
+		return own(http.StatusGatewayTimeout, "CallerLeft", 0)
 	}
 	return own(http.StatusBadGateway, "AnswerLost", 0)
 }
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -79,7 +79,8 @@
 		if t == nil || t.Start != spec.Start || t.Address != spec.Address {
 			t = &target{Target: spec, warmUntil: now + spec.Warming, pacedAt: -time.Hour, seenAt: -time.Hour, failedAt: -time.Hour, probe: probe{asked: -time.Hour}}
 		}
-		if spec.Warming > 0 {
+		if spec.Warming != t.Warming {
+			// The entry has been written anew; its time counts from now.
 			t.warmUntil = now + spec.Warming
 		}
 		t.Target = spec
--- a/internal/placement/home_test.go
+++ b/internal/placement/home_test.go
@@ -276,6 +276,18 @@
 	}
 }
 
+// TestWarmingEnds sets the same targets again and again: one that warms up does so for its time only.
+func TestWarmingEnds(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(1, plenty)
+	list := []Target{{Name: "new", Address: "10.0.0.2:80", Slots: 3, Warming: time.Second}}
+	for range 20 {
+		d.home.SetTargets(d.now, list)
+		d.now += 100 * time.Millisecond
+	}
+	is.True(d.home.byName["new"].warmUntil < d.now)
+}
+
 // TestIdleServiceIsNotProbed leaves a service alone: no probes go out until the next request, which finds all targets in.
 func TestIdleServiceIsNotProbed(t *testing.T) {
 	is := is.New(t)
