--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,7 +43,7 @@
 }
 
 // attempt sends the request to one target and tells the home how that ended.
-func (x *exchange) attempt(ctx context.Context, from seat, p placement.Placed) *result {
+func (x *exchange) attempt(ctx context.Context, from decider, p placement.Placed) *result {
 	started := x.gateway.now()
 	r := x.send(ctx, p)
 	if r.took == 0 {
@@ -54,7 +54,7 @@
 	if r.answer != nil {
 		done.Bytes = len(r.answer.body)
 	}
-	from.end(x.errand, done)
+	from.end(x.inquiry, done)
 	return r
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -31,10 +31,10 @@
 	service  string
 	goal     time.Duration
 	deadline time.Duration
-	errand   *errand
-	// seat is where the last place came from.
-	seat  seat
-	tried []string
+	inquiry  *inquiry
+	// decider is where the last place came from.
+	decider decider
+	tried   []string
 	// mayHaveRun is set once a target may have begun the request.
 	mayHaveRun bool
 	// failure is a target's own failure, to answer with when nothing better comes.
@@ -72,8 +72,8 @@
 	x.begin(rule)
 	var ctx context.Context
 	ctx, x.cancel = context.WithTimeout(x.caller.requestContext(x.repeatable()), x.deadline-g.now())
-	x.errand = g.links.open(x.service)
-	defer g.links.done(x.errand)
+	x.inquiry = g.links.open(x.service)
+	defer g.links.done(x.inquiry)
 	return x.answer(ctx)
 }
 
@@ -180,10 +180,10 @@
 
 // place asks the service's homes for a place; both results are nil when the time ended first.
 func (x *exchange) place(ctx context.Context) (*placement.Placed, *placement.Refused) {
-	for _, s := range x.gateway.links.seats(x.service) {
-		x.seat = s
+	for _, s := range x.gateway.links.deciders(x.service) {
+		x.decider = s
 		x.asks++
-		s.ask(x.errand, x.placementRequest())
+		s.ask(x.inquiry, x.placementRequest())
 		v, ended := x.await(ctx, s)
 		switch v := v.(type) {
 		case placement.Placed:
@@ -191,7 +191,7 @@
 		case placement.Refused:
 			return nil, &v
 		}
-		s.withdraw(x.errand)
+		s.withdraw(x.inquiry)
 		if ended {
 			return nil, nil
 		}
@@ -207,12 +207,12 @@
 }
 
 // await waits for a home's decision; it returns nil when the home gives none, and ended when the time is over.
-func (x *exchange) await(ctx context.Context, s seat) (v placement.Verdict, ended bool) {
+func (x *exchange) await(ctx context.Context, s decider) (v placement.Verdict, ended bool) {
 	ack := time.NewTimer(ackTimeout)
 	defer ack.Stop()
 	for {
 		select {
-		case e := <-x.errand.events:
+		case e := <-x.inquiry.events:
 			if e.from != s {
 				x.decline(e)
 				continue
@@ -243,14 +243,14 @@
 // decline gives back a place that comes too late.
 func (x *exchange) decline(e event) {
 	if target, held := placeOf(e.verdict); held {
-		e.from.end(x.errand, placement.Done{Target: target, Outcome: placement.Abandoned})
+		e.from.end(x.inquiry, placement.Done{Target: target, Outcome: placement.Abandoned})
 	}
 }
 
 // try runs the request on a target, and on a second one when the home asks for that.
 func (x *exchange) try(ctx context.Context, p placement.Placed) *result {
 	runs := runs{exchange: x, results: make(chan *result, 2)}
-	runs.start(ctx, x.seat, p)
+	runs.start(ctx, x.decider, p)
 	var worst *result
 	for {
 		select {
@@ -261,9 +261,9 @@
 				runs.endOthers(worst)
 				return worst
 			}
-		case e := <-x.errand.events:
+		case e := <-x.inquiry.events:
 			hedge, is := e.verdict.(placement.Hedge)
-			if !is || e.from != x.seat || runs.under != 1 || !x.mayTryAgain(ctx) {
+			if !is || e.from != x.decider || runs.under != 1 || !x.mayTryAgain(ctx) {
 				x.decline(e)
 				continue
 			}
@@ -282,7 +282,7 @@
 	under int
 }
 
-func (u *runs) start(ctx context.Context, from seat, p placement.Placed) {
+func (u *runs) start(ctx context.Context, from decider, p placement.Placed) {
 	ctx, cancel := context.WithCancel(ctx)
 	run := len(u.cancels)
 	u.cancels = append(u.cancels, cancel)
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -39,9 +39,9 @@
 	gateway *Gateway
 	mu      sync.Mutex
 	byName  map[string]*home
-	// desks are the conversations with the hosts that ask.
-	desks map[uint64]*desk
-	last  uint64
+	// sessions are the conversations with the hosts that ask.
+	sessions map[uint64]*session
+	last     uint64
 	// woken ends the pause of the timers while nothing was under way.
 	woken *ring.Ring[struct{}]
 }
@@ -55,8 +55,8 @@
 	health  string
 }
 
-// desk is the conversation with one host that asks for places; verdicts go out in order.
-type desk struct {
+// session is the conversation with one host that asks for places; verdicts go out in order.
+type session struct {
 	number   uint64
 	verdicts *ring.Ring[*inner.PlaceVerdict]
 	// local gets the verdicts of the own host instead.
@@ -64,26 +64,26 @@
 }
 
 func newHomes(g *Gateway) *homes {
-	return &homes{gateway: g, byName: map[string]*home{}, desks: map[uint64]*desk{}, woken: ring.New[struct{}](ring.Config{Capacity: 1})}
+	return &homes{gateway: g, byName: map[string]*home{}, sessions: map[uint64]*session{}, woken: ring.New[struct{}](ring.Config{Capacity: 1})}
 }
 
-// openDesk begins a conversation; local is nil for one with another host.
-func (o *homes) openDesk(local func(uint64, placement.Verdict)) *desk {
+// openSession begins a conversation; local is nil for one with another host.
+func (o *homes) openSession(local func(uint64, placement.Verdict)) *session {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.last++
-	d := &desk{number: o.last, local: local}
+	d := &session{number: o.last, local: local}
 	if local == nil {
 		d.verdicts = ring.New[*inner.PlaceVerdict](ring.Config{Capacity: verdictRing})
 	}
-	o.desks[d.number] = d
+	o.sessions[d.number] = d
 	return d
 }
 
-// closeDesk ends a conversation and forgets all that its host held.
-func (o *homes) closeDesk(d *desk) {
+// closeSession ends a conversation and forgets all that its host held.
+func (o *homes) closeSession(d *session) {
 	o.mu.Lock()
-	delete(o.desks, d.number)
+	delete(o.sessions, d.number)
 	o.mu.Unlock()
 	for _, h := range o.all() {
 		h.mu.Lock()
@@ -157,7 +157,7 @@
 	h.home.SetTargets(h.homes.gateway.now(), targets)
 }
 
-// ask offers a request of a desk's host.
+// ask offers a request of a session's host.
 func (o *homes) ask(service string, r *placement.Request) {
 	h := o.get(service)
 	slack := o.slack(service)
@@ -205,7 +205,7 @@
 // notify hands a verdict to the host that asked; it runs under the lock of the decision.
 func (o *homes) notify(r *placement.Request, v placement.Verdict) {
 	o.mu.Lock()
-	d := o.desks[r.ID.Host]
+	d := o.sessions[r.ID.Host]
 	o.mu.Unlock()
 	if d == nil {
 		return
@@ -249,7 +249,7 @@
 func (o *homes) showAlive() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, d := range o.desks {
+	for _, d := range o.sessions {
 		if d.verdicts != nil {
 			d.verdicts.Push(&inner.PlaceVerdict{})
 		}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -26,42 +26,42 @@
 	rankTime = 50 * time.Millisecond
 )
 
-// event is what a seat tells an errand: a verdict, or that the conversation has ended.
+// event is what a decider tells an inquiry: a verdict, or that the conversation has ended.
 type event struct {
-	from    seat
+	from    decider
 	verdict placement.Verdict
 	lost    bool
 }
 
-// errand is one request's part in the conversations with homes.
-type errand struct {
+// inquiry is one request's questions to homes, and what they answer.
+type inquiry struct {
 	number  uint64
 	service string
 	events  chan event
 }
 
-// seat is where a home decides: at another host or here.
-type seat interface {
+// decider is whoever decides on a place: a remoteHome or the localHome.
+type decider interface {
 	// name is the host that decides.
 	name() string
-	ask(e *errand, r *placement.Request)
-	end(e *errand, d placement.Done)
-	withdraw(e *errand)
+	ask(e *inquiry, r *placement.Request)
+	end(e *inquiry, d placement.Done)
+	withdraw(e *inquiry)
 }
 
 // links holds the conversations with homes.
 type links struct {
-	gateway  *Gateway
-	last     atomic.Uint64
-	mu       sync.Mutex
-	errands  map[uint64]*errand
-	byName   map[string]*link
-	suspects map[string]time.Duration
-	ranks    map[string]rank
-	own      *ownSeat
-	ctx      context.Context
-	cancel   context.CancelFunc
-	ends     sync.WaitGroup
+	gateway   *Gateway
+	last      atomic.Uint64
+	mu        sync.Mutex
+	inquiries map[uint64]*inquiry
+	byName    map[string]*remoteHome
+	suspects  map[string]time.Duration
+	ranks     map[string]rank
+	own       *localHome
+	ctx       context.Context
+	cancel    context.CancelFunc
+	ends      sync.WaitGroup
 }
 
 // rank is the order of a service's homes, as of a time.
@@ -72,11 +72,11 @@
 
 func newLinks(g *Gateway) *links {
 	l := &links{
-		gateway: g, errands: map[uint64]*errand{}, byName: map[string]*link{}, suspects: map[string]time.Duration{}, ranks: map[string]rank{},
+		gateway: g, inquiries: map[uint64]*inquiry{}, byName: map[string]*remoteHome{}, suspects: map[string]time.Duration{}, ranks: map[string]rank{},
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
-	l.own = &ownSeat{links: l}
-	l.own.desk = g.homes.openDesk(l.own.take)
+	l.own = &localHome{links: l}
+	l.own.session = g.homes.openSession(l.own.take)
 	return l
 }
 
@@ -85,26 +85,26 @@
 	l.ends.Wait()
 }
 
-// open begins an errand; close it with done.
-func (l *links) open(service string) *errand {
-	e := &errand{number: l.last.Add(1), service: service, events: make(chan event, 8)}
+// open begins an inquiry; close it with done.
+func (l *links) open(service string) *inquiry {
+	e := &inquiry{number: l.last.Add(1), service: service, events: make(chan event, 8)}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.errands[e.number] = e
+	l.inquiries[e.number] = e
 	return e
 }
 
-func (l *links) done(e *errand) {
+func (l *links) done(e *inquiry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.errands, e.number)
+	delete(l.inquiries, e.number)
 }
 
-// deliver hands a verdict to its errand and reports whether somebody takes it.
-func (l *links) deliver(number uint64, from seat, v placement.Verdict) bool {
+// deliver hands a verdict to its inquiry and reports whether somebody takes it.
+func (l *links) deliver(number uint64, from decider, v placement.Verdict) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.errands[number]
+	e := l.inquiries[number]
 	if e == nil {
 		return false
 	}
@@ -116,15 +116,15 @@
 	}
 }
 
-// lose tells every errand that a conversation has ended.
-func (l *links) lose(from seat) {
+// lose tells every inquiry that a conversation has ended.
+func (l *links) lose(from decider) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, e := range l.errands {
+	for _, e := range l.inquiries {
 		select {
 		case e.events <- event{from: from, lost: true}:
 		default:
-			// The errand has more verdicts than it can use.
+			// The inquiry has more verdicts than it can use.
 		}
 	}
 }
@@ -142,11 +142,11 @@
 	return r.members
 }
 
-// seats returns where to ask for a place, best first; the last is always this host.
-func (l *links) seats(service string) []seat {
+// deciders returns where to ask for a place, best first; the last is always this host.
+func (l *links) deciders(service string) []decider {
 	now := l.gateway.now()
 	self := l.gateway.settings.Host.Name
-	var list []seat
+	var list []decider
 	for _, m := range l.rank(service) {
 		if m.Name == self {
 			break
@@ -169,7 +169,7 @@
 }
 
 // link returns the conversation with a home, beginning it when there is none, or nil while the home is passed over.
-func (l *links) link(now time.Duration, m host.Member) *link {
+func (l *links) link(now time.Duration, m host.Member) *remoteHome {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if until, suspected := l.suspects[m.Name]; suspected {
@@ -185,7 +185,7 @@
 	if k != nil {
 		k.cancel()
 	}
-	k = &link{links: l, member: m.Name, address: m.Inner, incarnation: m.Incarnation, calls: ring.New[*inner.PlaceCall](ring.Config{Capacity: linkRing})}
+	k = &remoteHome{links: l, member: m.Name, address: m.Inner, incarnation: m.Incarnation, calls: ring.New[*inner.PlaceCall](ring.Config{Capacity: linkRing})}
 	k.ctx, k.cancel = context.WithCancel(l.ctx)
 	k.heard.Store(int64(now))
 	l.byName[m.Name] = k
@@ -193,8 +193,8 @@
 	return k
 }
 
-// link is the conversation with one other host.
-type link struct {
+// remoteHome is the conversation with another host that decides.
+type remoteHome struct {
 	links           *links
 	member, address string
 	incarnation     uint64
@@ -205,29 +205,29 @@
 	heard atomic.Int64
 }
 
-func (k *link) name() string { return k.member }
+func (k *remoteHome) name() string { return k.member }
 
-func (k *link) push(c *inner.PlaceCall) {
+func (k *remoteHome) push(c *inner.PlaceCall) {
 	if !k.calls.Push(c) {
 		// A home that does not read is as good as gone.
 		k.cancel()
 	}
 }
 
-func (k *link) ask(e *errand, r *placement.Request) {
+func (k *remoteHome) ask(e *inquiry, r *placement.Request) {
 	k.push(&inner.PlaceCall{Number: e.number, Service: e.service, Ask: inner.ToAsk(k.links.gateway.now(), r)})
 }
 
-func (k *link) end(e *errand, d placement.Done) {
+func (k *remoteHome) end(e *inquiry, d placement.Done) {
 	k.push(&inner.PlaceCall{Number: e.number, Service: e.service, End: inner.ToEnd(d)})
 }
 
-func (k *link) withdraw(e *errand) {
+func (k *remoteHome) withdraw(e *inquiry) {
 	k.push(&inner.PlaceCall{Number: e.number, Service: e.service, Withdraw: true})
 }
 
 // run carries the conversation until it ends.
-func (k *link) run() {
+func (k *remoteHome) run() {
 	defer k.ended()
 	defer k.cancel()
 	stream, err := k.links.gateway.client.Peer(k.ctx, k.address).Place(k.ctx)
@@ -245,8 +245,8 @@
 	<-done
 }
 
-// ended forgets the conversation and tells the errands.
-func (k *link) ended() {
+// ended forgets the conversation and tells the inquiries.
+func (k *remoteHome) ended() {
 	k.links.mu.Lock()
 	if k.links.byName[k.member] == k {
 		delete(k.links.byName, k.member)
@@ -257,7 +257,7 @@
 }
 
 // send hands calls to the home and ends the conversation once the home has been silent for too long.
-func (k *link) send(stream inner.DRPCPeer_PlaceClient) {
+func (k *remoteHome) send(stream inner.DRPCPeer_PlaceClient) {
 	for k.ctx.Err() == nil {
 		wait, cancel := context.WithTimeout(k.ctx, aliveEvery)
 		call, ok := k.calls.Pop(wait)
@@ -271,7 +271,7 @@
 	}
 }
 
-func (k *link) receive(stream inner.DRPCPeer_PlaceClient) {
+func (k *remoteHome) receive(stream inner.DRPCPeer_PlaceClient) {
 	for {
 		wire, err := stream.Recv()
 		if err != nil {
@@ -299,34 +299,34 @@
 	return "", false
 }
 
-// ownSeat is the decision on this host.
-type ownSeat struct {
-	links *links
-	desk  *desk
+// localHome is the decision on this host itself.
+type localHome struct {
+	links   *links
+	session *session
 }
 
-func (o *ownSeat) name() string { return o.links.gateway.settings.Host.Name }
+func (o *localHome) name() string { return o.links.gateway.settings.Host.Name }
 
-func (o *ownSeat) id(number uint64) placement.ID {
-	return placement.ID{Host: o.desk.number, Number: number}
+func (o *localHome) id(number uint64) placement.ID {
+	return placement.ID{Host: o.session.number, Number: number}
 }
 
-func (o *ownSeat) ask(e *errand, r *placement.Request) {
+func (o *localHome) ask(e *inquiry, r *placement.Request) {
 	r.ID = o.id(e.number)
 	o.links.gateway.homes.ask(e.service, r)
 }
 
-func (o *ownSeat) end(e *errand, d placement.Done) {
+func (o *localHome) end(e *inquiry, d placement.Done) {
 	d.ID = o.id(e.number)
 	o.links.gateway.homes.done(e.service, d)
 }
 
-func (o *ownSeat) withdraw(e *errand) {
+func (o *localHome) withdraw(e *inquiry) {
 	o.links.gateway.homes.withdraw(e.service, o.id(e.number))
 }
 
 // take gets a verdict under the lock of the decision.
-func (o *ownSeat) take(number uint64, v placement.Verdict) {
+func (o *localHome) take(number uint64, v placement.Verdict) {
 	if o.links.deliver(number, o, v) {
 		return
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -44,8 +44,8 @@
 // Place implements inner.DRPCPeerServer: it decides for the host at the other end.
 func (p *peerServer) Place(stream inner.DRPCPeer_PlaceStream) error {
 	homes := p.gateway.homes
-	d := homes.openDesk(nil)
-	defer homes.closeDesk(d)
+	d := homes.openSession(nil)
+	defer homes.closeSession(d)
 	ctx, cancel := context.WithCancel(stream.Context())
 	done := make(chan struct{})
 	go func() {
@@ -64,7 +64,7 @@
 	return err
 }
 
-func (p *peerServer) read(ctx context.Context, stream inner.DRPCPeer_PlaceStream, d *desk) error {
+func (p *peerServer) read(ctx context.Context, stream inner.DRPCPeer_PlaceStream, d *session) error {
 	homes := p.gateway.homes
 	for ctx.Err() == nil {
 		call, err := stream.Recv()
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -120,8 +120,8 @@
 		status: a.status, note: x.number, asks: x.asks, hedges: x.hedges, queued: x.queued, sent: sent, took: took,
 		left: x.deadline - g.now(), late: x.matched && g.now() > x.goal, decided: x.decided,
 	}
-	if x.seat != nil {
-		l.home = x.seat.name()
+	if x.decider != nil {
+		l.home = x.decider.name()
 	}
 	for i, target := range x.tried {
 		if i > 0 {
