Ask a silent peer again on a new connection

Cause: after every connection between hosts had gone silent in one direction, a host that was told of a note fetched it over such a connection and waited for 2 s, the whole bound for a note to be in force; heartbeats lost a round each to every silent connection that was still pooled. Ruled out: the store's watch, which the fault leaves alone, and the choice of recipients, which reached every host.

Change: a short call that stays unanswered goes out once more on a new connection, and the peer's other idle connections are closed. A hint to a note that has come by another way in the meantime fetches nothing. Heartbeats of both kinds of host are one type now.

Conclusion: silent connections cost one short wait a peer, not one a connection.

--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"briarcroft/internal/duty"
@@ -13,11 +12,10 @@
 
 // Times of the duties.
 const (
-	tickEvery        = 5 * time.Millisecond
-	idleTickEvery    = 100 * time.Millisecond
-	heartbeatTimeout = 450 * time.Millisecond
-	hostListEvery    = 2 * time.Second
-	noteEvery        = time.Second
+	tickEvery     = 5 * time.Millisecond
+	idleTickEvery = 100 * time.Millisecond
+	hostListEvery = 2 * time.Second
+	noteEvery     = time.Second
 )
 
 func (h *Host) startDuties(d *duty.Set) {
@@ -61,41 +59,17 @@
 		h.hints.Push(hint{})
 	}
 	h.explainMembership()
-	request := h.heartbeatRequest(h.table.Outgoing(h.now()))
-	var group sync.WaitGroup
-	for _, address := range recipients {
-		group.Go(func() { h.heartbeat(ctx, address, request) })
-	}
-	group.Wait()
+	h.beats.Round(ctx, recipients)
 }
 
 func (h *Host) heartbeatRequest(news host.News) *inner.HeartbeatRequest {
-	return &inner.HeartbeatRequest{Sender: h.Name(), Members: inner.ToMembers(news.Members), Pulses: inner.ToPulses(news.Pulses), Quarantines: h.offenders()}
-}
-
-// heartbeat exchanges members with one peer, and sends in full what the peer could not place.
-func (h *Host) heartbeat(ctx context.Context, address string, request *inner.HeartbeatRequest) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	peer := h.client.Peer(ctx, address)
-	reply, err := peer.Heartbeat(ctx, request)
-	if err != nil {
-		h.table.Failed(h.now(), address)
-		return
-	}
-	h.takeReply(reply)
-	if len(reply.Unknown) == 0 {
-		return
-	}
-	if reply, err = peer.Heartbeat(ctx, h.heartbeatRequest(h.table.Full(inner.FromIDs(reply.Unknown)))); err == nil {
-		h.takeReply(reply)
-	}
+	request := inner.Request(h.Name(), news)
+	request.Quarantines = h.offenders()
+	return request
 }
 
 func (h *Host) takeReply(reply *inner.HeartbeatReply) {
-	news := host.News{Members: inner.FromMembers(reply.Members), Pulses: inner.FromPulses(reply.Pulses)}
-	h.table.Merge(h.now(), reply.Sender, news)
-	h.heard(reply.Sender, news.Members, reply.Quarantines)
+	h.heard(reply.Sender, inner.FromMembers(reply.Members), reply.Quarantines)
 }
 
 // heard takes in the rest of what a peer sent, and asks for its note when that is newer.
@@ -104,7 +78,7 @@
 	h.peersRead.Store(true)
 	for _, m := range members {
 		if m.Name == sender && m.Note > h.chain.Number() {
-			h.hints.Push(hint{m.Inner})
+			h.hints.Push(hint{m.Inner, m.Note})
 		}
 	}
 	if h.chain.Number() > 0 && !h.table.Self().Ready {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -65,6 +65,7 @@
 	inForce     atomic.Int64
 	archive     *note.Archive
 	table       *host.Table
+	beats       *inner.Heartbeats
 	steering    *steering.Steering
 	claims      *claim.Table
 	sealed      *claim.Sealed
@@ -96,7 +97,11 @@
 }
 
 // hint says where a newer note can be fetched; an empty address means the store.
-type hint struct{ inner string }
+type hint struct {
+	inner string
+	// note is the number of the note that the peer has.
+	note int
+}
 
 // New opens the listeners and returns a host and the function that closes it; errors are ErrListen or certificate.ErrFile.
 func New(c Config) (*Host, func(), error) {
@@ -170,6 +175,7 @@
 		},
 		Seeds: s.Peers.Seeds, PerDomain: peersInDomain, Random: rand.New(rand.NewPCG(h.incarnation, 2)),
 	})
+	h.beats = &inner.Heartbeats{Table: h.table, Client: h.client, Now: h.now, Request: h.heartbeatRequest, Heard: h.takeReply}
 	h.front = h.newServer()
 	return func() {
 		closeSteering()
--- a/internal/entry/notes.go
+++ b/internal/entry/notes.go
@@ -13,11 +13,8 @@
 	"briarcroft/internal/record"
 )
 
-// Counts and times of the spreading of notes.
-const (
-	watchersPerDomain = 2
-	fetchTimeout      = 2 * time.Second
-)
+// watchersPerDomain is how many hosts of a failure domain read the store for the others.
+const watchersPerDomain = 2
 
 // noteDuty brings newer notes in force: on a peer's hint, and from the store where this host is a watcher.
 func (h *Host) noteDuty(ctx context.Context) {
@@ -27,6 +24,8 @@
 		hint, hinted := h.hints.Pop(wait)
 		cancel()
 		switch {
+		case hinted && hint.inner != "" && hint.note <= h.chain.Number():
+			// Another peer was quicker.
 		case hinted && hint.inner != "":
 			h.fetch(ctx, hint.inner)
 		case hinted, h.isWatcher(), !h.table.Self().Ready:
@@ -64,10 +63,8 @@
 
 // fetch reads newer notes from a peer.
 func (h *Host) fetch(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
 	before := h.chain.Number()
-	reply, err := h.client.Peer(ctx, address).FetchNotes(ctx, &inner.FetchNotesRequest{Above: int64(before)})
+	reply, err := h.client.Notes(ctx, address, before)
 	if err != nil {
 		return
 	}
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"briarcroft/internal/claim"
-	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
 	"briarcroft/internal/steering"
 )
@@ -30,13 +29,10 @@
 // Heartbeat implements inner.DRPCPeerServer.
 func (p *peerServer) Heartbeat(_ context.Context, r *inner.HeartbeatRequest) (*inner.HeartbeatReply, error) {
 	h := p.host
-	news := host.News{Members: inner.FromMembers(r.Members), Pulses: inner.FromPulses(r.Pulses)}
-	answer := h.table.Answer(h.now(), r.Sender, news)
-	h.heard(r.Sender, news.Members, r.Quarantines)
-	return &inner.HeartbeatReply{
-		Sender: h.Name(), Members: inner.ToMembers(answer.Members), Pulses: inner.ToPulses(answer.Pulses), Unknown: inner.ToIDs(answer.Unknown),
-		Quarantines: h.offenders(),
-	}, nil
+	h.heard(r.Sender, inner.FromMembers(r.Members), r.Quarantines)
+	reply := inner.Answer(h.table, h.now(), r)
+	reply.Quarantines = h.offenders()
+	return reply, nil
 }
 
 // Counts implements inner.DRPCPeerServer.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,6 +94,7 @@
 	chain       *note.Chain
 	roster      *roster.Roster
 	table       *host.Table
+	beats       *inner.Heartbeats
 	client      *inner.Client
 	kick        *ring.Ring[struct{}]
 	homes       *homes
@@ -143,6 +144,9 @@
 		},
 		Seeds: c.Settings.Peers.Seeds, PerDomain: peersInDomain, Random: rand.New(rand.NewPCG(g.incarnation, 2)),
 	})
+	g.beats = &inner.Heartbeats{Table: g.table, Client: g.client, Now: g.now, Request: func(n host.News) *inner.HeartbeatRequest {
+		return inner.Request(c.Settings.Host.Name, n)
+	}}
 	var endAll context.CancelFunc
 	g.background, endAll = context.WithCancel(context.Background())
 	g.rules.Store(&ruleIndex{})
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"time"
 
 	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
@@ -14,9 +13,6 @@
 	"briarcroft/internal/ring"
 )
 
-// heartbeatTimeout is how long a peer may take to answer a heartbeat.
-const heartbeatTimeout = 450 * time.Millisecond
-
 // peerServer answers peers.
 type peerServer struct {
 	// Notes and claims travel between hosts of the other kind only.
@@ -34,11 +30,7 @@
 
 // Heartbeat implements inner.DRPCPeerServer.
 func (p *peerServer) Heartbeat(_ context.Context, r *inner.HeartbeatRequest) (*inner.HeartbeatReply, error) {
-	g := p.gateway
-	answer := g.table.Answer(g.now(), r.Sender, host.News{Members: inner.FromMembers(r.Members), Pulses: inner.FromPulses(r.Pulses)})
-	return &inner.HeartbeatReply{
-		Sender: g.settings.Host.Name, Members: inner.ToMembers(answer.Members), Pulses: inner.ToPulses(answer.Pulses), Unknown: inner.ToIDs(answer.Unknown),
-	}, nil
+	return inner.Answer(p.gateway.table, p.gateway.now(), r), nil
 }
 
 // Place implements inner.DRPCPeerServer: it decides for the host at the other end.
@@ -195,12 +187,7 @@
 		g.refreshReady()
 	}
 	g.explainMembership()
-	request := heartbeat(g.settings.Host.Name, g.table.Outgoing(g.now()))
-	var group sync.WaitGroup
-	for _, address := range g.withNeighbours(recipients) {
-		group.Go(func() { g.beatOne(ctx, address, request) })
-	}
-	group.Wait()
+	g.beats.Round(ctx, g.withNeighbours(recipients))
 }
 
 // withNeighbours adds the hosts that the store names while no peer is known.
@@ -216,34 +203,6 @@
 	return recipients
 }
 
-func heartbeat(name string, n host.News) *inner.HeartbeatRequest {
-	return &inner.HeartbeatRequest{Sender: name, Members: inner.ToMembers(n.Members), Pulses: inner.ToPulses(n.Pulses)}
-}
-
-// beatOne exchanges members with one peer, and sends in full what the peer could not place.
-func (g *Gateway) beatOne(ctx context.Context, address string, request *inner.HeartbeatRequest) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	peer := g.client.Peer(ctx, address)
-	reply, err := peer.Heartbeat(ctx, request)
-	if err != nil {
-		g.table.Failed(g.now(), address)
-		return
-	}
-	g.takeReply(reply)
-	if len(reply.Unknown) == 0 {
-		return
-	}
-	full := heartbeat(g.settings.Host.Name, g.table.Full(inner.FromIDs(reply.Unknown)))
-	if reply, err = peer.Heartbeat(ctx, full); err == nil {
-		g.takeReply(reply)
-	}
-}
-
-func (g *Gateway) takeReply(reply *inner.HeartbeatReply) {
-	g.table.Merge(g.now(), reply.Sender, host.News{Members: inner.FromMembers(reply.Members), Pulses: inner.FromPulses(reply.Pulses)})
-}
-
 // explainMembership writes a record for each change of the membership.
 func (g *Gateway) explainMembership() {
 	for _, e := range g.table.TakeEvents() {
--- a/internal/inner/client.go
+++ b/internal/inner/client.go
@@ -62,6 +62,45 @@
 	return NewDRPCPeerClient(c.pool.Get(ctx, address, c.dial))
 }
 
+// ask makes a short call. When the peer stays silent for a while, it is asked once more on a new connection: an open one may lose
+// everything in one direction without an error.
+func ask[R any](ctx context.Context, c *Client, address string, silence time.Duration, call func(context.Context, DRPCPeerClient) (R, error)) (R, error) {
+	first, cancel := context.WithTimeout(ctx, silence)
+	reply, err := call(first, c.Peer(first, address))
+	silent := first.Err() != nil
+	cancel()
+	if err == nil || !silent || ctx.Err() != nil {
+		return reply, err
+	}
+	c.forget(address)
+	return call(ctx, c.Peer(ctx, address))
+}
+
+// forget closes the idle connections to a peer.
+func (c *Client) forget(address string) {
+	for conn, found := c.pool.Take(address); found; conn, found = c.pool.Take(address) {
+		// The connection is given up; what its end says changes nothing.
+		_ = conn.Close()
+	}
+}
+
+// Times of fetching notes.
+const (
+	// fetchTimeout is how long a fetch may take in all, enough for a large snapshot on a slow line.
+	fetchTimeout = 2 * time.Second
+	// fetchSilence is how long one may go unanswered before it is tried again on a new connection.
+	fetchSilence = fetchTimeout / 4
+)
+
+// Notes fetches what a peer knows above a note.
+func (c *Client) Notes(ctx context.Context, address string, above int) (*FetchNotesReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	return ask(ctx, c, address, fetchSilence, func(ctx context.Context, peer DRPCPeerClient) (*FetchNotesReply, error) {
+		return peer.FetchNotes(ctx, &FetchNotesRequest{Above: int64(above)})
+	})
+}
+
 // BytesSent returns the bytes sent to all peers so far.
 func (c *Client) BytesSent() int64 { return c.sent.Load() }
 
--- /dev/null
+++ b/internal/inner/heartbeat.go
@@ -0,0 +1,82 @@
+package inner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"briarcroft/internal/host"
+)
+
+// Times of a heartbeat.
+const (
+	// heartbeatTimeout is how long one may take in all, a little less than the time between two rounds.
+	heartbeatTimeout = host.BeatEvery - 50*time.Millisecond
+	// heartbeatSilence is how long one may go unanswered before it goes out again on a new connection.
+	heartbeatSilence = heartbeatTimeout / 2
+)
+
+// Heartbeats exchanges what a host knows of the members with its peers.
+type Heartbeats struct {
+	Table  *host.Table
+	Client *Client
+	// Now returns the time since the host's start.
+	Now func() time.Duration
+	// Request makes the message that tells news.
+	Request func(host.News) *HeartbeatRequest
+	// Heard takes in a reply, whose members are in the table already; nil means that only members are exchanged.
+	Heard func(*HeartbeatReply)
+}
+
+// Round exchanges heartbeats with the peers at some inner addresses and returns when each has answered or failed.
+func (b *Heartbeats) Round(ctx context.Context, addresses []string) {
+	request := b.Request(b.Table.Outgoing(b.Now()))
+	var group sync.WaitGroup
+	for _, address := range addresses {
+		group.Go(func() { b.exchange(ctx, address, request) })
+	}
+	group.Wait()
+}
+
+// exchange exchanges members with one peer, and sends in full what the peer could not place.
+func (b *Heartbeats) exchange(ctx context.Context, address string, request *HeartbeatRequest) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	send := func(ctx context.Context, peer DRPCPeerClient) (*HeartbeatReply, error) {
+		return peer.Heartbeat(ctx, request)
+	}
+	reply, err := ask(ctx, b.Client, address, heartbeatSilence, send)
+	if err != nil {
+		b.Table.Failed(b.Now(), address)
+		return
+	}
+	b.take(reply)
+	if len(reply.Unknown) == 0 {
+		return
+	}
+	request = b.Request(b.Table.Full(FromIDs(reply.Unknown)))
+	// Without an answer the next round asks again.
+	if reply, err = ask(ctx, b.Client, address, heartbeatSilence, send); err == nil {
+		b.take(reply)
+	}
+}
+
+func (b *Heartbeats) take(reply *HeartbeatReply) {
+	b.Table.Merge(b.Now(), reply.Sender, host.News{Members: FromMembers(reply.Members), Pulses: FromPulses(reply.Pulses)})
+	if b.Heard != nil {
+		b.Heard(reply)
+	}
+}
+
+// Answer takes in a peer's heartbeat and returns what that peer does not know.
+func Answer(table *host.Table, now time.Duration, r *HeartbeatRequest) *HeartbeatReply {
+	answer := table.Answer(now, r.Sender, host.News{Members: FromMembers(r.Members), Pulses: FromPulses(r.Pulses)})
+	return &HeartbeatReply{
+		Sender: table.Self().Name, Members: ToMembers(answer.Members), Pulses: ToPulses(answer.Pulses), Unknown: ToIDs(answer.Unknown),
+	}
+}
+
+// Request makes the message of a heartbeat.
+func Request(sender string, news host.News) *HeartbeatRequest {
+	return &HeartbeatRequest{Sender: sender, Members: ToMembers(news.Members), Pulses: ToPulses(news.Pulses)}
+}
