Leave more slots to requests that can still meet their goal

Change: late requests wait until 70 in 100 slots are free, 50 before. The model counts probes over the whole run, as it plays on until the last caller has its answer or gives up; it divided the probes of the whole run by the time in which requests come.

--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -111,7 +111,7 @@
 	player := start(s, p)
 	s.faults()
 	s.arrive(player)
-	s.run(l.Length + l.Patience)
+	s.run(s.length())
 	return s.total()
 }
 
@@ -186,6 +186,9 @@
 	j.ended = true
 }
 
+// length is how long a run takes: until the last caller has its answer or gives up.
+func (s *simulation) length() time.Duration { return s.load.Length + s.load.Patience }
+
 func (s *simulation) total() Result {
 	r := s.result
 	r.Lost = r.Asked - r.InGoal - r.Late - r.Refused
@@ -195,6 +198,6 @@
 	}
 	r.P50 = time.Duration(s.latencies.ValueAtQuantile(50)) * time.Microsecond
 	r.P99 = time.Duration(s.latencies.ValueAtQuantile(99)) * time.Microsecond
-	r.Probes = float64(s.probes) / float64(s.load.Targets) / s.load.Length.Seconds()
+	r.Probes = float64(s.probes) / float64(s.load.Targets) / s.length().Seconds()
 	return r
 }
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -26,7 +26,7 @@
 	// goalMargin is the part of the time to the goal that a run may be expected to take.
 	goalMargin = 1.15
 	// lateFree is the share of slots that late requests leave free for those that can still meet their goal.
-	lateFree = 0.5
+	lateFree = 0.7
 )
 
 // Config sets up a Home.
