--- a/internal/fixedseed/fixedseed.go
+++ b/internal/fixedseed/fixedseed.go
@@ -1,4 +1,4 @@
-// Package fixedseed gives property tests the same cases in every run.
+// Package fixedseed gives property tests the same cases in every run, unless -rapid.seed asks for others.
 package fixedseed
 
 import (
@@ -9,8 +9,10 @@
 // Main runs a package's tests and returns its exit code; call it from TestMain.
 func Main(m *testing.M) int {
 	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
+		if err := flag.Set(seed.Name, "1"); err != nil {
+			panic(err)
+		}
 	}
 	return m.Run()
 }
--- /dev/null
+++ b/internal/gateway/answers_test.go
@@ -0,0 +1,113 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// TestFailuresPassOn lets targets answer with failures of their own: callers get status, fields and body as they are.
+func TestFailuresPassOn(t *testing.T) {
+	for _, status := range []int{400, 404, 409, 500, 502} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			inFleet(t, 2, 2, func(f *fleet) {
+				for _, x := range f.targets {
+					x.set(func(t *target) { t.status = status })
+				}
+				for i, request := range []struct{ method, path string }{{http.MethodPost, "/order/1"}, {http.MethodGet, "/lookup/1"}} {
+					id := fmt.Sprintf("f%d", i)
+					r := f.call(f.other(), request.method, request.path, id)
+					f.is.NoErr(r.err)
+					f.is.Equal(r.status, status)
+					f.is.Equal(r.body, "answer to "+id)
+					f.is.Equal(r.header.Get("X-Response-Seal"), "seal."+id)
+					f.is.Equal(r.header.Get("X-Reason"), "out of stock")
+				}
+				f.is.Equal(f.runsOf("f0"), 1)
+			})
+		})
+	}
+}
+
+// TestOddRefusalIsNoPromise lets targets run a request and answer 503 without a seal or a word that it was not run: callers would
+// take that for a promise and send an unsafe request again.
+func TestOddRefusalIsNoPromise(t *testing.T) {
+	inFleet(t, 2, 2, func(f *fleet) {
+		for _, x := range f.targets {
+			x.set(func(t *target) { t.status, t.unsealed = 503, true })
+		}
+		r := f.call("h0", http.MethodPost, "/order/1", "odd")
+		f.is.NoErr(r.err)
+		f.is.Equal(f.runsOf("odd"), 1)
+		f.is.Equal(r.status, 502)
+	})
+}
+
+// TestTimeLeftIsSent lets one target lose its answers late: each target is told the time that is left, which is less for a second one.
+func TestTimeLeftIsSent(t *testing.T) {
+	inFleet(t, 2, 3, func(f *fleet) {
+		const lateAnswer = 200 * time.Millisecond
+		f.targets["t0"].set(func(t *target) { t.lose, t.work = true, lateAnswer })
+		seconds := 0
+		for i := range 30 {
+			id := fmt.Sprintf("l%d", i)
+			for _, x := range f.targets {
+				x.set(func(t *target) { t.limits = nil })
+			}
+			f.is.Equal(f.call("h0", http.MethodGet, "/lookup/1", id).status, 200)
+			second := f.arrivalsOf(id) == 2
+			for _, x := range f.targets {
+				x.set(func(t *target) {
+					for _, limit := range t.limits {
+						f.is.True(limit > 0 && limit <= time.Second)
+						if second && t.name != "t0" {
+							seconds++
+							f.is.True(limit <= time.Second-lateAnswer)
+						}
+					}
+				})
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		f.is.True(seconds > 0) // some request went to a second target
+	})
+}
+
+// TestAddressOfAnotherServer hands the address of one target to a server of another name: it runs nothing that was meant for the
+// first one, and callers don't notice.
+func TestAddressOfAnotherServer(t *testing.T) {
+	inFleet(t, 2, 3, func(f *fleet) {
+		f.targets["t0"].set(func(t *target) { t.name = "stranger" })
+		for i := range 40 {
+			id, method, path := fmt.Sprintf("a%d", i), http.MethodGet, "/lookup/1"
+			if i%2 == 0 {
+				method, path = http.MethodPost, "/order/1"
+			}
+			r := f.call(fmt.Sprintf("h%d", i%2), method, path, id)
+			f.is.Equal(r.status, 200)
+			f.is.Equal(f.runsOf(id), 1)
+			time.Sleep(20 * time.Millisecond)
+		}
+		f.targets["t0"].set(func(t *target) { f.is.Equal(len(t.runs), 0) })
+	})
+}
+
+// TestNewTargetGetsWork adds a target while requests come: it gets a part of them within the time of a configuration.
+func TestNewTargetGetsWork(t *testing.T) {
+	inFleet(t, 3, 2, func(f *fleet) {
+		send := func(from, count int) {
+			for i := range count {
+				f.is.Equal(f.call(fmt.Sprintf("h%d", i%3), http.MethodGet, "/lookup/1", fmt.Sprintf("n%d", from+i)).status, 200)
+			}
+		}
+		send(0, 20)
+		late := f.addTarget("late")
+		time.Sleep(2 * time.Second)
+		send(20, 40)
+		late.set(func(t *target) {
+			t.fleet.is.True(len(t.runs) >= 5) // its fair part of the 40 is 13
+		})
+	})
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -119,10 +119,19 @@
 	return r
 }
 
+// promisesNotRun reports whether callers take a status as the word that the request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // readAnswer reads an answer whole, or its beginning when it is too large to hold.
 func (x *exchange) readAnswer(ctx context.Context, r *result, response *http.Response) *result {
 	sealed := response.Header.Get(x.gateway.dialect.SealHeader) != ""
-	if response.StatusCode < http.StatusMultipleChoices && !sealed {
+	if !sealed && (response.StatusCode < http.StatusMultipleChoices || promisesNotRun(response.StatusCode)) {
 		_ = response.Body.Close()
 		r.outcome = placement.Broken
 		return r
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -173,8 +173,13 @@
 	// work is how long a request takes; lose drops the connection after the run, shed declines, cut shortens answers.
 	work            time.Duration
 	lose, shed, cut bool
-	pace            int
-	running         int
+	// status is what answers say, 200 for zero; limits collects the time limits that requests came with.
+	status int
+	// unsealed leaves the seal out.
+	unsealed bool
+	limits   []time.Duration
+	pace     int
+	running  int
 	// arrivals counts how often each attempt came, and runs how often it ran; cancelled counts runs whose connection closed early.
 	arrivals  map[string]int
 	runs      map[string]int
@@ -222,7 +227,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	limit, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
 	t.mu.Lock()
+	if err == nil {
+		t.limits = append(t.limits, time.Duration(limit)*time.Millisecond)
+	}
 	t.arrivals[id]++
 	shed := t.shed || t.running >= 6
 	if !shed {
@@ -230,7 +239,7 @@
 		t.runs[id]++
 		t.last = time.Now()
 	}
-	work, lose, cut := t.work, t.lose, t.cut
+	work, lose, cut, status, unsealed := t.work, t.lose, t.cut, t.status, t.unsealed
 	t.mu.Unlock()
 	if shed {
 		w.Header().Set("X-Not-Executed", "1")
@@ -249,13 +258,19 @@
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("X-Response-Seal", "seal."+id)
+	if !unsealed {
+		w.Header().Set("X-Response-Seal", "seal."+id)
+	}
 	body := "answer to " + id
 	if cut {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = io.WriteString(w, body[:3])
 		panic(http.ErrAbortHandler)
 	}
+	if status != 0 {
+		w.Header().Set("X-Reason", "out of stock")
+		w.WriteHeader(status)
+	}
 	_, _ = io.WriteString(w, body)
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -267,6 +267,16 @@
 				f.net.Part(name, home)
 			}
 		}},
+		{"connections to it silent", func(f *fleet, home string) {
+			for name := range f.hosts {
+				f.net.SilenceOneWay(name, home)
+			}
+		}},
+		{"connections from it silent", func(f *fleet, home string) {
+			for name := range f.hosts {
+				f.net.SilenceOneWay(home, name)
+			}
+		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
