Let stand-in homes probe in step with their requests

The probe budget of a home holds for one host; every host that decides alone or as the second choice began a budget of its own.

Change: only the home that all hosts ask first probes by time. A stand-in begins with one probe of each target and earns four more for each request that it decides on, so that all stand-ins together stay within the probes of one home.

--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -124,14 +124,13 @@
 	return placement.Budget{Ratio: ratioShare * s.Ratio, Window: s.Window}
 }
 
-// slack returns how many repeats beyond the ratio this host may decide on: many as the service's home, few otherwise.
-func (o *homes) slack(service string) float64 {
+// slack returns how many repeats beyond the ratio this host may decide on: many as the service's primary home, few otherwise.
+func (o *homes) slack(primary bool, hosts int) float64 {
 	total := float64(o.gateway.tunable.Load().Retries.Slack)
-	ranked := o.gateway.links.rank(service)
-	if len(ranked) > 0 && ranked[0].Name == o.gateway.settings.Host.Name {
+	if primary {
 		return homeSlackShare * total
 	}
-	return aloneSlackShare * total / float64(max(1, len(ranked)))
+	return aloneSlackShare * total / float64(max(1, hosts))
 }
 
 // adopt hands new targets to every decision.
@@ -160,10 +159,12 @@
 // ask offers a request of a session's host.
 func (o *homes) ask(service string, r *placement.Request) {
 	h := o.get(service)
-	slack := o.slack(service)
+	ranked := o.gateway.links.rank(service)
+	primary := len(ranked) > 0 && ranked[0].Name == o.gateway.settings.Host.Name
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.home.SetRetrySlack(slack)
+	h.home.SetPrimary(primary)
+	h.home.SetRetrySlack(o.slack(primary, len(ranked)))
 	h.home.Ask(o.gateway.now(), r)
 	h.sendProbes()
 	// The timers must run while requests wait.
--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -218,6 +218,7 @@
 		budget = placement.Budget{Window: modelWindow}
 	}
 	h.home = placement.New(placement.Config{Random: rand.New(rand.NewPCG(s.load.Seed, 9)), Budget: budget, Notify: h.notify})
+	h.home.SetPrimary(true)
 	var targets []placement.Target
 	for _, t := range s.servers {
 		targets = append(targets, placement.Target{Name: t.name, Address: t.name, Slots: s.load.Slots})
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -54,7 +54,10 @@
 	crowding float64
 	// busyAt is when a request last asked.
 	busyAt time.Duration
-	crash  crashes
+	// primary is set for the one home that all hosts ask first; probeCredit is how many probes another one may send now.
+	primary     bool
+	probeCredit float64
+	crash       crashes
 	// returns counts refusals, to spread the callers' return.
 	returns uint64
 }
@@ -87,6 +90,7 @@
 		next = append(next, t)
 		names[spec.Name] = t
 	}
+	h.probeCredit += float64(max(0, len(next)-len(h.targets)))
 	h.targets, h.byName = next, names
 	h.Dispatch(now)
 }
@@ -95,6 +99,7 @@
 func (h *Home) Ask(now time.Duration, r *Request) {
 	h.wake(now)
 	h.busyAt = now
+	h.earnProbes()
 	r.asked = now
 	if h.crash.quarantined(now, r.Fingerprint) {
 		h.refuse(now, r, ReasonQuarantined)
--- a/internal/placement/home_test.go
+++ b/internal/placement/home_test.go
@@ -387,3 +387,29 @@
 		}
 	})
 }
+
+// TestStandInsProbeLittle replays a fleet that has lost touch with a service's home: a hundred hosts decide alone, each on a
+// few requests. Together they must keep to the probes of one home, 20 a target and second.
+func TestStandInsProbeLittle(t *testing.T) {
+	is := is.New(t)
+	const hosts, targets, seconds, perHost = 100, 20, 10, 1
+	probes := 0
+	for range hosts {
+		d := newDesk(targets, plenty)
+		for tick := range seconds * 100 {
+			d.now += tickSlack
+			if tick%(100/perHost) == 0 {
+				d.ask(func(r *Request) { r.Goal, r.Deadline = d.now+time.Second, d.now+time.Second })
+			}
+			d.home.Tick(d.now)
+			for _, p := range d.home.Probes(d.now) {
+				probes++
+				d.home.Probed(d.now, p.Target, Healthy, &Load{Slots: 3, Pace: 1})
+			}
+		}
+	}
+	perTarget := float64(probes) / targets / seconds
+	t.Logf("%.1f probes a target and second", perTarget)
+	// One probe of each target by each host comes on top, when it begins.
+	is.True(perTarget <= 20+float64(hosts)/seconds)
+}
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -26,6 +26,9 @@
 	// probeRate is the most probes that one target gets a second in the long run, and probeBurst how many it may get at once.
 	probeRate  = 18.0
 	probeBurst = 10.0
+	// probesPerRequest is how many probes a stand-in may send for each request that it decides on, so that all stand-ins
+	// together stay within the probes of one home.
+	probesPerRequest = 4.0
 	// askedAtOnce is how many targets are probed for a request that finds nothing fresh.
 	askedAtOnce = 3
 )
@@ -74,15 +77,28 @@
 func (h *Home) Probes(now time.Duration) []Placed {
 	var due []Placed
 	for _, t := range h.targets {
+		if !h.primary && h.probeCredit < 1 {
+			break
+		}
 		if t.probe.pending || t.Leaving || !t.probe.wanted && !h.probeDue(now, t) || !t.probe.take(now) {
 			continue
 		}
+		h.probeCredit--
 		t.probe.asked, t.probe.pending, t.probe.wanted = now, true, false
 		due = append(due, Placed{Target: t.Name, Address: t.Address})
 	}
 	return due
 }
 
+// SetPrimary says whether this is the one home that all hosts ask first. Any other is a stand-in, of which many may be at
+// work when hosts lose touch with the home: it begins with one probe of each target and earns more by requests.
+func (h *Home) SetPrimary(primary bool) { h.primary = primary }
+
+// earnProbes gives a stand-in the probes for one more request.
+func (h *Home) earnProbes() {
+	h.probeCredit = min(h.probeCredit+probesPerRequest, 2*float64(len(h.targets)))
+}
+
 // probeDue reports whether it is time to look at a target again.
 func (h *Home) probeDue(now time.Duration, t *target) bool {
 	switch {
