--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"briarcroft/platform/standin"
 )
 
 // TestFailuresPassOn lets targets answer with failures of their own: callers get status, fields and body as they are.
@@ -14,7 +16,7 @@
 		t.Run(strconv.Itoa(status), func(t *testing.T) {
 			inFleet(t, 2, 2, func(f *fleet) {
 				for _, x := range f.targets {
-					x.set(func(t *target) { t.status = status })
+					x.Set(func(t *standin.Target) { t.Status = status })
 				}
 				for i, request := range []struct{ method, path string }{{http.MethodPost, "/order/1"}, {http.MethodGet, "/lookup/1"}} {
 					id := fmt.Sprintf("f%d", i)
@@ -36,7 +38,7 @@
 func TestOddRefusalIsNoPromise(t *testing.T) {
 	inFleet(t, 2, 2, func(f *fleet) {
 		for _, x := range f.targets {
-			x.set(func(t *target) { t.status, t.unsealed = 503, true })
+			x.Set(func(t *standin.Target) { t.Status, t.Unsealed = 503, true })
 		}
 		r := f.call("h0", http.MethodPost, "/order/1", "odd")
 		f.is.NoErr(r.err)
@@ -49,20 +51,20 @@
 func TestTimeLeftIsSent(t *testing.T) {
 	inFleet(t, 2, 3, func(f *fleet) {
 		const lateAnswer = 200 * time.Millisecond
-		f.targets["t0"].set(func(t *target) { t.lose, t.work = true, lateAnswer })
+		f.targets["t0"].Set(func(t *standin.Target) { t.Lose, t.Work = true, lateAnswer })
 		seconds := 0
 		for i := range 30 {
 			id := fmt.Sprintf("l%d", i)
 			for _, x := range f.targets {
-				x.set(func(t *target) { t.limits = nil })
+				x.Set(func(t *standin.Target) { t.Limits = nil })
 			}
 			f.is.Equal(f.call("h0", http.MethodGet, "/lookup/1", id).status, 200)
 			second := f.arrivalsOf(id) == 2
 			for _, x := range f.targets {
-				x.set(func(t *target) {
-					for _, limit := range t.limits {
+				x.Set(func(t *standin.Target) {
+					for _, limit := range t.Limits {
 						f.is.True(limit > 0 && limit <= time.Second)
-						if second && t.name != "t0" {
+						if second && t.Name != "t0" {
 							seconds++
 							f.is.True(limit <= time.Second-lateAnswer)
 						}
@@ -79,7 +81,7 @@
 // first one, and callers don't notice.
 func TestAddressOfAnotherServer(t *testing.T) {
 	inFleet(t, 2, 3, func(f *fleet) {
-		f.targets["t0"].set(func(t *target) { t.name = "stranger" })
+		f.targets["t0"].Set(func(t *standin.Target) { t.Name = "stranger" })
 		for i := range 40 {
 			id, method, path := fmt.Sprintf("a%d", i), http.MethodGet, "/lookup/1"
 			if i%2 == 0 {
@@ -90,7 +92,7 @@
 			f.is.Equal(f.runsOf(id), 1)
 			time.Sleep(20 * time.Millisecond)
 		}
-		f.targets["t0"].set(func(t *target) { f.is.Equal(len(t.runs), 0) })
+		f.targets["t0"].Set(func(t *standin.Target) { f.is.Equal(len(t.Runs), 0) })
 	})
 }
 
@@ -106,8 +108,8 @@
 		late := f.addTarget("late")
 		time.Sleep(2 * time.Second)
 		send(20, 40)
-		late.set(func(t *target) {
-			t.fleet.is.True(len(t.runs) >= 5) // its fair part of the 40 is 13
+		late.Set(func(t *standin.Target) {
+			f.is.True(len(t.Runs) >= 5) // its fair part of the 40 is 13
 		})
 	})
 }
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -31,7 +30,7 @@
 	net     *fakenet.Network
 	store   *standin.Store
 	hosts   map[string]*node
-	targets map[string]*target
+	targets map[string]*standin.Target
 	servers []*http.Server
 	running sync.WaitGroup
 	// closers end what gateways hold.
@@ -53,7 +52,7 @@
 // inFleet runs a test in virtual time with a store, its configuration, some targets of one service and some gateways.
 func inFleet(t *testing.T, hosts, targets int, run func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{is: is.New(t), net: fakenet.New(), store: standin.New(), hosts: map[string]*node{}, targets: map[string]*target{}}
+		f := &fleet{is: is.New(t), net: fakenet.New(), store: standin.New(), hosts: map[string]*node{}, targets: map[string]*standin.Target{}}
 		defer f.close()
 		f.configure(1, safeRule("lookup", "/lookup/"), unsafeRule("order", "/order/"))
 		for i := range targets {
@@ -164,117 +163,18 @@
 	n.done <- nil
 }
 
-// target is a backend server of the platform.
-type target struct {
-	name    string
-	fleet   *fleet
-	address string
-	mu      sync.Mutex
-	// work is how long a request takes; lose drops the connection after the run, shed declines, cut shortens answers.
-	work            time.Duration
-	lose, shed, cut bool
-	// status is what answers say, 200 for zero; limits collects the time limits that requests came with.
-	status int
-	// unsealed leaves the seal out.
-	unsealed bool
-	limits   []time.Duration
-	pace     int
-	running  int
-	// arrivals counts how often each attempt came, and runs how often it ran; cancelled counts runs whose connection closed early.
-	arrivals  map[string]int
-	runs      map[string]int
-	cancelled int
-	// probes counts the health probes that came.
-	probes int
-	last   time.Time
-}
-
-func (f *fleet) addTarget(name string) *target {
-	t := &target{name: name, fleet: f, work: 50 * time.Millisecond, pace: 100, runs: map[string]int{}, arrivals: map[string]int{}}
-	t.address = f.serve(name, "", t)
+// addTarget starts a backend server and registers it.
+func (f *fleet) addTarget(name string) *standin.Target {
+	t := standin.NewTarget(name)
+	t.Address = f.serve(name, "", t)
 	f.targets[name] = t
-	t.register("ready")
+	f.register(t, "ready")
 	return t
 }
 
-// register writes the target's entry.
-func (t *target) register(state string) {
-	value, err := json.Marshal(map[string]any{
-		"service": "stock", "address": t.address, "zone": "a", "version": "v1", "slots": 3, "state": state, "warmup-left-ms": 0, "sequence": 1, "born": 1700000000000,
-	})
-	t.fleet.is.NoErr(err)
-	t.fleet.store.Put("servers/"+t.name, value)
-}
-
-// set changes how the target behaves.
-func (t *target) set(change func(*target)) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	change(t)
-}
-
-// ServeHTTP implements http.Handler.
-func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	t.mu.Lock()
-	load := fmt.Sprintf("%d,0,3,%d", t.running, t.pace)
-	t.mu.Unlock()
-	w.Header().Set("X-Server-Load", load)
-	w.Header().Set("X-Instance-Id", t.name)
-	if r.URL.Path == "/health" {
-		t.set(func(t *target) { t.probes++ })
-		return
-	}
-	id := r.Header.Get("X-Attempt-Id")
-	w.Header().Set("X-Attempt-Id", id)
-	if r.Header.Get("X-Expect-Instance") != t.name {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	limit, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
-	t.mu.Lock()
-	if err == nil {
-		t.limits = append(t.limits, time.Duration(limit)*time.Millisecond)
-	}
-	t.arrivals[id]++
-	shed := t.shed || t.running >= 6
-	if !shed {
-		t.running++
-		t.runs[id]++
-		t.last = time.Now()
-	}
-	work, lose, cut, status, unsealed := t.work, t.lose, t.cut, t.status, t.unsealed
-	t.mu.Unlock()
-	if shed {
-		w.Header().Set("X-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	defer t.set(func(t *target) { t.running-- })
-	timer := time.NewTimer(work)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-r.Context().Done():
-		t.set(func(t *target) { t.cancelled++ })
-		return
-	}
-	if lose {
-		panic(http.ErrAbortHandler)
-	}
-	if !unsealed {
-		w.Header().Set("X-Response-Seal", "seal."+id)
-	}
-	body := "answer to " + id
-	if cut {
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		_, _ = io.WriteString(w, body[:3])
-		panic(http.ErrAbortHandler)
-	}
-	if status != 0 {
-		w.Header().Set("X-Reason", "out of stock")
-		w.WriteHeader(status)
-	}
-	_, _ = io.WriteString(w, body)
+// register writes a target's entry.
+func (f *fleet) register(t *standin.Target, state string) {
+	f.store.Put("servers/"+t.Name, t.Entry("stock", state))
 }
 
 // reply is what a caller got.
@@ -311,9 +211,7 @@
 func (f *fleet) runsOf(id string) int {
 	sum := 0
 	for _, t := range f.targets {
-		t.mu.Lock()
-		sum += t.runs[id]
-		t.mu.Unlock()
+		sum += t.RunsOf(id)
 	}
 	return sum
 }
@@ -322,9 +220,7 @@
 func (f *fleet) arrivalsOf(id string) int {
 	sum := 0
 	for _, t := range f.targets {
-		t.mu.Lock()
-		sum += t.arrivals[id]
-		t.mu.Unlock()
+		sum += t.ArrivalsOf(id)
 	}
 	return sum
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"briarcroft/internal/host"
+	"briarcroft/platform/standin"
 )
 
 // home returns the name of the host that is home to the service.
@@ -93,18 +94,18 @@
 func TestUnsafeRunsAtMostOnce(t *testing.T) {
 	cases := []struct {
 		name   string
-		change func(*target)
+		change func(*standin.Target)
 	}{
-		{"answer lost", func(t *target) { t.lose = true }},
-		{"target sheds", func(t *target) { t.shed = true }},
-		{"answer cut", func(t *target) { t.cut = true }},
-		{"too slow", func(t *target) { t.work = 2 * time.Second }},
+		{"answer lost", func(t *standin.Target) { t.Lose = true }},
+		{"target sheds", func(t *standin.Target) { t.Shed = true }},
+		{"answer cut", func(t *standin.Target) { t.Cut = true }},
+		{"too slow", func(t *standin.Target) { t.Work = 2 * time.Second }},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			inFleet(t, 3, 4, func(f *fleet) {
 				for _, name := range []string{"t0", "t1", "t2"} {
-					f.targets[name].set(c.change)
+					f.targets[name].Set(c.change)
 				}
 				for i := range 30 {
 					id := fmt.Sprintf("o%d", i)
@@ -126,16 +127,16 @@
 func TestSafeIsTriedAgain(t *testing.T) {
 	cases := []struct {
 		name   string
-		change func(*target)
+		change func(*standin.Target)
 	}{
-		{"answer lost", func(t *target) { t.lose = true }},
-		{"answer cut", func(t *target) { t.cut = true }},
-		{"target sheds", func(t *target) { t.shed = true }},
+		{"answer lost", func(t *standin.Target) { t.Lose = true }},
+		{"answer cut", func(t *standin.Target) { t.Cut = true }},
+		{"target sheds", func(t *standin.Target) { t.Shed = true }},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			inFleet(t, 2, 4, func(f *fleet) {
-				f.targets["t0"].set(c.change)
+				f.targets["t0"].Set(c.change)
 				for i := range 20 {
 					id := fmt.Sprintf("s%d", i)
 					r := f.call("h0", http.MethodGet, "/lookup/1", id)
@@ -153,7 +154,7 @@
 func TestRepeatsStayWithinBudget(t *testing.T) {
 	inFleet(t, 4, 6, func(f *fleet) {
 		for _, x := range f.targets {
-			x.set(func(t *target) { t.shed = true })
+			x.Set(func(t *standin.Target) { t.Shed = true })
 		}
 		const requests = 200
 		repeats := 0
@@ -207,7 +208,7 @@
 // TestLeavingTargetGetsNothing reports one target as draining and removes another's entry.
 func TestLeavingTargetGetsNothing(t *testing.T) {
 	inFleet(t, 3, 4, func(f *fleet) {
-		f.targets["t0"].register("draining")
+		f.register(f.targets["t0"], "draining")
 		f.store.Delete("servers/t1")
 		left := time.Now()
 		for i := range 60 {
@@ -215,7 +216,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 		for _, name := range []string{"t0", "t1"} {
-			f.targets[name].set(func(t *target) { f.is.True(t.last.Before(left.Add(time.Second))) })
+			f.targets[name].Set(func(t *standin.Target) { f.is.True(t.Last.Before(left.Add(time.Second))) })
 		}
 	})
 }
@@ -232,12 +233,12 @@
 		f.store.SetFaults("", standinHealthy)
 		time.Sleep(1200 * time.Millisecond)
 		f.is.Equal(f.call("h1", http.MethodGet, "/lookup/1", "back").status, 200)
-		f.targets["t1"].register("ready")
+		f.register(f.targets["t1"], "ready")
 		time.Sleep(4 * time.Second)
 		for i := range 10 {
 			f.is.Equal(f.call("h2", http.MethodGet, "/lookup/1", fmt.Sprintf("g%d", i)).status, 200)
 		}
-		f.targets["t0"].set(func(t *target) { f.is.True(time.Since(t.last) > 2*time.Second) })
+		f.targets["t0"].Set(func(t *standin.Target) { f.is.True(time.Since(t.Last) > 2*time.Second) })
 	})
 }
 
@@ -311,7 +312,7 @@
 // TestGracefulStopCutsNothing stops each host in turn while callers go on.
 func TestGracefulStopCutsNothing(t *testing.T) {
 	inFleet(t, 3, 3, func(f *fleet) {
-		f.targets["t0"].set(func(t *target) { t.work = 300 * time.Millisecond })
+		f.targets["t0"].Set(func(t *standin.Target) { t.Work = 300 * time.Millisecond })
 		for name := range f.hosts {
 			var group sync.WaitGroup
 			for i := range 10 {
@@ -336,7 +337,7 @@
 func TestCallerLeaves(t *testing.T) {
 	inFleet(t, 2, 2, func(f *fleet) {
 		for _, x := range f.targets {
-			x.set(func(t *target) { t.work = 900 * time.Millisecond })
+			x.Set(func(t *standin.Target) { t.Work = 900 * time.Millisecond })
 		}
 		for _, path := range []string{"GET /lookup/1", "POST /order/1"} {
 			conn, err := f.net.Dialer("caller")(context.Background(), "tcp", f.hosts["h0"].front)
@@ -349,7 +350,7 @@
 		time.Sleep(500 * time.Millisecond)
 		cancelled, running := 0, 0
 		for _, x := range f.targets {
-			x.set(func(t *target) { cancelled += t.cancelled; running += t.running })
+			x.Set(func(t *standin.Target) { cancelled += t.Cancelled; running += t.Running })
 		}
 		f.is.Equal(cancelled, 1)
 		f.is.Equal(running, 1)
--- a/internal/gateway/promises_test.go
+++ b/internal/gateway/promises_test.go
@@ -252,7 +252,7 @@
 }
 
 // disturb makes a target or the store misbehave for a while.
-func (x *trial) disturb(f fault, host string, server *target) {
+func (x *trial) disturb(f fault, host string, server *standin.Target) {
 	faults := map[string]standin.Faults{
 		"StoreRefuses": {Status: 503}, "StoreRefusesOne": {Status: 503}, "StoreSilent": {Silent: true}, "StoreSlow": {Delay: 700 * time.Millisecond},
 	}
@@ -266,18 +266,18 @@
 		return
 	}
 	change := func(on bool) {
-		server.set(func(t *target) {
+		server.Set(func(t *standin.Target) {
 			switch f.Kind {
 			case "TargetLosesAnswers":
-				t.lose = on
+				t.Lose = on
 			case "TargetCutsAnswers":
-				t.cut = on
+				t.Cut = on
 			case "TargetSheds":
-				t.shed = on
+				t.Shed = on
 			case "TargetSlow":
-				t.work = 50 * time.Millisecond
+				t.Work = 50 * time.Millisecond
 				if on {
-					t.work = 600 * time.Millisecond
+					t.Work = 600 * time.Millisecond
 				}
 			}
 		})
@@ -317,19 +317,19 @@
 }
 
 // leave makes a target leave, and return when the others may have noticed.
-func (x *trial) leave(f fault, server *target) {
-	server.register("draining")
+func (x *trial) leave(f fault, server *standin.Target) {
+	x.register(server, "draining")
 	time.Sleep(drainBound)
 	from := time.Now()
 	time.Sleep(f.For)
 	if !x.plan.has(storeFaults...) && !x.plan.has(hostFaults...) && !x.againLeft(f) {
-		server.set(func(t *target) {
-			if t.last.After(from) {
-				x.violate("%s got new work %v after it began to leave", t.name, drainBound+t.last.Sub(from))
+		server.Set(func(t *standin.Target) {
+			if t.Last.After(from) {
+				x.violate("%s got new work %v after it began to leave", t.Name, drainBound+t.Last.Sub(from))
 			}
 		})
 	}
-	server.register("ready")
+	x.register(server, "ready")
 }
 
 // againLeft reports whether another fault of the plan makes the same target leave, and come back in between.
