Soak real processes under random faults

Only SIGINT ends a graceful stop now (TestRepeatedSigtermCutsNothing failed first).

Hosts can announce another address to their peers than they listen on ([Host] Announced), which relays need, as do hosts whose addresses are translated.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 RED := $(shell sed -n 's/^Test: *\([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | sort -u | paste -sd'|' -)
 SKIP := $(if $(RED),-skip '^($(RED))$$',)
 
-.PHONY: run build test lint bench bounds red soak
+.PHONY: run build test lint bench bounds red soak soak-processes
 
 run: build
 	./briarcroft demo
@@ -34,3 +34,9 @@
 
 soak:
 	BRIARCROFT_SOAK=$(REQUESTS) BRIARCROFT_SEED=$(SEED) go test ./internal/entry -run AtMostOnceSoak -count 1 -v -timeout 80m
+
+# Real processes under random faults: make soak-processes SEED=1 SEEDS=50 SECONDS=8
+SEEDS ?= 50
+SECONDS ?= 8
+soak-processes:
+	SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=$(SECONDS) go test ./soak -run TestSoak -count 1 -v -timeout 80m
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -138,7 +138,7 @@
 	return zerolog.New(r.err).Level(parsed).With().Timestamp().Logger()
 }
 
-// signals returns a context that ends at the first interrupt or termination signal, and one that ends at the second.
+// signals returns a context that ends at the first interrupt or termination signal, and one that ends at an interrupt after that.
 func signals() (stop, force context.Context, release func()) {
 	stop, releaseStop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	force, cancelForce := context.WithCancel(context.Background())
@@ -150,7 +150,8 @@
 		case <-force.Done():
 			return
 		}
-		second, releaseSecond := signal.NotifyContext(force, syscall.SIGINT, syscall.SIGTERM)
+		// A supervisor may repeat SIGTERM; only a person who interrupts a second time wants to cut what is under way.
+		second, releaseSecond := signal.NotifyContext(force, syscall.SIGINT)
 		defer releaseSecond()
 		<-second.Done()
 		cancelForce()
--- /dev/null
+++ b/internal/command/signals_test.go
@@ -0,0 +1,28 @@
+package command
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestRepeatedSigtermCutsNothing sends SIGTERM again and again, as some supervisors do: only a second SIGINT ends a graceful stop.
+func TestRepeatedSigtermCutsNothing(t *testing.T) {
+	is := is.New(t)
+	stop, force, release := signals()
+	defer release()
+	send := func(s syscall.Signal) { is.NoErr(syscall.Kill(syscall.Getpid(), s)) }
+	send(syscall.SIGTERM)
+	<-stop.Done()
+	for range 20 {
+		send(syscall.SIGTERM)
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.NoErr(force.Err())
+	for force.Err() == nil {
+		send(syscall.SIGINT)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -168,9 +168,13 @@
 	h.budget = meter.NewBudget(meter.BudgetConfig{
 		ProbesPerSec: s.Budget.ProbesPerSec, BytesPerSec: s.Budget.BytesPerSec, CoreShare: s.Budget.CoreShare, Epoch: h.start,
 	})
+	announced := s.Host.Announced
+	if announced == "" {
+		announced = h.inner.Addr().String()
+	}
 	h.table = host.New(host.Config{
 		Self: host.Member{
-			Name: s.Host.Name, Listen: h.listener.Addr().String(), Inner: h.inner.Addr().String(),
+			Name: s.Host.Name, Listen: h.listener.Addr().String(), Inner: announced,
 			Domain: s.Host.Domain, Region: s.Host.Region, Incarnation: h.incarnation,
 		},
 		Seeds: s.Peers.Seeds, PerDomain: peersInDomain, Random: rand.New(rand.NewPCG(h.incarnation, 2)),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,7 +139,7 @@
 	g.client, closeClient = inner.NewClient(inner.ClientConfig{Dial: c.Dial})
 	g.table = host.New(host.Config{
 		Self: host.Member{
-			Name: c.Settings.Host.Name, Listen: c.Settings.Host.Listen, Inner: c.Settings.Host.Inner,
+			Name: c.Settings.Host.Name, Listen: c.Settings.Host.Listen, Inner: c.Settings.Host.PeerAddress(),
 			Domain: c.Settings.Host.Domain, Region: c.Settings.Host.Region, Incarnation: g.incarnation,
 		},
 		Seeds: c.Settings.Peers.Seeds, PerDomain: peersInDomain, Random: rand.New(rand.NewPCG(g.incarnation, 2)),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -196,7 +196,7 @@
 		return recipients
 	}
 	for _, address := range g.roster.View().Neighbours {
-		if address != g.settings.Host.Inner {
+		if address != g.settings.Host.PeerAddress() {
 			recipients = append(recipients, address)
 		}
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -173,11 +173,11 @@
 // register leaves the own address in the store, for hosts that know no peer.
 func (g *Gateway) register(ctx context.Context) error {
 	key := g.dialect.NeighbourKey(g.settings.Host.Name)
-	if g.roster.View().Neighbours[key] == g.settings.Host.Inner {
+	if g.roster.View().Neighbours[key] == g.settings.Host.PeerAddress() {
 		return nil
 	}
 	g.stats.storeCalls.Add(1)
-	return g.config.Feed.Write(ctx, []platform.Entry{{Key: key, Value: []byte(g.settings.Host.Inner)}}, nil)
+	return g.config.Feed.Write(ctx, []platform.Entry{{Key: key, Value: []byte(g.settings.Host.PeerAddress())}}, nil)
 }
 
 // returned notes the end of an outage of the store, here and for the followers.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,12 +25,22 @@
 	Region string
 	Listen string `required:"true"`
 	Inner  string `required:"true"`
+	// Announced is where peers connect to, when that is not Inner: behind a translated address, for one.
+	Announced string
 	// Ready, Directory and Metrics are addresses of the host's own pages, for hosts whose requests are placed by homes.
 	Ready     string
 	Directory string
 	Metrics   string
 }
 
+// PeerAddress returns the address that peers are told.
+func (h Host) PeerAddress() string {
+	if h.Announced != "" {
+		return h.Announced
+	}
+	return h.Inner
+}
+
 // Platform locates the platform's key-value service and host list.
 type Platform struct {
 	Store    string `required:"true"`
@@ -176,7 +186,7 @@
 			return d.Fail(a.section, a.key, "has value \""+a.value+"\"; write an IP number and port such as 127.0.0.1:8080")
 		}
 	}
-	for _, a := range []struct{ key, value string }{{"Ready", s.Host.Ready}, {"Directory", s.Host.Directory}, {"Metrics", s.Host.Metrics}} {
+	for _, a := range []struct{ key, value string }{{"Announced", s.Host.Announced}, {"Ready", s.Host.Ready}, {"Directory", s.Host.Directory}, {"Metrics", s.Host.Metrics}} {
 		if a.value != "" && !isAddress(a.value) {
 			return d.Fail("Host", a.key, "has value \""+a.value+"\"; write an IP number and port such as 127.0.0.1:8080")
 		}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -30,6 +30,7 @@
 		{"half a certificate", good + "[TLS]\nCallerKey = k.pem\n", "together"},
 		{"too small", good + "[Limits]\nKeptEntries = 0\n", "is too small"},
 		{"share", good + "[Budget]\nCoreShare = 3\n", "between 0 and 1"},
+		{"bad announced address", strings.Replace(good, "[Platform]", "Announced = x\n[Platform]", 1), "key Announced has value \"x\""},
 		{"level", good + "[Log]\nLevel = loud\n", "allowed: debug, info, warn, error"},
 	}
 	for _, c := range cases {
--- /dev/null
+++ b/soak/fleet_test.go
@@ -0,0 +1,249 @@
+package soak
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"briarcroft/platform/standin"
+
+	"github.com/matryer/is"
+)
+
+// Times of the fleet.
+const (
+	// patience bounds the wait for what must come; it decides nothing else.
+	patience = 30 * time.Second
+	// stopTimeout is how long a host may take to stop gracefully.
+	stopTimeout = 4 * time.Second
+)
+
+// fleet is a set of gateways as processes, with a store and backend servers in the test.
+type fleet struct {
+	t       *testing.T
+	is      *is.I
+	binary  string
+	dir     string
+	store   *standin.Store
+	hosts   []*process
+	targets []*server
+	caller  *http.Client
+}
+
+// server is one backend server behind its relay.
+type server struct {
+	*standin.Target
+	relay *relay
+}
+
+// process is one gateway and what it is reached by.
+type process struct {
+	name                    string
+	front, ready, directory string
+	// peers passes what peers send to the host, and store what the host sends to the store.
+	peers, store *relay
+	file         string
+	mu           sync.Mutex
+	command      *exec.Cmd
+	ended        chan struct{}
+	// starts counts incarnations; troubled is set from a kill or pause, and stopping from a graceful stop, until the host is
+	// ready again.
+	starts   int
+	troubled bool
+	stopping bool
+}
+
+// build makes the program that the processes run.
+func build(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "briarcroft")
+	out, err := exec.Command("go", "build", "-o", binary, "briarcroft/cmd/briarcroft").CombinedOutput()
+	if err != nil {
+		t.Fatalf("building the program: %v\n%s", err, out)
+	}
+	return binary
+}
+
+// newFleet starts everything and waits until every host serves.
+func newFleet(t *testing.T, binary string, hosts, targets int) *fleet {
+	f := &fleet{t: t, is: is.New(t), binary: binary, dir: t.TempDir(), store: standin.New(), caller: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: patience,
+	}}
+	t.Cleanup(f.caller.CloseIdleConnections)
+	f.configure(1)
+	for i := range targets {
+		f.addTarget(fmt.Sprintf("t%d", i))
+	}
+	for i := range hosts {
+		f.addHost(fmt.Sprintf("h%d", i), []string{"a", "b", "c"}[i%3])
+	}
+	for _, p := range f.hosts {
+		f.start(p)
+	}
+	for _, p := range f.hosts {
+		f.awaitReady(p)
+	}
+	return f
+}
+
+// relay returns a relay that is closed when the test ends.
+func (f *fleet) relay(upstream string) *relay {
+	r, err := newRelay(upstream)
+	f.is.NoErr(err)
+	f.t.Cleanup(r.close)
+	return r
+}
+
+// serve runs a handler until the test ends and returns its address.
+func (f *fleet) serve(h http.Handler) string {
+	s := httptest.NewServer(h)
+	f.t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s.Listener.Addr().String()
+}
+
+func (f *fleet) addTarget(name string) {
+	s := &server{Target: standin.NewTarget(name)}
+	s.relay = f.relay(f.serve(s.Target))
+	s.Address = s.relay.address()
+	f.targets = append(f.targets, s)
+	f.register(s, "ready")
+}
+
+func (f *fleet) register(s *server, state string) {
+	f.store.Put("servers/"+s.Name, s.Entry("stock", state))
+}
+
+// configure writes a configuration; each version allows all that the ones before it do.
+func (f *fleet) configure(version int) {
+	rule := func(name, prefix, kind string) map[string]any {
+		return map[string]any{"name": name, "host": "www.example", "prefix": prefix, "kind": kind, "timeout-ms": 2000, "latency-goal-ms": 800,
+			"priority": 2, "service": "stock", "max-attempts": 2}
+	}
+	rules := []any{rule("lookup", "/lookup/", "safe"), rule("order", "/order/", "unsafe")}
+	for v := 2; v <= version; v++ {
+		rules = append(rules, rule(fmt.Sprintf("v%d", v), fmt.Sprintf("/v%d/", v), "safe"))
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": fmt.Sprintf("%08x", version), "routes": rules,
+		"services": []any{map[string]any{"name": "stock", "health-path": "/health", "max-connections": 100}},
+		"limits":   map[string]any{"max-header-bytes": 4096, "max-body-bytes": 1 << 20, "header-timeout-ms": 2000, "idle-timeout-ms": 15000},
+	})
+	f.is.NoErr(err)
+	f.store.Put("op/config", value)
+}
+
+// freeAddress returns a loopback address that nobody listens on.
+func (f *fleet) freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	f.is.NoErr(err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// addHost prepares a host: addresses, relays and settings.
+func (f *fleet) addHost(name, domain string) {
+	p := &process{name: name, front: f.freeAddress(), ready: f.freeAddress(), directory: f.freeAddress(), file: filepath.Join(f.dir, name+".ini")}
+	inner := f.freeAddress()
+	p.peers, p.store = f.relay(inner), f.relay(f.serve(f.store.For(name)))
+	seeds := ""
+	if len(f.hosts) > 0 {
+		seeds = "[Peers]\nSeeds = " + f.hosts[0].peers.address() + "\n"
+	}
+	text := fmt.Sprintf("[Host]\nName = %s\nDomain = %s\nListen = %s\nInner = %s\nAnnounced = %s\nReady = %s\nDirectory = %s\n"+
+		"[Platform]\nKind = Native\nStore = http://%s\nTimeout = 1s\n%s[Limits]\nStopTimeout = %v\nAddressMaxAge = 1s\n",
+		name, domain, p.front, inner, p.peers.address(), p.ready, p.directory, p.store.address(), seeds, stopTimeout)
+	f.is.NoErr(os.WriteFile(p.file, []byte(text), 0o600))
+	f.hosts = append(f.hosts, p)
+}
+
+// start starts a host's process; its log goes on in one file.
+func (f *fleet) start(p *process) {
+	log, err := os.OpenFile(filepath.Join(f.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	f.is.NoErr(err)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.command = exec.Command(f.binary, "serve", "--config", p.file)
+	p.command.Stdout, p.command.Stderr = log, log
+	f.is.NoErr(p.command.Start())
+	p.starts++
+	p.ended = make(chan struct{})
+	command, ended := p.command, p.ended
+	go func() {
+		// How a host ended shows in its log.
+		_ = command.Wait()
+		_ = log.Close()
+		close(ended)
+	}()
+	f.t.Cleanup(func() {
+		_ = command.Process.Kill()
+		<-ended
+	})
+}
+
+// signal sends a signal to a host's process, which may have ended.
+func (f *fleet) signal(p *process, s syscall.Signal) {
+	if err := p.command.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		f.t.Errorf("signalling %s: %v", p.name, err)
+	}
+}
+
+// awaitReady waits until a host says that it is ready.
+func (f *fleet) awaitReady(p *process) {
+	began := time.Now()
+	for time.Since(began) < patience {
+		response, err := f.caller.Get("http://" + p.ready + "/api/readiness")
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.t.Errorf("%s is not ready after %v", p.name, patience)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status     int
+	body, seal string
+	err        error
+}
+
+// call sends one request; open connections are used again.
+func (f *fleet) call(p *process, method, path, id string) reply {
+	r, err := http.NewRequest(method, "http://"+p.front+path, nil)
+	f.is.NoErr(err)
+	r.Host = "www.example"
+	r.Header.Set("X-Attempt-Id", id)
+	r.Header.Set("X-Deadline-Ms", "2000")
+	response, err := f.caller.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, string(body), response.Header.Get("X-Response-Seal"), err}
+}
+
+// runsOf returns how often an attempt ran, on all servers.
+func (f *fleet) runsOf(id string) int {
+	sum := 0
+	for _, s := range f.targets {
+		sum += s.RunsOf(id)
+	}
+	return sum
+}
