Beat quickly while unknown members are heard of

Replayed in memory: with a heartbeat each 500 ms the hosts need 0.6 s to agree on a service's home and 4.6 s to know each other all; until then many hosts decide as homes.

Change: a host that heard of a new member since its last round begins the next after 50 ms.

TestFleetFindsItself failed first.

--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -44,7 +44,7 @@
 func (h *Host) beatDuty(ctx context.Context) {
 	for ctx.Err() == nil {
 		h.beat(ctx)
-		wait, cancel := context.WithTimeout(ctx, host.BeatEvery)
+		wait, cancel := context.WithTimeout(ctx, h.table.NextBeat())
 		h.kick.Pop(wait)
 		cancel()
 	}
--- /dev/null
+++ b/internal/gateway/export_test.go
@@ -0,0 +1,10 @@
+package gateway
+
+// Live returns how many ready hosts the gateway knows, and which of them is home to a service.
+func (g *Gateway) Live(service string) (hosts int, home string) {
+	ranked := g.links.rank(service)
+	if len(ranked) == 0 {
+		return 0, ""
+	}
+	return len(ranked), ranked[0].Name
+}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -40,6 +40,7 @@
 
 // node is one gateway.
 type node struct {
+	gateway                        *gateway.Gateway
 	name                           string
 	front, inner, ready, directory string
 	stop, force                    context.CancelFunc
@@ -143,6 +144,7 @@
 	})
 	stop, cancelStop := context.WithCancel(context.Background())
 	force, cancelForce := context.WithCancel(context.Background())
+	n.gateway = g
 	n.stop, n.force, n.done = cancelStop, cancelForce, make(chan error, 1)
 	f.closers = append(f.closers, func() { closeHost(); closeFeed() })
 	go func() { n.done <- g.Serve(stop, force) }()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -417,3 +417,33 @@
 		f.is.True(f.store.Calls()-before <= 3*(30*2/3+2)) // one watch in 1.5 s for each failure domain
 	})
 }
+
+// TestFleetFindsItself ends a hundred hosts at once and starts them again: they agree on the service's home within half a
+// second, before callers notice, and every host knows all others within two.
+func TestFleetFindsItself(t *testing.T) {
+	const hosts = 100
+	inFleet(t, hosts, 4, func(f *fleet) {
+		for name := range f.hosts {
+			f.kill(name)
+		}
+		time.Sleep(time.Second)
+		for i := range hosts {
+			f.start(fmt.Sprintf("h%d", i), domainOf(i))
+		}
+		look := func() (fewest int, homes map[string]bool) {
+			fewest, homes = hosts, map[string]bool{}
+			for _, n := range f.hosts {
+				live, home := n.gateway.Live("stock")
+				fewest = min(fewest, live)
+				homes[home] = true
+			}
+			return fewest, homes
+		}
+		time.Sleep(500 * time.Millisecond)
+		_, homes := look()
+		f.is.Equal(len(homes), 1)
+		time.Sleep(1500 * time.Millisecond)
+		fewest, _ := look()
+		f.is.Equal(fewest, hosts)
+	})
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -5,7 +5,6 @@
 	"net"
 	"sync"
 
-	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/platform"
@@ -174,7 +173,7 @@
 func (g *Gateway) beatDuty(ctx context.Context) {
 	for ctx.Err() == nil {
 		g.beat(ctx)
-		wait, cancel := context.WithTimeout(ctx, host.BeatEvery)
+		wait, cancel := context.WithTimeout(ctx, g.table.NextBeat())
 		g.kick.Pop(wait)
 		cancel()
 	}
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -31,6 +31,9 @@
 const (
 	// BeatEvery is the time between two heartbeats.
 	BeatEvery = 500 * time.Millisecond
+	// learnEvery is the same while a host hears of members that it did not know: a fleet that starts at once finds itself
+	// in a few rounds, and its homes with it.
+	learnEvery = 50 * time.Millisecond
 	// deadAfter is how long a member lives without a new heartbeat.
 	deadAfter = 2500 * time.Millisecond
 	// forgetAfter is how long a dead member is remembered.
--- a/internal/host/table.go
+++ b/internal/host/table.go
@@ -41,6 +41,8 @@
 	self     Member
 	peers    map[string]*peer
 	lastBeat time.Duration
+	// learned is set when a member was heard of for the first time since the last round of heartbeats.
+	learned bool
 	started  bool
 	paused   bool
 	// heard is when any peer's heartbeat last advanced.
@@ -105,13 +107,23 @@
 		t.self.Ready = false
 		t.forgive(now)
 	}
-	t.started, t.lastBeat = true, now
+	t.started, t.lastBeat, t.learned = true, now, false
 	t.self.Beat++
 	t.expire(now)
 	t.live = nil
 	return t.recipients()
 }
 
+// NextBeat returns how long to wait for the next round of heartbeats.
+func (t *Table) NextBeat() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.learned {
+		return learnEvery
+	}
+	return BeatEvery
+}
+
 // forgive gives every peer a new chance after an own pause, so that none is taken for dead that was only unheard.
 func (t *Table) forgive(now time.Duration) {
 	for _, p := range t.peers {
@@ -229,6 +241,7 @@
 	if !known {
 		t.peers[m.Name] = &peer{member: m, id: m.id(), advanced: now, changed: now}
 		t.events = append(t.events, Event{Joined, m})
+		t.learned = true
 		return
 	}
 	old := p.member
@@ -240,6 +253,7 @@
 	if advanced {
 		m.Leaving = m.Leaving || old.Leaving
 	}
+	t.learned = t.learned || replaced
 	t.noteChange(p, m, replaced)
 	p.member, p.advanced, p.dead = m, now, false
 	if id := m.id(); id != p.id {
