--- a/internal/host/table.go
+++ b/internal/host/table.go
@@ -43,8 +43,8 @@
 	lastBeat time.Duration
 	// learned is set when a member was heard of for the first time since the last round of heartbeats.
 	learned bool
-	started  bool
-	paused   bool
+	started bool
+	paused  bool
 	// heard is when any peer's heartbeat last advanced.
 	heard  time.Duration
 	events []Event
--- a/internal/placement/home_test.go
+++ b/internal/placement/home_test.go
@@ -413,3 +413,21 @@
 	// One probe of each target by each host comes on top, when it begins.
 	is.True(perTarget <= 20+float64(hosts)/seconds)
 }
+
+// TestWarmingTargetsAreUsed replays a service that has lost half of its targets and got new ones, which report that they are
+// twice as slow as usual: a request that can meet its goal there must not wait while their slots stand idle.
+func TestWarmingTargetsAreUsed(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(2, plenty)
+	d.done(d.ask(nil), Answered) // the class takes 90 ms
+	for range 6 {
+		is.True(d.placedAt(d.ask(nil)) != "")
+	}
+	list := []Target{{Name: "new", Address: "10.0.0.2:80", Domain: "a", Slots: 3, Warming: 3 * time.Second}}
+	for _, x := range d.home.targets {
+		list = append(list, x.Target)
+	}
+	d.home.SetTargets(d.now, list)
+	d.home.Probed(d.now, "new", Healthy, &Load{Slots: 3, Pace: 2})
+	is.Equal(d.placedAt(d.ask(nil)), "new") // 180 ms of 250
+}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -20,7 +20,7 @@
 	failureGain = 0.25
 	// failurePenalty is how much longer than usual a run is taken to last at a target where every run fails.
 	failurePenalty = 6.0
-	// warmingSlowdown is how much slower a target is taken to be right after its start.
+	// warmingSlowdown is how much slower a target is taken to be right after its start, as long as it doesn't say.
 	warmingSlowdown = 2.0
 	// overdueRatio is the age of a run, in expected times, from which its target looks stuck.
 	overdueRatio = 2.0
@@ -106,10 +106,12 @@
 	if t.pace == 0 {
 		known = 0
 	}
-	factor = t.pace*known + usualPace*(1-known)
-	if left := t.warmUntil - now; left > 0 {
-		factor *= warmingSlowdown
+	unknown := usualPace
+	if now < t.warmUntil {
+		// A report shows the pace as it is, warming up included.
+		unknown *= warmingSlowdown
 	}
+	factor = t.pace*known + unknown*(1-known)
 	crowded = float64(t.load(now)+1) > crowdedShare*float64(t.Slots)
 	if crowded {
 		factor *= crowding
