Refuse late requests when their turn is too far off

Change: placement.overdue predicts a late request's turn by the pauses between the last ones that were placed, or by how long the next has waited already.

TestRefusesEarly is new.

--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -85,6 +85,8 @@
 	Probes float64
 	// Repeats counts runs beyond the first, per request.
 	Repeats float64
+	// Held is the share of refused requests that waited for more than half of their patience before they were refused.
+	Held float64
 }
 
 // lateWorth is what an answer after the goal is worth.
@@ -101,6 +103,7 @@
 	last      uint64
 	repeats   int
 	probes    int
+	held      int
 }
 
 // Play runs a policy against a load.
@@ -182,6 +185,9 @@
 func (s *simulation) refused(j *job) {
 	if !j.ended && j.born >= warmUp {
 		s.result.Refused++
+		if 2*(s.now-j.born) > s.load.Patience {
+			s.held++
+		}
 	}
 	j.ended = true
 }
@@ -196,6 +202,9 @@
 		r.Worth = (float64(r.InGoal) + lateWorth*float64(r.Late)) / float64(r.Asked)
 		r.Repeats = float64(s.repeats) / float64(r.Asked)
 	}
+	if r.Refused > 0 {
+		r.Held = float64(s.held) / float64(r.Refused)
+	}
 	r.P50 = time.Duration(s.latencies.ValueAtQuantile(50)) * time.Microsecond
 	r.P99 = time.Duration(s.latencies.ValueAtQuantile(99)) * time.Microsecond
 	r.Probes = float64(s.probes) / float64(s.load.Targets) / s.length().Seconds()
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -92,3 +92,21 @@
 		})
 	}
 }
+
+// TestRefusesEarly replays overload: what can't be served must be refused well before its time limit. At most one in ten of
+// the refused may have waited for more than half of it.
+func TestRefusesEarly(t *testing.T) {
+	for _, name := range []string{"stock-burst", "lookup-burst", "stock-twice", "lookup-twice", "stock-fivefold", "lookup-fivefold"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := find(t, name)
+			if l.Use > 1 {
+				l.Length = 6 * time.Second
+			}
+			r := Play(Home{Hedges: true}, l)
+			t.Logf("%d refused, %.3f of them after half of their patience", r.Refused, r.Held)
+			is.True(r.Refused > 0)
+			is.True(r.Held <= 0.1)
+		})
+	}
+}
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -53,7 +53,8 @@
 	pace     float64
 	crowding float64
 	// busyAt is when a request last asked.
-	busyAt time.Duration
+	busyAt  time.Duration
+	overdue overdue
 	// primary is set for the one home that all hosts ask first; probeCredit is how many probes another one may send now.
 	primary     bool
 	probeCredit float64
@@ -189,15 +190,17 @@
 	}
 	slices.SortStableFunc(h.queue, func(a, b *Request) int { return h.order(now, a, b) })
 	waiting := h.queue[:0]
-	ahead := 0
+	ahead, overdue := 0, 0
 	for _, r := range h.queue {
-		if h.settle(now, r, ahead) {
+		if h.settle(now, r, ahead, overdue) {
 			r.waiting = false
 			continue
 		}
 		ahead++
+		overdue += h.late(now, r)
 		waiting = append(waiting, r)
 	}
+	h.overdue.wait(now, overdue)
 	clear(h.queue[len(waiting):])
 	h.queue = waiting
 }
@@ -220,13 +223,16 @@
 	return 0
 }
 
-// settle places or refuses a waiting request and reports whether it did.
-func (h *Home) settle(now time.Duration, r *Request, ahead int) bool {
+// settle places or refuses a waiting request and reports whether it did; overdue of those ahead are late.
+func (h *Home) settle(now time.Duration, r *Request, ahead, overdue int) bool {
 	t, c := h.pickBut(now, r, r.Tried)
 	if t != nil && h.worthwhile(now, r, c.expected) {
 		if h.awaitsProbe(now, r, t) {
 			return false
 		}
+		if h.late(now, r) == 1 {
+			h.overdue.served(now)
+		}
 		h.place(now, r, t, c)
 		h.config.Notify(r, placed(now, t, c))
 		return true
@@ -236,7 +242,8 @@
 	case slots == 0:
 		h.refuse(now, r, ReasonNoTargets)
 		return true
-	case now+time.Duration(float64(ahead)/float64(slots)*h.pace*float64(h.base(r)))+h.base(r) > r.Deadline:
+	case now+time.Duration(float64(ahead)/float64(slots)*h.pace*float64(h.base(r)))+h.base(r) > r.Deadline,
+		h.late(now, r) == 1 && now+h.overdue.turn(now, overdue)+h.base(r) > r.Deadline:
 		h.refuse(now, r, ReasonTooLate)
 		return true
 	}
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -80,7 +80,6 @@
 const (
 	ReasonNoTargets   Reason = "NoTargets"
 	ReasonTooLate     Reason = "DeadlineCannotBeMet"
-	ReasonQueueFull   Reason = "QueueFull"
 	ReasonRetryBudget Reason = "RetryBudgetSpent"
 	ReasonQuarantined Reason = "Quarantined"
 )
