Keep beating quickly for a few rounds that bring nobody new, explain ejections by homes, count slow readers

Change: rounds stay quick until six in a row bring nobody new.

Targets that a home ejects, and their return, are records now, so that explain shows them. A host that reads its verdicts too slowly loses the conversation instead of the verdict, which held the place until its time limit; SlowReaders counts it.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -164,6 +164,7 @@
 		{"StoreCalls", func() any { return s.storeCalls.Load() }},
 		{"StoreLost", func() any { return g.watch.lost.Load() }},
 		{"SilentHomes", func() any { return s.silentHomes.Load() }},
+		{"SlowReaders", func() any { return s.slowReaders.Load() }},
 		{"OpenConnections", func() any { return g.open.Load() }},
 		{"Note", func() any { return g.chain.Number() }},
 		{"UnwrittenLines", func() any { return g.trace.unwritten.Load() + g.book.Unwritten() }},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"briarcroft/internal/record"
 	"briarcroft/internal/ring"
 	"briarcroft/internal/roster"
+	"briarcroft/internal/route"
 	"briarcroft/internal/settings"
 	"briarcroft/internal/socket"
 
@@ -224,9 +225,9 @@
 	now := map[string]string{}
 	for service, list := range v.Targets {
 		for _, t := range list {
-			state := "Live"
+			state := route.Live.String()
 			if t.Leaving {
-				state = "Draining"
+				state = route.Draining.String()
 			}
 			now[t.Name] = state
 			if old := g.targetStates[t.Name]; old != state {
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -9,8 +9,10 @@
 	"briarcroft/internal/duty"
 	"briarcroft/internal/inner"
 	"briarcroft/internal/placement"
+	"briarcroft/internal/record"
 	"briarcroft/internal/ring"
 	"briarcroft/internal/roster"
+	"briarcroft/internal/route"
 )
 
 // Times of the homes.
@@ -61,18 +63,20 @@
 	verdicts *ring.Ring[*inner.PlaceVerdict]
 	// local gets the verdicts of the own host instead.
 	local func(number uint64, v placement.Verdict)
+	// end ends the conversation with another host, which begins a new one.
+	end context.CancelFunc
 }
 
 func newHomes(g *Gateway) *homes {
 	return &homes{gateway: g, byName: map[string]*home{}, sessions: map[uint64]*session{}, woken: ring.New[struct{}](ring.Config{Capacity: 1})}
 }
 
-// openSession begins a conversation; local is nil for one with another host.
-func (o *homes) openSession(local func(uint64, placement.Verdict)) *session {
+// openSession begins a conversation: with another host one that end ends, or with the own host, which gets verdicts by local.
+func (o *homes) openSession(local func(uint64, placement.Verdict), end context.CancelFunc) *session {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.last++
-	d := &session{number: o.last, local: local}
+	d := &session{number: o.last, local: local, end: end}
 	if local == nil {
 		d.verdicts = ring.New[*inner.PlaceVerdict](ring.Config{Capacity: verdictRing})
 	}
@@ -111,6 +115,7 @@
 		h = &home{homes: o, service: service}
 		h.home = placement.New(placement.Config{
 			Random: rand.New(rand.NewPCG(o.gateway.incarnation, uint64(len(o.byName)))), Budget: o.budget(), Notify: o.notify,
+			OnEjection: func(e placement.Ejection) { o.explainEjection(service, e) },
 		})
 		o.byName[service] = h
 		h.adopt(o.gateway.roster.View())
@@ -118,6 +123,17 @@
 	return h
 }
 
+// explainEjection writes a record of a target that failures took out, or that is back.
+func (o *homes) explainEjection(service string, e placement.Ejection) {
+	g := o.gateway
+	r := record.Record{Kind: record.TargetMoved, Service: service, Target: e.Target, From: route.Live.String(), To: route.Ejected.String(), Cause: string(route.CauseFailures), Note: g.chain.Number()}
+	r.Evidence.Failures = e.Failures
+	if !e.Out {
+		r.From, r.To, r.Cause = r.To, r.From, string(route.CauseReturn)
+	}
+	g.book.Add(r)
+}
+
 // budget returns the part of the retry budget that this host may decide on.
 func (o *homes) budget() placement.Budget {
 	s := o.gateway.tunable.Load().Retries
@@ -215,7 +231,11 @@
 		d.local(r.ID.Number, v)
 		return
 	}
-	d.verdicts.Push(inner.ToVerdict(r.ID.Number, v))
+	if !d.verdicts.Push(inner.ToVerdict(r.ID.Number, v)) {
+		// A host that does not read would hold its places until their time limit.
+		o.gateway.stats.slowReaders.Add(1)
+		d.end()
+	}
 }
 
 // tickDuty runs the timers of the decisions and sends their probes.
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -76,7 +76,7 @@
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.own = &localHome{links: l}
-	l.own.session = g.homes.openSession(l.own.take)
+	l.own.session = g.homes.openSession(l.own.take, nil)
 	return l
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -35,9 +35,9 @@
 // Place implements inner.DRPCPeerServer: it decides for the host at the other end.
 func (p *peerServer) Place(stream inner.DRPCPeer_PlaceStream) error {
 	homes := p.gateway.homes
-	d := homes.openSession(nil)
-	defer homes.closeSession(d)
 	ctx, cancel := context.WithCancel(stream.Context())
+	d := homes.openSession(nil, cancel)
+	defer homes.closeSession(d)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -95,8 +95,8 @@
 
 // stats are the counters that the metrics address shows.
 type stats struct {
-	requests, attempts, probes, storeCalls, silentHomes, rejected atomic.Int64
-	answered, refused, failed, notFound, cut                      atomic.Int64
+	requests, attempts, probes, storeCalls, silentHomes, slowReaders, rejected atomic.Int64
+	answered, refused, failed, notFound, cut                                   atomic.Int64
 }
 
 // finish counts and logs how a request ended.
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -31,9 +31,11 @@
 const (
 	// BeatEvery is the time between two heartbeats.
 	BeatEvery = 500 * time.Millisecond
-	// learnEvery is the same while a host hears of members that it did not know: a fleet that starts at once finds itself
-	// in a few rounds, and its homes with it.
+	// learnEvery is the same after a start, and while a host hears of members that it did not know: a fleet that starts at
+	// once finds itself in a few rounds, and its homes with it.
 	learnEvery = 50 * time.Millisecond
+	// learnRounds is how many rounds in a row must bring nobody new before a host takes its time again.
+	learnRounds = 6
 	// deadAfter is how long a member lives without a new heartbeat.
 	deadAfter = 2500 * time.Millisecond
 	// forgetAfter is how long a dead member is remembered.
--- a/internal/host/table.go
+++ b/internal/host/table.go
@@ -43,6 +43,8 @@
 	lastBeat time.Duration
 	// learned is set when a member was heard of for the first time since the last round of heartbeats.
 	learned bool
+	// quiet counts the rounds since then.
+	quiet   int
 	started bool
 	paused  bool
 	// heard is when any peer's heartbeat last advanced.
@@ -107,6 +109,10 @@
 		t.self.Ready = false
 		t.forgive(now)
 	}
+	t.quiet++
+	if t.learned {
+		t.quiet = 0
+	}
 	t.started, t.lastBeat, t.learned = true, now, false
 	t.self.Beat++
 	t.expire(now)
@@ -118,7 +124,7 @@
 func (t *Table) NextBeat() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.learned {
+	if t.learned || t.quiet < learnRounds {
 		return learnEvery
 	}
 	return BeatEvery
--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -159,6 +159,7 @@
 // Tick runs the timers: call it every few milliseconds while requests are known. It reports whether any are.
 func (h *Home) Tick(now time.Duration) bool {
 	h.checkSilence(now)
+	h.tellEjections(now)
 	for _, r := range h.requests {
 		if !r.waiting && now > r.Deadline+forgetAfter {
 			h.forget(r)
@@ -169,5 +170,17 @@
 	return len(h.requests) > 0
 }
 
+// tellEjections tells of targets that were taken out or are back.
+func (h *Home) tellEjections(now time.Duration) {
+	for _, t := range h.targets {
+		if out := now < t.ejectedUntil; out != t.out {
+			t.out = out
+			if h.config.OnEjection != nil {
+				h.config.OnEjection(Ejection{t.Name, out, t.inARow})
+			}
+		}
+	}
+}
+
 // Queued returns the number of waiting requests.
 func (h *Home) Queued() int { return len(h.queue) }
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -35,6 +35,15 @@
 	Budget Budget
 	// Notify gets each verdict; it must not call the home.
 	Notify func(*Request, Verdict)
+	// OnEjection is told when failures have taken a target out, and when it is back; it must not call the home.
+	OnEjection func(Ejection)
+}
+
+// Ejection is a change of whether failures in a row keep a target out.
+type Ejection struct {
+	Target   string
+	Out      bool
+	Failures int
 }
 
 // Home decides for one service. It is not safe for concurrent use.
--- a/internal/placement/home_test.go
+++ b/internal/placement/home_test.go
@@ -200,6 +200,24 @@
 	is.True(sound < 4)
 }
 
+// TestEjectionsAreTold lets runs at one target fail until it is taken out, and waits until it is back.
+func TestEjectionsAreTold(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(4, plenty)
+	var told []Ejection
+	d.home.config.OnEjection = func(e Ejection) { told = append(told, e) }
+	for range failuresToEject {
+		d.home.byName["t0"].failed(d.now, true)
+	}
+	d.home.Tick(d.now)
+	d.home.Tick(d.now)
+	is.Equal(told, []Ejection{{"t0", true, failuresToEject}})
+	d.now += firstEjection
+	d.home.Tick(d.now)
+	is.Equal(len(told), 2)
+	is.Equal(told[1].Out, false)
+}
+
 // TestQuarantine runs a request that breaks each target: it reaches crashesToQuarantine targets and no more.
 func TestQuarantine(t *testing.T) {
 	is := is.New(t)
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -65,8 +65,10 @@
 	answeredAt   time.Duration
 	ejectedUntil time.Duration
 	ejections    int
-	probe        probe
-	misplaced    bool
+	// out is whether the target was ejected when that was last told.
+	out       bool
+	probe     probe
+	misplaced bool
 }
 
 // fade returns how much knowledge of an age still counts, from 1 down to 0.
