--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -10,7 +10,6 @@
 	"briarcroft/internal/host"
 	"briarcroft/internal/meter"
 	"briarcroft/internal/note"
-	"briarcroft/internal/record"
 	"briarcroft/internal/steering"
 )
 
@@ -128,20 +127,6 @@
 	writeJSON(w, http.StatusOK, f.host.status())
 }
 
-// serveExplain returns the records that concern a target since a time.
-func (f *front) serveExplain(w http.ResponseWriter, r *http.Request) {
-	since := time.Time{}
-	if text := r.URL.Query().Get("Since"); text != "" {
-		var err error
-		if since, err = time.Parse(time.RFC3339, text); err != nil {
-			http.Error(w, "Since is not a time; write it as 2006-01-02T15:04:05Z", http.StatusBadRequest)
-			return
-		}
-	}
-	records := f.host.book.Since(r.URL.Query().Get("Target"), since)
-	writeJSON(w, http.StatusOK, struct{ Records []record.Record }{records})
-}
-
 // newVars returns the host's expvar map; it is not global, so that several hosts can live in one process.
 func (h *Host) newVars() *expvar.Map {
 	vars := (&expvar.Map{}).Init()
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -48,7 +48,7 @@
 	f.mux.HandleFunc("GET "+pathNote, f.serveNote)
 	f.mux.HandleFunc("GET "+pathHealth, f.serveHealth)
 	f.mux.HandleFunc("GET "+pathStatus, f.serveStatus)
-	f.mux.HandleFunc("GET "+pathExplain, f.serveExplain)
+	f.mux.Handle("GET "+pathExplain, f.host.book)
 	f.mux.HandleFunc("GET "+pathVars, f.serveVars)
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -13,7 +13,6 @@
 	"briarcroft/internal/host"
 	"briarcroft/internal/meter"
 	"briarcroft/internal/note"
-	"briarcroft/internal/record"
 )
 
 // Times and counts of the directory.
@@ -104,7 +103,7 @@
 	})
 	mux.HandleFunc("GET /Note", g.serveNote)
 	mux.HandleFunc("GET /Status", g.serveStatus)
-	mux.HandleFunc("GET /Explain", g.serveExplain)
+	mux.Handle("GET /Explain", g.book)
 	return serveHTTP(ctx, l, mux)
 }
 
@@ -132,18 +131,6 @@
 	})
 }
 
-func (g *Gateway) serveExplain(w http.ResponseWriter, r *http.Request) {
-	since := time.Time{}
-	if text := r.URL.Query().Get("Since"); text != "" {
-		var err error
-		if since, err = time.Parse(time.RFC3339, text); err != nil {
-			http.Error(w, "Since is not a time; write it as 2006-01-02T15:04:05Z", http.StatusBadRequest)
-			return
-		}
-	}
-	writeJSON(w, struct{ Records []record.Record }{g.book.Since(r.URL.Query().Get("Target"), since)})
-}
-
 // vars returns the counters and histograms.
 func (g *Gateway) vars() *expvar.Map {
 	s := &g.stats
