Let a former home probe as a stand-in

Cause: found in reading the change: the primary home spent the credit of stand-ins too, and had none left once another took its place. TestFormerHomeStillProbes failed first.

--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -199,17 +199,17 @@
 	}
 	slices.SortStableFunc(h.queue, func(a, b *Request) int { return h.order(now, a, b) })
 	waiting := h.queue[:0]
-	ahead, overdue := 0, 0
+	ahead, lateAhead := 0, 0
 	for _, r := range h.queue {
-		if h.settle(now, r, ahead, overdue) {
+		if h.settle(now, r, ahead, lateAhead) {
 			r.waiting = false
 			continue
 		}
 		ahead++
-		overdue += h.late(now, r)
+		lateAhead += h.late(now, r)
 		waiting = append(waiting, r)
 	}
-	h.overdue.wait(now, overdue)
+	h.overdue.wait(now, lateAhead)
 	clear(h.queue[len(waiting):])
 	h.queue = waiting
 }
@@ -232,8 +232,8 @@
 	return 0
 }
 
-// settle places or refuses a waiting request and reports whether it did; overdue of those ahead are late.
-func (h *Home) settle(now time.Duration, r *Request, ahead, overdue int) bool {
+// settle places or refuses a waiting request and reports whether it did. Of those ahead of it, lateAhead are late.
+func (h *Home) settle(now time.Duration, r *Request, ahead, lateAhead int) bool {
 	t, c := h.pickBut(now, r, r.Tried)
 	if t != nil && h.worthwhile(now, r, c.expected) {
 		if h.awaitsProbe(now, r, t) {
@@ -252,7 +252,7 @@
 		h.refuse(now, r, ReasonNoTargets)
 		return true
 	case now+time.Duration(float64(ahead)/float64(slots)*h.pace*float64(h.base(r)))+h.base(r) > r.Deadline,
-		h.late(now, r) == 1 && now+h.overdue.turn(now, overdue)+h.base(r) > r.Deadline:
+		h.late(now, r) == 1 && now+h.overdue.turn(now, lateAhead)+h.base(r) > r.Deadline:
 		h.refuse(now, r, ReasonTooLate)
 		return true
 	}
--- a/internal/placement/home_test.go
+++ b/internal/placement/home_test.go
@@ -449,3 +449,26 @@
 	d.home.Probed(d.now, "new", Healthy, &Load{Slots: 3, Pace: 2})
 	is.Equal(d.placedAt(d.ask(nil)), "new") // 180 ms of 250
 }
+
+// TestFormerHomeStillProbes lets another host become the home that all ask first: the former one has not spent its probes.
+func TestFormerHomeStillProbes(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(4, plenty)
+	probe := func(rounds int) (sent int) {
+		for round := range rounds {
+			d.now += probeEvery
+			if round%4 == 0 {
+				d.done(d.ask(nil), Answered)
+			}
+			for _, p := range d.home.Probes(d.now) {
+				sent++
+				d.home.Probed(d.now, p.Target, Healthy, &Load{Slots: 3, Pace: 1})
+			}
+		}
+		return sent
+	}
+	d.home.SetPrimary(true)
+	is.True(probe(100) > 100)
+	d.home.SetPrimary(false)
+	is.True(probe(10) > 10)
+}
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -83,7 +83,9 @@
 		if t.probe.pending || t.Leaving || !t.probe.wanted && !h.probeDue(now, t) || !t.probe.take(now) {
 			continue
 		}
-		h.probeCredit--
+		if !h.primary {
+			h.probeCredit--
+		}
 		t.probe.asked, t.probe.pending, t.probe.wanted = now, true, false
 		due = append(due, Placed{Target: t.Name, Address: t.Address})
 	}
