Show signs of life only to hosts whose requests wait

Cause: each home told each host in conversation every 150 ms that it still listens, and each end of a conversation woke as often, whether or not any request waited. At 13 hosts that was more messages than the requests' own.

Change: signs of life go to hosts whose requests wait, silence counts only while one does, and an idle conversation wakes nobody. A request that asks is answered within the ack time as before, so that a home that died meanwhile is noticed by the next one.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -187,8 +187,10 @@
 		v, ended := x.await(ctx, s)
 		switch v := v.(type) {
 		case placement.Placed:
+			s.decided()
 			return &v, nil
 		case placement.Refused:
+			s.decided()
 			return nil, &v
 		}
 		s.withdraw(x.inquiry)
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -266,12 +266,18 @@
 	}
 }
 
-// showAlive tells every host in conversation that this one still listens.
+// showAlive tells the hosts whose requests wait here that this one still listens.
 func (o *homes) showAlive() {
+	waiting := map[uint64]bool{}
+	for _, h := range o.all() {
+		h.mu.Lock()
+		h.home.WaitingHosts(waiting)
+		h.mu.Unlock()
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, d := range o.sessions {
-		if d.verdicts != nil {
+		if d.verdicts != nil && waiting[d.number] {
 			d.verdicts.Push(&inner.PlaceVerdict{})
 		}
 	}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -16,6 +16,8 @@
 const (
 	// linkSilence is how long a home may send nothing: three times what passes between two of its signs of life.
 	linkSilence = 3 * aliveEvery
+	// linkIdle is the pause between two looks at a conversation in which no request waits.
+	linkIdle = time.Minute
 	// suspectFor is how long a home that did not answer is passed over.
 	suspectFor = 500 * time.Millisecond
 	// linkRing is how many calls may wait for a home that reads slowly.
@@ -47,6 +49,8 @@
 	ask(e *inquiry, r *placement.Request)
 	end(e *inquiry, d placement.Done)
 	withdraw(e *inquiry)
+	// decided notes that an ask has its verdict; withdraw does so for one without.
+	decided()
 }
 
 // links holds the conversations with homes.
@@ -201,8 +205,9 @@
 	calls           *ring.Ring[*inner.PlaceCall]
 	ctx             context.Context
 	cancel          context.CancelFunc
-	// heard is when the home last sent anything, on the host's clock.
-	heard atomic.Int64
+	// heard is when the home last sent anything, on the host's clock, and waiting counts the requests that have no place yet.
+	heard   atomic.Int64
+	waiting atomic.Int64
 }
 
 func (k *remoteHome) name() string { return k.member }
@@ -215,6 +220,10 @@
 }
 
 func (k *remoteHome) ask(e *inquiry, r *placement.Request) {
+	if k.waiting.Add(1) == 1 {
+		// Silence counts from now on.
+		k.heard.Store(int64(k.links.gateway.now()))
+	}
 	k.push(&inner.PlaceCall{Number: e.number, Service: e.service, Ask: inner.ToAsk(k.links.gateway.now(), r)})
 }
 
@@ -222,7 +231,10 @@
 	k.push(&inner.PlaceCall{Number: e.number, Service: e.service, End: inner.ToEnd(d)})
 }
 
+func (k *remoteHome) decided() { k.waiting.Add(-1) }
+
 func (k *remoteHome) withdraw(e *inquiry) {
+	k.decided()
 	k.push(&inner.PlaceCall{Number: e.number, Service: e.service, Withdraw: true})
 }
 
@@ -256,16 +268,20 @@
 	k.links.lose(k)
 }
 
-// send hands calls to the home and ends the conversation once the home has been silent for too long.
+// send hands calls to the home and ends the conversation once the home has been silent for too long while requests wait.
 func (k *remoteHome) send(stream inner.DRPCPeer_PlaceClient) {
 	for k.ctx.Err() == nil {
-		wait, cancel := context.WithTimeout(k.ctx, aliveEvery)
+		pause := linkIdle
+		if k.waiting.Load() > 0 {
+			pause = aliveEvery
+		}
+		wait, cancel := context.WithTimeout(k.ctx, pause)
 		call, ok := k.calls.Pop(wait)
 		cancel()
 		if ok && stream.Send(call) != nil {
 			return
 		}
-		if k.links.gateway.now()-time.Duration(k.heard.Load()) > linkSilence {
+		if k.waiting.Load() > 0 && k.links.gateway.now()-time.Duration(k.heard.Load()) > linkSilence {
 			return
 		}
 	}
@@ -321,6 +337,9 @@
 	o.links.gateway.homes.done(e.service, d)
 }
 
+// decided implements decider: the own host's decisions can't fall silent.
+func (o *localHome) decided() {}
+
 func (o *localHome) withdraw(e *inquiry) {
 	o.links.gateway.homes.withdraw(e.service, o.id(e.number))
 }
--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -182,5 +182,12 @@
 	}
 }
 
+// WaitingHosts adds the hosts whose requests wait to a set.
+func (h *Home) WaitingHosts(set map[uint64]bool) {
+	for _, r := range h.queue {
+		set[r.ID.Host] = true
+	}
+}
+
 // Queued returns the number of waiting requests.
 func (h *Home) Queued() int { return len(h.queue) }
