Catch up with any peer that is ahead

Two hosts in five were slowed and three in ten frozen before, watchers among them, and a host hears of changes from watchers alone: while the two that it follows are slow, or cut off from it, nobody else tells it.

Change: heartbeats name the note that is in force at their sender. A host that has not heard of it 0.3 s later asks that sender once for all that it knows of the store.

TestCutOffFromWatchers failed first: a host cut off from the store and from all watchers never got the configuration.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,7 @@
 	beats       *inner.Heartbeats
 	client      *inner.Client
 	kick        *ring.Ring[struct{}]
+	ahead       *ring.Ring[host.Member]
 	homes       *homes
 	pools       *pools
 	links       *links
@@ -129,7 +130,7 @@
 	}
 	g := &Gateway{
 		config: c, settings: c.Settings, dialect: c.Dialect, start: time.Now(), chain: &note.Chain{},
-		kick: ring.New[struct{}](ring.Config{Capacity: 1}), histograms: meter.NewHistograms(), logger: c.Logger,
+		kick: ring.New[struct{}](ring.Config{Capacity: 1}), ahead: ring.New[host.Member](ring.Config{Capacity: 1}), histograms: meter.NewHistograms(), logger: c.Logger,
 		bodies: bodyBudget{limit: int64(c.Settings.Limits.HeldBytes)},
 	}
 	g.tunable.Store(&g.settings)
@@ -147,7 +148,7 @@
 	})
 	g.beats = &inner.Heartbeats{Table: g.table, Client: g.client, Now: g.now, Request: func(n host.News) *inner.HeartbeatRequest {
 		return inner.Request(c.Settings.Host.Name, n)
-	}}
+	}, Heard: func(r *inner.HeartbeatReply) { g.heard(r.Sender, r.Members) }}
 	var endAll context.CancelFunc
 	g.background, endAll = context.WithCancel(context.Background())
 	g.rules.Store(&ruleIndex{})
@@ -260,7 +261,7 @@
 	}
 	d := duty.New()
 	defer d.End()
-	for _, duty := range []func(context.Context){g.beatDuty, g.watchDuty, g.followDuty, g.tickDuty, g.rosterDuty} {
+	for _, duty := range []func(context.Context){g.beatDuty, g.watchDuty, g.followDuty, g.catchUpDuty, g.tickDuty, g.rosterDuty} {
 		d.Start(duty)
 	}
 	failed := make(chan error, len(listeners))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -193,6 +193,38 @@
 	})
 }
 
+// TestCutOffFromWatchers cuts one host off from the store and from all hosts but one, which hears of changes from the watchers:
+// a configuration must come into force on the host that is cut off too.
+func TestCutOffFromWatchers(t *testing.T) {
+	inFleet(t, 6, 2, func(f *fleet) {
+		watcher := map[string]bool{}
+		var members []host.Member
+		for i := range 6 {
+			members = append(members, host.Member{Name: fmt.Sprintf("h%d", i), Domain: domainOf(i)})
+		}
+		for _, m := range host.Watchers(members, 1) {
+			watcher[m.Name] = true
+		}
+		var others []string
+		for _, m := range members {
+			if !watcher[m.Name] {
+				others = append(others, m.Name)
+			}
+		}
+		alone, friend := others[0], others[1]
+		f.net.Part(alone, "store")
+		for _, m := range members {
+			if m.Name != alone && m.Name != friend {
+				f.net.Part(alone, m.Name)
+			}
+		}
+		time.Sleep(time.Second)
+		f.configure(2, safeRule("lookup", "/lookup/"), safeRule("new", "/new/"))
+		time.Sleep(inForceBound)
+		f.is.Equal(f.call(alone, http.MethodGet, "/new/1", "cut-off").status, 200)
+	})
+}
+
 // TestHistoryForgotten drops the store's history while a configuration changes.
 func TestHistoryForgotten(t *testing.T) {
 	inFleet(t, 3, 2, func(f *fleet) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -29,6 +29,7 @@
 
 // Heartbeat implements inner.DRPCPeerServer.
 func (p *peerServer) Heartbeat(_ context.Context, r *inner.HeartbeatRequest) (*inner.HeartbeatReply, error) {
+	p.gateway.heard(r.Sender, r.Members)
 	return inner.Answer(p.gateway.table, p.gateway.now(), r), nil
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -37,6 +37,10 @@
 	followAliveEvery = 500 * time.Millisecond
 	// followSilence is how long the followed host may send nothing.
 	followSilence = 3 * followAliveEvery
+	// catchUpAfter is how long a note that a peer has already may take to come from the watchers.
+	catchUpAfter = 300 * time.Millisecond
+	// catchUpTimeout is how long a peer may take to tell everything that it knows of the store.
+	catchUpTimeout = time.Second
 	// followed is how many watchers each host follows.
 	followed = 2
 	// lapseCheck is how often targets are checked whose entries lapsed during an outage.
@@ -273,6 +277,43 @@
 	return g.table.Live(g.now())
 }
 
+// heard notes that a peer is ahead of this host.
+func (g *Gateway) heard(sender string, members []*inner.Member) {
+	for _, m := range inner.FromMembers(members) {
+		if m.Name == sender && m.Note > g.chain.Number() {
+			g.ahead.Push(m)
+		}
+	}
+}
+
+// catchUpDuty asks peers that are ahead when the watchers don't tell in time: they may be slow, or cut off from here alone.
+func (g *Gateway) catchUpDuty(ctx context.Context) {
+	for {
+		m, ok := g.ahead.Pop(ctx)
+		if !ok {
+			return
+		}
+		if duty.Sleep(ctx, catchUpAfter) && m.Note > g.chain.Number() {
+			g.catchUp(ctx, m)
+		}
+	}
+}
+
+// catchUp takes in once what a peer knows of the store.
+func (g *Gateway) catchUp(ctx context.Context, m host.Member) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	stream, err := g.client.Peer(ctx, m.Inner).FollowStore(ctx, &inner.FollowStoreRequest{})
+	if err == nil {
+		var reply *inner.FollowStoreReply
+		if reply, err = stream.Recv(); err == nil {
+			n := fromFollowReply(reply)
+			g.tell(g.roster.Apply(g.now(), n.changes, n.revision), n.revision, false)
+		}
+	}
+	g.logger.Info().Str("Peer", m.Name).Int("Note", g.chain.Number()).Err(err).Msg("asked a peer that is ahead")
+}
+
 // followPeer takes in what one watcher tells until its stream ends.
 func (g *Gateway) followPeer(ctx context.Context, m host.Member) {
 	ctx, cancel := context.WithCancel(ctx)
