Give soaked hosts loopback addresses of their own

The soak chose free ports of 127.0.0.1 and let them go until the host came up, or was down between two starts, and any outgoing connection may take one meanwhile. A fault of the test, not of the host; check and bounds are unchanged.

Change: each address has a number of its own under 127.0.0.0/8, where no connection begins.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -5,13 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -145,18 +145,26 @@
 	f.store.Put("op/config", value)
 }
 
-// freeAddress returns a loopback address that nobody listens on.
-func (f *fleet) freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	f.is.NoErr(err)
-	defer l.Close()
-	return l.Addr().String()
+// Numbers of own loopback addresses.
+const (
+	firstPort    = 7100
+	hostsPerPort = 250
+)
+
+// addresses counts the addresses that this process has given out.
+var addresses atomic.Int32
+
+// ownAddress returns a loopback address that nobody else takes while a host is down: connections begin at 127.0.0.1, and the
+// process's number tells this soak from others.
+func ownAddress() string {
+	n, pid := int(addresses.Add(1)), os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid%128, pid/128%256, 1+n%hostsPerPort, firstPort+n/hostsPerPort)
 }
 
 // addHost prepares a host: addresses, relays and settings.
 func (f *fleet) addHost(name, domain string) {
-	p := &process{name: name, front: f.freeAddress(), ready: f.freeAddress(), directory: f.freeAddress(), file: filepath.Join(f.dir, name+".ini")}
-	inner := f.freeAddress()
+	p := &process{name: name, front: ownAddress(), ready: ownAddress(), directory: ownAddress(), file: filepath.Join(f.dir, name+".ini")}
+	inner := ownAddress()
 	p.peers, p.store = f.relay(inner), f.relay(f.serve(f.store.For(name)))
 	seeds := ""
 	if len(f.hosts) > 0 {
