Keep one copy of writing pages and of dropping fields of a connection

internal/page writes a host's JSON pages for entry hosts, gateways and records of explanations, which each had their own; an answer that has no encoding is an error on all of them now, not an empty page. backend.DropHops removes the fields that concern one connection for both kinds of host; entry hosts drop Expect besides, as before. Bytes on the wire are the same.

--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -10,6 +10,7 @@
 	"briarcroft/internal/host"
 	"briarcroft/internal/meter"
 	"briarcroft/internal/note"
+	"briarcroft/internal/page"
 	"briarcroft/internal/steering"
 )
 
@@ -49,7 +50,7 @@
 	if len(answer.Addresses) == 0 {
 		answer.Addresses = append(answer.Addresses, toAddress(h.table.Self()))
 	}
-	writeJSON(w, http.StatusOK, answer)
+	page.Write(w, http.StatusOK, answer)
 }
 
 func toAddress(m host.Member) address.Address {
@@ -58,7 +59,7 @@
 
 func (f *front) serveNote(w http.ResponseWriter, _ *http.Request) {
 	head, hash, _ := f.host.chain.Head()
-	writeJSON(w, http.StatusOK, note.Status{
+	page.Write(w, http.StatusOK, note.Status{
 		Host: f.host.Name(), Incarnation: f.host.incarnation, Number: head.Number, Hash: hash, Configuration: head.Configuration,
 		InForceSince: time.UnixMilli(f.host.inForce.Load()).UTC(), Operator: head.Note.Operator, Reason: head.Note.Reason,
 	})
@@ -79,7 +80,7 @@
 	if !self.Ready || self.Leaving {
 		status = http.StatusServiceUnavailable
 	}
-	writeJSON(w, status, Health{self.Name, self.Ready, self.Leaving, f.host.table.Isolated(f.host.now()), self.Note})
+	page.Write(w, status, Health{self.Name, self.Ready, self.Leaving, f.host.table.Isolated(f.host.now()), self.Note})
 }
 
 // Status is everything that one host tells of itself.
@@ -124,7 +125,7 @@
 }
 
 func (f *front) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, f.host.status())
+	page.Write(w, http.StatusOK, f.host.status())
 }
 
 // newVars returns the host's expvar map; it is not global, so that several hosts can live in one process.
--- a/internal/entry/read.go
+++ b/internal/entry/read.go
@@ -5,9 +5,9 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
+	"briarcroft/internal/backend"
 	"briarcroft/internal/claim"
 	"briarcroft/internal/note"
 	"briarcroft/internal/steering"
@@ -109,11 +109,6 @@
 	return defaultAllowance
 }
 
-// hopFields are the header fields that end at one connection (RFC 9110, section 7.6.1), and Expect, which the host answers itself.
-var hopFields = []string{
-	"Connection", "Expect", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // forwarded returns the header fields that go on to the target.
 func forwarded(r *http.Request) http.Header {
 	header := r.Header.Clone()
@@ -127,13 +122,8 @@
 	return header
 }
 
+// dropHops removes the fields that end at this host: those of one connection, and Expect, which the host answers itself.
 func dropHops(header http.Header) {
-	for _, value := range header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopFields {
-		header.Del(name)
-	}
+	backend.DropHops(header)
+	header.Del("Expect")
 }
--- a/internal/entry/write.go
+++ b/internal/entry/write.go
@@ -1,13 +1,13 @@
 package entry
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"briarcroft/internal/claim"
+	"briarcroft/internal/page"
 	"briarcroft/internal/ring"
 	"briarcroft/internal/steering"
 )
@@ -98,21 +98,9 @@
 	if r.RetryDone {
 		w.Header().Set(steering.HeaderRetry, steering.RetryDone)
 	}
-	writeJSON(w, r.Status, struct {
+	page.Write(w, r.Status, struct {
 		Outcome           claim.Outcome
 		Reason            string
 		RetryAfterSeconds float64
 	}{r.Outcome, r.Reason, r.RetryAfter.Seconds()})
 }
-
-func writeJSON(w http.ResponseWriter, status int, value any) {
-	text, err := json.Marshal(value)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// The caller went away if this fails.
-	_, _ = w.Write(append(text, '\n'))
-}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"briarcroft/internal/placement"
@@ -45,23 +44,6 @@
 	return own(http.StatusServiceUnavailable, string(r.Reason), r.RetryAfter)
 }
 
-// connectionFields concern one connection only and are never passed on.
-var connectionFields = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// endToEnd removes the fields that concern one connection only.
-func endToEnd(h http.Header) {
-	for _, line := range h["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range connectionFields {
-		h.Del(name)
-	}
-}
-
 // write sends an answer and reports whether all of it was sent.
 func (c *callerConn) write(q *request, a *answer, closing bool) bool {
 	conn := c.metered.Conn
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -104,7 +104,7 @@
 		Method: q.method, Host: q.host, Header: q.header.Clone(), URL: &url.URL{Scheme: "http", Host: p.Address, Opaque: q.uri},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}).WithContext(ctx)
-	endToEnd(r.Header)
+	backend.DropHops(r.Header)
 	r.Header.Del("Expect")
 	if r.Header.Get("User-Agent") == "" {
 		// An empty field keeps the library from adding its own.
@@ -143,7 +143,7 @@
 		return r
 	}
 	a := &answer{status: response.StatusCode, header: response.Header, body: body, length: int64(len(body))}
-	endToEnd(a.header)
+	backend.DropHops(a.header)
 	if len(body) == wholeBytes {
 		a.rest, a.length = response.Body, response.ContentLength
 	} else {
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"expvar"
 	"net"
@@ -13,6 +12,7 @@
 	"briarcroft/internal/host"
 	"briarcroft/internal/meter"
 	"briarcroft/internal/note"
+	"briarcroft/internal/page"
 )
 
 // Times and counts of the directory.
@@ -59,17 +59,11 @@
 			http.Error(w, "no host is ready", http.StatusServiceUnavailable)
 			return
 		}
-		writeJSON(w, g.dialect.AddressesBody(addresses, int(g.tunable.Load().Limits.AddressMaxAge/time.Second)))
+		page.Write(w, http.StatusOK, g.dialect.AddressesBody(addresses, int(g.tunable.Load().Limits.AddressMaxAge/time.Second)))
 	})
 	return serveHTTP(ctx, l, mux)
 }
 
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	// A caller that has gone reads no error either.
-	_ = json.NewEncoder(w).Encode(value)
-}
-
 // addresses returns where a caller of a failure domain should connect. Callers choose among them at random, so those
 // of other domains are named only when the caller's own has few hosts.
 func (g *Gateway) addresses(domain, region string) []string {
@@ -109,7 +103,7 @@
 
 func (g *Gateway) serveNote(w http.ResponseWriter, _ *http.Request) {
 	head, hash, _ := g.chain.Head()
-	writeJSON(w, note.Status{
+	page.Write(w, http.StatusOK, note.Status{
 		Host: g.settings.Host.Name, Incarnation: g.incarnation, Number: head.Number, Hash: hash, Configuration: head.Configuration,
 		InForceSince: time.UnixMilli(g.inForce.Load()).UTC(), Operator: head.Note.Operator, Reason: head.Note.Reason,
 	})
@@ -117,7 +111,7 @@
 
 func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	self := g.table.Self()
-	writeJSON(w, struct {
+	page.Write(w, http.StatusOK, struct {
 		Host, Domain   string
 		Incarnation    uint64
 		Ready, Leaving bool
--- /dev/null
+++ b/internal/page/page.go
@@ -0,0 +1,20 @@
+// Package page writes a host's own pages.
+package page
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// Write answers with a value as JSON.
+func Write(w http.ResponseWriter, status int, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller went away if this fails.
+	_, _ = w.Write(append(text, '\n'))
+}
--- a/internal/record/serve.go
+++ b/internal/record/serve.go
@@ -1,9 +1,10 @@
 package record
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
+
+	"briarcroft/internal/page"
 )
 
 // ServeHTTP answers with the records that concern the parameter Target since the time Since; both may be left out.
@@ -16,7 +17,5 @@
 			return
 		}
 	}
-	w.Header().Set("Content-Type", "application/json")
-	// A caller that has gone reads no error either.
-	_ = json.NewEncoder(w).Encode(struct{ Records []Record }{b.Since(r.URL.Query().Get("Target"), since)})
+	page.Write(w, http.StatusOK, struct{ Records []Record }{b.Since(r.URL.Query().Get("Target"), since)})
 }
