Keep one copy of the heartbeats' loop, of taking in news and of a target

Both kinds of host run inner.Heartbeats.Run, and ask inner.Ahead whether a sender has a newer note, which decodes that one member; all members of each heartbeat were decoded twice before. What a peer tells of the store is taken in by Gateway.takeNews, from a stream that is followed and from one that is asked once. roster.Target holds a placement.Target, whose fields it listed again. returned() looks up itself what both callers passed. The soak keeps logs by os.CopyFS.

--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -40,15 +40,8 @@
 	}
 }
 
-// beatDuty sends a round of heartbeats on time, or at once when there is news.
-func (h *Host) beatDuty(ctx context.Context) {
-	for ctx.Err() == nil {
-		h.beat(ctx)
-		wait, cancel := context.WithTimeout(ctx, h.table.NextBeat())
-		h.kick.Pop(wait)
-		cancel()
-	}
-}
+// beatDuty sends heartbeats.
+func (h *Host) beatDuty(ctx context.Context) { h.beats.Run(ctx, h.kick, h.beat) }
 
 func (h *Host) beat(ctx context.Context) {
 	recipients := h.table.Beat(h.now())
@@ -69,17 +62,15 @@
 }
 
 func (h *Host) takeReply(reply *inner.HeartbeatReply) {
-	h.heard(reply.Sender, inner.FromMembers(reply.Members), reply.Quarantines)
+	h.heard(reply.Sender, reply.Members, reply.Quarantines)
 }
 
 // heard takes in the rest of what a peer sent, and asks for its note when that is newer.
-func (h *Host) heard(sender string, members []host.Member, quarantines []*inner.Quarantine) {
+func (h *Host) heard(sender string, members []*inner.Member, quarantines []*inner.Quarantine) {
 	h.quarantine.Take(h.now(), fromWireOffenders(quarantines))
 	h.peersRead.Store(true)
-	for _, m := range members {
-		if m.Name == sender && m.Note > h.chain.Number() {
-			h.hints.Push(hint{m.Inner, m.Note})
-		}
+	if m, ahead := inner.Ahead(sender, members, h.chain.Number()); ahead {
+		h.hints.Push(hint{m.Inner, m.Note})
 	}
 	if h.chain.Number() > 0 && !h.table.Self().Ready {
 		h.refreshReady()
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -29,7 +29,7 @@
 // Heartbeat implements inner.DRPCPeerServer.
 func (p *peerServer) Heartbeat(_ context.Context, r *inner.HeartbeatRequest) (*inner.HeartbeatReply, error) {
 	h := p.host
-	h.heard(r.Sender, inner.FromMembers(r.Members), r.Quarantines)
+	h.heard(r.Sender, r.Members, r.Quarantines)
 	reply := inner.Answer(h.table, h.now(), r)
 	reply.Quarantines = h.offenders()
 	return reply, nil
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -162,9 +162,7 @@
 	list := v.Targets[h.service]
 	targets := make([]placement.Target, 0, len(list))
 	for _, t := range list {
-		targets = append(targets, placement.Target{
-			Name: t.Name, Address: t.Address, Domain: t.Domain, Slots: t.Slots, Leaving: t.Leaving, Warming: t.Warming, Start: t.Start,
-		})
+		targets = append(targets, t.Target)
 	}
 	if s, named := v.Configuration.Service(h.service); named {
 		h.health = s.ReportPath
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -170,15 +170,8 @@
 	return n
 }
 
-// beatDuty sends a round of heartbeats on time, or at once when there is news.
-func (g *Gateway) beatDuty(ctx context.Context) {
-	for ctx.Err() == nil {
-		g.beat(ctx)
-		wait, cancel := context.WithTimeout(ctx, g.table.NextBeat())
-		g.kick.Pop(wait)
-		cancel()
-	}
-}
+// beatDuty sends heartbeats.
+func (g *Gateway) beatDuty(ctx context.Context) { g.beats.Run(ctx, g.kick, g.beat) }
 
 func (g *Gateway) beat(ctx context.Context) {
 	recipients := g.table.Beat(g.now())
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -153,7 +153,7 @@
 	if err != nil {
 		return 0, err
 	}
-	g.returned(g.watch.lost.Load())
+	g.returned()
 	g.tell(g.roster.Replace(g.now(), entries, revision), revision, false)
 	return revision, nil
 }
@@ -165,7 +165,7 @@
 	if err != nil {
 		return revision, err
 	}
-	g.returned(g.watch.lost.Load())
+	g.returned()
 	g.tell(g.roster.Apply(g.now(), changes, next), next, false)
 	if len(changes) > 0 {
 		// Changes come in bursts, and each answered call is paid for.
@@ -185,8 +185,8 @@
 }
 
 // returned notes the end of an outage of the store, here and for the followers.
-func (g *Gateway) returned(was bool) {
-	if was && g.roster.StoreReturned(g.now()) {
+func (g *Gateway) returned() {
+	if g.watch.lost.Load() && g.roster.StoreReturned(g.now()) {
 		g.followers.tell(news{returned: true})
 	}
 }
@@ -279,10 +279,8 @@
 
 // heard notes that a peer is ahead of this host.
 func (g *Gateway) heard(sender string, members []*inner.Member) {
-	for _, m := range inner.FromMembers(members) {
-		if m.Name == sender && m.Note > g.chain.Number() {
-			g.ahead.Push(m)
-		}
+	if m, ahead := inner.Ahead(sender, members, g.chain.Number()); ahead {
+		g.ahead.Push(m)
 	}
 }
 
@@ -307,13 +305,20 @@
 	if err == nil {
 		var reply *inner.FollowStoreReply
 		if reply, err = stream.Recv(); err == nil {
-			n := fromFollowReply(reply)
-			g.tell(g.roster.Apply(g.now(), n.changes, n.revision), n.revision, false)
+			g.takeNews(reply)
 		}
 	}
 	g.logger.Info().Str("Peer", m.Name).Int("Note", g.chain.Number()).Err(err).Msg("asked a peer that is ahead")
 }
 
+// takeNews takes in what a peer tells of the store.
+func (g *Gateway) takeNews(reply *inner.FollowStoreReply) {
+	n := fromFollowReply(reply)
+	// What is news here may be news to own followers: a watcher that has lost the store hears of changes this way.
+	returned := n.returned && g.roster.StoreReturned(g.now())
+	g.tell(g.roster.Apply(g.now(), n.changes, n.revision), n.revision, returned)
+}
+
 // followPeer takes in what one watcher tells until its stream ends.
 func (g *Gateway) followPeer(ctx context.Context, m host.Member) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -323,14 +328,10 @@
 	stream, err := g.client.Peer(ctx, m.Inner).FollowStore(ctx, &inner.FollowStoreRequest{})
 	for err == nil {
 		var reply *inner.FollowStoreReply
-		if reply, err = stream.Recv(); err != nil {
-			break
+		if reply, err = stream.Recv(); err == nil {
+			silent.Reset(followSilence)
+			g.takeNews(reply)
 		}
-		silent.Reset(followSilence)
-		n := fromFollowReply(reply)
-		// What is news here may be news to own followers: a watcher that has lost the store hears of changes this way.
-		returned := n.returned && g.roster.StoreReturned(g.now())
-		g.tell(g.roster.Apply(g.now(), n.changes, n.revision), n.revision, returned)
 	}
 	if ctx.Err() == nil {
 		g.logger.Info().Str("Peer", m.Name).Err(err).Msg("stream of store changes ended")
--- a/internal/inner/heartbeat.go
+++ b/internal/inner/heartbeat.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"briarcroft/internal/host"
+	"briarcroft/internal/ring"
 )
 
 // Times of a heartbeat.
@@ -28,6 +29,16 @@
 	Heard func(*HeartbeatReply)
 }
 
+// Run sends rounds of heartbeats on time, or at once when kicked, until the context ends.
+func (b *Heartbeats) Run(ctx context.Context, kick *ring.Ring[struct{}], round func(context.Context)) {
+	for ctx.Err() == nil {
+		round(ctx)
+		wait, cancel := context.WithTimeout(ctx, b.Table.NextBeat())
+		kick.Pop(wait)
+		cancel()
+	}
+}
+
 // Round exchanges heartbeats with the peers at some inner addresses and returns when each has answered or failed.
 func (b *Heartbeats) Round(ctx context.Context, addresses []string) {
 	request := b.Request(b.Table.Outgoing(b.Now()))
@@ -76,6 +87,16 @@
 	}
 }
 
+// Ahead returns the sender of a heartbeat or its reply when a note above the given one is in force there.
+func Ahead(sender string, members []*Member, note int) (host.Member, bool) {
+	for _, m := range members {
+		if m.Name == sender && int(m.Note) > note {
+			return FromMembers([]*Member{m})[0], true
+		}
+	}
+	return host.Member{}, false
+}
+
 // Request makes the message of a heartbeat.
 func Request(sender string, news host.News) *HeartbeatRequest {
 	return &HeartbeatRequest{Sender: sender, Members: ToMembers(news.Members), Pulses: ToPulses(news.Pulses)}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -33,16 +33,18 @@
 	failuresToEject = 3
 )
 
-// Target describes one target to a Home.
+// Target is one target as it describes itself.
 type Target struct {
 	Name    string
 	Address string
 	Domain  string
-	Slots   int
+	// Slots is how many requests it runs at a time.
+	Slots int
+	// Leaving is set once it takes no new work.
 	Leaving bool
-	// Warming is how long the target stays slow.
+	// Warming is how long it stays slow, counted from when this was told.
 	Warming time.Duration
-	// Start identifies one start of the target.
+	// Start identifies one start of the target; another value means that it holds and knows nothing of before.
 	Start int64
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -10,6 +10,7 @@
 
 	"briarcroft/internal/fixedseed"
 	"briarcroft/internal/note"
+	"briarcroft/internal/placement"
 	"briarcroft/internal/platform"
 
 	"github.com/matryer/is"
@@ -31,7 +32,7 @@
 		if len(value) == 0 {
 			return nil, errors.New("no address")
 		}
-		return Registered{Target{Name: key[2:], Service: "s", Address: string(value), Slots: 1}}, nil
+		return Registered{Target{Service: "s", Target: placement.Target{Name: key[2:], Address: string(value), Slots: 1}}}, nil
 	}
 	return nil, nil
 }
--- a/internal/roster/target.go
+++ b/internal/roster/target.go
@@ -1,25 +1,14 @@
 package roster
 
 import (
-	"time"
-
 	"briarcroft/internal/note"
+	"briarcroft/internal/placement"
 )
 
 // Target is one backend server as it registered itself.
 type Target struct {
-	Name    string
+	placement.Target
 	Service string
-	Address string
-	Domain  string
-	// Slots is how many requests it runs at a time.
-	Slots int
-	// Leaving is set once it takes no new work.
-	Leaving bool
-	// Warming is how long it stays slow, counted from when the entry was read.
-	Warming time.Duration
-	// Start identifies one start of the server; another value means that it holds and knows nothing of before.
-	Start int64
 }
 
 // Item is what one entry of the store says: Configured, Registered or Neighbour.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -92,20 +90,11 @@
 	return n
 }
 
-// keepLogs copies the hosts' logs to where they outlive the test.
+// keepLogs copies the hosts' logs and settings to where they outlive the test.
 func (r *run) keepLogs(seed uint64) string {
 	kept, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	r.is.NoErr(err)
-	for _, p := range r.hosts {
-		from, err := os.Open(filepath.Join(r.dir, p.name+".log"))
-		r.is.NoErr(err)
-		to, err := os.Create(filepath.Join(kept, p.name+".log"))
-		r.is.NoErr(err)
-		_, err = io.Copy(to, from)
-		r.is.NoErr(err)
-		r.is.NoErr(from.Close())
-		r.is.NoErr(to.Close())
-	}
+	r.is.NoErr(os.CopyFS(kept, os.DirFS(r.dir)))
 	return kept
 }
 
