Count bytes of the streams of store changes, and probes by role

Nothing told apart whether a change is late because of its bytes, of repeated transfers or of time limits, nor whether too many probes come from primary or from fallback homes. Counters for both are on the metrics page and each 5 s in the log. The record of an adopted note named all its entries; with 1,400 rules its line was cut off in the log. It names 20 of each kind now.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -291,7 +291,7 @@
 	}
 	tasks := duty.NewGroup()
 	defer tasks.Stop()
-	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck} {
+	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog} {
 		tasks.Go(task)
 	}
 	failed := make(chan error, len(listeners))
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -196,8 +196,14 @@
 
 // sendProbes starts the health probes that are due; the caller holds h.mu.
 func (h *serviceHome) sendProbes() {
-	for _, p := range h.home.DueProbes(h.server.gateway.now()) {
-		go h.probe(h.server.gateway.background, p)
+	g := h.server.gateway
+	sent := &g.stats.fallbackProbes
+	if h.home.Primary() {
+		sent = &g.stats.primaryProbes
+	}
+	for _, p := range h.home.DueProbes(g.now()) {
+		sent.Add(1)
+		go h.probe(g.background, p)
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -10,6 +10,8 @@
 	"briarcroft/internal/platform"
 	"briarcroft/internal/record"
 	"briarcroft/internal/ring"
+
+	"google.golang.org/protobuf/proto"
 )
 
 // peerServer implements the RPCs that other entry hosts call.
@@ -121,6 +123,13 @@
 	return f.lastNumber, queue
 }
 
+// count returns the number of registered followers.
+func (f *followers) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.queues)
+}
+
 func (f *followers) remove(number uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -141,8 +150,13 @@
 	g := p.gateway
 	number, updates := g.followers.add()
 	defer g.followers.remove(number)
+	send := func(u storeUpdate) error {
+		reply := toFollowReply(u)
+		g.stats.storeBytesSent.Add(int64(proto.Size(reply)))
+		return stream.Send(reply)
+	}
 	all, revision := g.roster.AllChanges()
-	if err := stream.Send(toFollowReply(storeUpdate{changes: all, revision: revision})); err != nil {
+	if err := send(storeUpdate{changes: all, revision: revision}); err != nil {
 		return err
 	}
 	for g.followers.contains(number) {
@@ -155,7 +169,7 @@
 		if !ok {
 			u = storeUpdate{}
 		}
-		if err := stream.Send(toFollowReply(u)); err != nil {
+		if err := send(u); err != nil {
 			return err
 		}
 	}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -23,7 +23,6 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	health, load := g.checkHealth(ctx, p, h.healthPath)
-	g.stats.probes.Add(1)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.home.RecordProbe(g.now(), p.Target, health, load)
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"briarcroft/internal/duty"
 	"briarcroft/internal/meter"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/ring"
@@ -97,10 +98,31 @@
 
 // stats holds the counters that the metrics page shows. Those with less obvious names are: unresponsiveHomes, homes that
 // gave no verdict within firstVerdictTimeout; slowReaders, hosts cut off because they did not read their verdicts; truncated,
-// responses that could not be sent completely; rejected, requests that could not be read.
+// responses that could not be sent completely; rejected, requests that could not be read; storeBytesSent and
+// storeBytesReceived, bytes of the streams on which hosts pass on changes of the store; followsStarted, attempts to open
+// such a stream; primaryProbes and fallbackProbes,
+// health probes sent as a primary and as a fallback home.
 type stats struct {
-	requests, attempts, probes, storeCalls, unresponsiveHomes, slowReaders, rejected atomic.Int64
-	answered, refused, failed, notFound, truncated                                   atomic.Int64
+	requests, attempts, storeCalls, unresponsiveHomes, slowReaders, rejected          atomic.Int64
+	answered, refused, failed, notFound, truncated                                    atomic.Int64
+	primaryProbes, fallbackProbes, storeBytesSent, storeBytesReceived, followsStarted atomic.Int64
+}
+
+// countersInterval is the time between two lines with the counters in the log.
+const countersInterval = 5 * time.Second
+
+// runCounterLog is the background task that writes the counters to the log, for times at which nobody read the metrics
+// page.
+func (g *Gateway) runCounterLog(ctx context.Context) {
+	s := &g.stats
+	for duty.Sleep(ctx, countersInterval) {
+		g.logger.Info().
+			Int64("Requests", s.requests.Load()).Int64("PrimaryProbes", s.primaryProbes.Load()).Int64("FallbackProbes", s.fallbackProbes.Load()).
+			Int64("StoreCalls", s.storeCalls.Load()).Int64("StoreBytesSent", s.storeBytesSent.Load()).
+			Int64("StoreBytesReceived", s.storeBytesReceived.Load()).Int64("FollowsStarted", s.followsStarted.Load()).
+			Int("Followers", g.followers.count()).Int("LiveHosts", len(g.members.Live(g.now()))).
+			Msg("counters")
+	}
 }
 
 // finish counts and logs how a request ended; sent reports whether the whole response was written.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -13,6 +13,7 @@
 	"briarcroft/internal/record"
 
 	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
 )
 
 // Times and counts of replicating the store. A few hosts, the watchers, follow the store itself; the others follow the
@@ -330,6 +331,7 @@
 
 // applyUpdate applies an update of the store from a peer and passes it on to this host's followers.
 func (g *Gateway) applyUpdate(reply *inner.FollowStoreReply) {
+	g.stats.storeBytesReceived.Add(int64(proto.Size(reply)))
 	u := fromFollowReply(reply)
 	// A watcher that cannot reach the store receives changes this way, and its followers depend on it.
 	returned := u.returned && g.roster.StoreReturned(g.now())
@@ -342,6 +344,7 @@
 	defer cancel()
 	timer := time.AfterFunc(followSilenceTimeout, cancel)
 	defer timer.Stop()
+	g.stats.followsStarted.Add(1)
 	stream, err := g.client.Peer(ctx, m.Inner).FollowStore(ctx, &inner.FollowStoreRequest{})
 	for err == nil {
 		var reply *inner.FollowStoreReply
--- a/internal/note/diff.go
+++ b/internal/note/diff.go
@@ -34,13 +34,23 @@
 	return changed, removed
 }
 
-// Summary returns one line with the names of the entries that the note sets and of those that it withdraws.
+// maxSummaryNames is the number of names of one kind that Summary lists.
+const maxSummaryNames = 20
+
+// Summary returns one line with the first names of the entries that the note sets and of those that it withdraws, and how
+// many more there are.
 func (n Note) Summary() string {
 	var parts []string
 	add := func(verb, kind string, names []string) {
-		if len(names) > 0 {
-			parts = append(parts, fmt.Sprintf("%s %s %s", verb, kind, strings.Join(names, " ")))
+		if len(names) == 0 {
+			return
+		}
+		more := ""
+		if len(names) > maxSummaryNames {
+			more = fmt.Sprintf(" and %d more", len(names)-maxSummaryNames)
+			names = names[:maxSummaryNames]
 		}
+		parts = append(parts, fmt.Sprintf("%s %s %s%s", verb, kind, strings.Join(names, " "), more))
 	}
 	add("set", "services", entryNames(n.Services, serviceName))
 	add("set", "targets", entryNames(n.Targets, targetName))
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -99,6 +99,9 @@
 // of one probe per target and gets more credit only with requests.
 func (h *Home) SetPrimary(primary bool) { h.primary = primary }
 
+// Primary reports whether this is the primary home of the service, as last set by SetPrimary.
+func (h *Home) Primary() bool { return h.primary }
+
 // addProbeCredit adds the probe credit of a fallback home for one submitted request.
 func (h *Home) addProbeCredit() {
 	h.probeCredit = min(h.probeCredit+fallbackProbesPerRequest, 2*float64(len(h.targets)))
