--- a/internal/fakenet/network.go
+++ b/internal/fakenet/network.go
@@ -19,13 +19,14 @@
 	partitioned  map[[2]string]bool // by sending and receiving node
 	conns        map[*pipeConn]bool // ends of connections on which Close was not called yet
 	addressCount int                // number of addresses that were assigned
+	links        map[string]*link
 }
 
 var errRefused = errors.New("connection refused")
 
 // New returns a network without nodes.
 func New() *Network {
-	return &Network{listeners: map[string]*pipeListener{}, partitioned: map[[2]string]bool{}, conns: map[*pipeConn]bool{}}
+	return &Network{listeners: map[string]*pipeListener{}, partitioned: map[[2]string]bool{}, conns: map[*pipeConn]bool{}, links: map[string]*link{}}
 }
 
 // pipeListener is a listener of a node; its connections are pairs of pipeConn.
@@ -93,18 +94,91 @@
 	blackholed bool
 }
 
+// segmentBytes is the number of bytes that a connection writes at once, so that connections share a link.
+const segmentBytes = 4 << 10
+
 // Write implements net.Conn. A write during a partition blackholes this end for good.
 func (c *pipeConn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		segment := p[written:min(len(p), written+segmentBytes)]
+		n, err := c.writeSegment(segment)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+func (c *pipeConn) writeSegment(p []byte) (int, error) {
 	c.network.mu.Lock()
 	dropped := c.blackholed || c.network.partitioned[[2]string{c.from, c.to}]
 	c.blackholed = dropped
+	wait := c.network.sendOverLinks(c.from, c.to, len(p))
 	c.network.mu.Unlock()
 	if dropped {
 		return len(p), nil
 	}
+	if wait > 0 {
+		time.Sleep(wait)
+	}
 	return c.Conn.Write(p)
 }
 
+// link is a node's connection to the network. Both directions have the same bandwidth.
+type link struct {
+	// bytesPerSecond is 0 for an unlimited bandwidth.
+	bytesPerSecond float64
+	// sentUntil and receivedUntil are when the last byte of either direction passes.
+	sentUntil, receivedUntil time.Time
+	bytesSent                int64
+}
+
+// link returns the link of a node; the caller holds n.mu.
+func (n *Network) link(node string) *link {
+	l := n.links[node]
+	if l == nil {
+		l = &link{}
+		n.links[node] = l
+	}
+	return l
+}
+
+// SetBandwidth limits what a node can send, and what it can receive, in a second. Bytes that exceed it wait.
+func (n *Network) SetBandwidth(node string, bytesPerSecond float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.link(node).bytesPerSecond = bytesPerSecond
+}
+
+// BytesSent returns the number of bytes that a node has written to its connections.
+func (n *Network) BytesSent(node string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.link(node).bytesSent
+}
+
+// sendOverLinks queues bytes at the links of two nodes and returns how long they take to arrive; the caller holds n.mu.
+func (n *Network) sendOverLinks(from, to string, size int) time.Duration {
+	now := time.Now()
+	sender, receiver := n.link(from), n.link(to)
+	sender.bytesSent += int64(size)
+	arrival := sender.queue(&sender.sentUntil, now, size)
+	return receiver.queue(&receiver.receivedUntil, arrival, size).Sub(now)
+}
+
+// queue adds bytes that reach one direction of the link at a time, and returns when the last of them has passed.
+func (l *link) queue(until *time.Time, at time.Time, size int) time.Time {
+	if l.bytesPerSecond == 0 {
+		return at
+	}
+	if until.Before(at) {
+		*until = at
+	}
+	*until = until.Add(time.Duration(float64(size) / l.bytesPerSecond * float64(time.Second)))
+	return *until
+}
+
 // Close implements net.Conn.
 func (c *pipeConn) Close() error {
 	c.network.mu.Lock()
@@ -195,13 +269,8 @@
 
 // Crash closes every connection and listener of a node at once; the other ends of the connections notice it.
 func (n *Network) Crash(node string) {
+	n.ResetConnections(node)
 	n.mu.Lock()
-	var conns []*pipeConn
-	for c := range n.conns {
-		if c.from == node {
-			conns = append(conns, c)
-		}
-	}
 	var listeners []*pipeListener
 	for _, l := range n.listeners {
 		if l.node == node {
@@ -209,14 +278,26 @@
 		}
 	}
 	n.mu.Unlock()
-	for _, c := range conns {
-		_ = c.Conn.Close()
-	}
 	for _, l := range listeners {
 		_ = l.Close()
 	}
 }
 
+// ResetConnections closes every connection of a node at once; the other ends notice it, and new connections work.
+func (n *Network) ResetConnections(node string) {
+	n.mu.Lock()
+	var conns []*pipeConn
+	for c := range n.conns {
+		if c.from == node {
+			conns = append(conns, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Conn.Close()
+	}
+}
+
 // CloseAll closes all connections, so that no goroutine of a test blocks for ever on one.
 func (n *Network) CloseAll() {
 	n.mu.Lock()
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -8,3 +8,7 @@
 	}
 	return len(ranked), ranked[0].Name
 }
+
+// NoteNumber returns the number of the note in force, and StoreLost whether the gateway cannot reach the store.
+func (g *Gateway) NoteNumber() int { return g.chain.Number() }
+func (g *Gateway) StoreLost() bool { return g.storeWatch.unreachable.Load() }
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -133,6 +133,7 @@
 	s.Host = settings.Host{Name: name, Domain: domain, Region: "home", Listen: n.listen, Inner: n.inner, Ready: n.ready, Directory: n.directory}
 	s.Platform.Kind = "Native"
 	s.Limits.StopTimeout, s.Limits.AddressMaxAge = 6*time.Second, time.Second
+	s.Budget.ProbesPerSec = probesPerSecond
 	if first := f.hosts["h0"]; first != nil && first != n {
 		s.Peers.Seeds = []string{first.inner}
 	}
