Send followers only the changes that they lack

Callers got 404 for acknowledged routes.

A follower now names the revision up to which its replica is complete. The roster calls OnUpdate under its lock, so that followers get updates in the order in which they were applied; a revision that a follower has reached can't skip a change. Where deletions are no longer remembered, the difference lists all entries and says so (TestSince).

--- /dev/null
+++ b/internal/gateway/followers.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+
+	"briarcroft/internal/inner"
+	"briarcroft/internal/platform"
+	"briarcroft/internal/ring"
+	"briarcroft/internal/roster"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// followerQueueSize is the number of updates that may be queued for a follower that reads slowly.
+const followerQueueSize = 64
+
+// storeUpdate is what followers are sent about the store: what their replica lacks, and whether an outage of the store
+// has ended. An empty one is a keep-alive message.
+type storeUpdate struct {
+	roster.Difference
+	returned bool
+}
+
+// followers are the hosts that receive changes of the store from this one.
+type followers struct {
+	mu         sync.Mutex
+	lastNumber uint64
+	queues     map[uint64]*ring.Queue[storeUpdate]
+}
+
+// broadcast queues an update for all followers. A follower whose queue is full is removed, which ends its stream; it
+// then follows again from the revision that it has reached.
+func (f *followers) broadcast(u storeUpdate) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for number, queue := range f.queues {
+		if !queue.Push(u) {
+			delete(f.queues, number)
+		}
+	}
+}
+
+// broadcastChanges is the roster's OnUpdate callback.
+func (f *followers) broadcastChanges(changes []platform.Change, revision int64) {
+	f.broadcast(storeUpdate{Difference: roster.Difference{Changes: changes, Revision: revision}})
+}
+
+// add registers a follower and returns its number and its queue of updates.
+func (f *followers) add() (uint64, *ring.Queue[storeUpdate]) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lastNumber++
+	queue := ring.NewQueue[storeUpdate](ring.Config{Capacity: followerQueueSize})
+	f.queues[f.lastNumber] = queue
+	return f.lastNumber, queue
+}
+
+func (f *followers) remove(number uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.queues, number)
+}
+
+// count returns the number of registered followers.
+func (f *followers) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.queues)
+}
+
+// contains reports whether a follower is still registered; broadcast removes those that read too slowly.
+func (f *followers) contains(number uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, found := f.queues[number]
+	return found
+}
+
+// FollowStore implements inner.DRPCPeerServer: it sends what the follower's replica lacks, then changes and, while there
+// are none, keep-alive messages.
+func (p *peerServer) FollowStore(r *inner.FollowStoreRequest, stream inner.DRPCPeer_FollowStoreStream) error {
+	g := p.gateway
+	number, updates := g.followers.add()
+	defer g.followers.remove(number)
+	send := func(u storeUpdate) error {
+		reply := toFollowReply(u)
+		g.stats.storeBytesSent.Add(int64(proto.Size(reply)))
+		return stream.Send(reply)
+	}
+	if err := send(storeUpdate{Difference: g.roster.Since(r.Revision)}); err != nil {
+		return err
+	}
+	for g.followers.contains(number) {
+		waitCtx, cancel := context.WithTimeout(stream.Context(), followKeepAliveInterval)
+		u, ok := updates.Pop(waitCtx)
+		cancel()
+		if stream.Context().Err() != nil {
+			return stream.Context().Err()
+		}
+		if !ok {
+			u = storeUpdate{}
+		}
+		if err := send(u); err != nil {
+			return err
+		}
+	}
+	return inner.ErrPeerFailed.New("host %s could not keep up; following again from its last revision", g.settings.Host.Name)
+}
+
+func toFollowReply(u storeUpdate) *inner.FollowStoreReply {
+	reply := &inner.FollowStoreReply{Revision: u.Revision, Returned: u.returned, Complete: u.Complete}
+	for _, c := range u.Changes {
+		reply.Changes = append(reply.Changes, &inner.StoreChange{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
+	}
+	return reply
+}
+
+func fromFollowReply(reply *inner.FollowStoreReply) storeUpdate {
+	u := storeUpdate{roster.Difference{Revision: reply.Revision, Complete: reply.Complete}, reply.Returned}
+	for _, c := range reply.Changes {
+		u.Changes = append(u.Changes, platform.Change{Entry: platform.Entry{Key: c.Key, Value: c.Value, Revision: c.Revision}, Deleted: c.Deleted})
+	}
+	return u
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -8,12 +8,10 @@
 
 	"briarcroft/internal/duty"
 	"briarcroft/internal/host"
-	"briarcroft/internal/inner"
 	"briarcroft/internal/platform"
 	"briarcroft/internal/record"
 
 	"github.com/joomcode/errorx"
-	"google.golang.org/protobuf/proto"
 )
 
 // Times and counts of replicating the store. A few hosts, the watchers, follow the store itself; the others follow the
@@ -38,17 +36,6 @@
 	lostStoreRetryPause = time.Second
 	// failuresUntilUnreachable is how many calls in a row must fail for the store to count as unreachable.
 	failuresUntilUnreachable = 2
-	// followKeepAliveInterval is how often a host sends its followers a keep-alive message while nothing changes.
-	followKeepAliveInterval = 500 * time.Millisecond
-	// followSilenceTimeout is how long a followed host may send nothing before its stream is closed.
-	followSilenceTimeout = 3 * followKeepAliveInterval
-	// catchUpDelay is how long to wait for a newer note (configuration revision) to arrive from the watchers before it is
-	// fetched from the peer that has it.
-	catchUpDelay = 300 * time.Millisecond
-	// catchUpTimeout is how long a peer may take to send all its entries of the store.
-	catchUpTimeout = time.Second
-	// maxFollowed is how many watchers each host follows.
-	maxFollowed = 2
 	// lapseCheckInterval is how often to look for targets whose entries expired during an outage of the store and were
 	// not written again.
 	lapseCheckInterval = 200 * time.Millisecond
@@ -164,7 +151,7 @@
 		return 0, err
 	}
 	g.markStoreReturned()
-	g.broadcastChanges(g.roster.ApplySnapshot(g.now(), entries, revision), revision, false)
+	g.roster.ApplySnapshot(g.now(), entries, revision)
 	return revision, nil
 }
 
@@ -176,7 +163,7 @@
 		return revision, err
 	}
 	g.markStoreReturned()
-	g.broadcastChanges(g.roster.Apply(g.now(), changes, next), next, false)
+	g.roster.Apply(g.now(), changes, next)
 	if len(changes) > 0 {
 		// Changes come in bursts, and the platform charges for each call that the store answers.
 		duty.Sleep(ctx, changeBatchDelay)
@@ -201,13 +188,6 @@
 	}
 }
 
-// broadcastChanges sends followers an update unless there is nothing in it.
-func (g *Gateway) broadcastChanges(changes []platform.Change, revision int64, returned bool) {
-	if len(changes) > 0 || returned {
-		g.followers.broadcast(storeUpdate{changes, revision, returned})
-	}
-}
-
 // setStoreLost sets whether the store is unreachable, which a non-nil error means. It records each transition and
 // sends it to the peers.
 func (g *Gateway) setStoreLost(err error) {
@@ -231,130 +211,3 @@
 		g.roster.Tick(g.now())
 	}
 }
-
-// runPeerFollowing is the background task that receives changes of the store from other hosts while this host does not
-// follow the store itself or cannot reach it.
-func (g *Gateway) runPeerFollowing(ctx context.Context) {
-	streams := map[string]context.CancelFunc{}
-	ended := make(chan string, maxFollowed)
-	for {
-		g.updateFollowed(ctx, streams, ended)
-		waitCtx, cancel := context.WithTimeout(ctx, watchRetryPause)
-		select {
-		case name := <-ended:
-			delete(streams, name)
-		case <-waitCtx.Done():
-		}
-		cancel()
-		if ctx.Err() != nil {
-			for range streams {
-				<-ended
-			}
-			return
-		}
-	}
-}
-
-// updateFollowed opens and closes streams so that the first maxFollowed other hosts of updateSources are followed while
-// this host does not follow the store itself, has not read it yet or cannot reach it, and none otherwise. Names of
-// streams that have ended are sent to ended.
-func (g *Gateway) updateFollowed(ctx context.Context, streams map[string]context.CancelFunc, ended chan<- string) {
-	toFollow := map[string]bool{}
-	if !g.storeWatch.watching.Load() || !g.storeWatch.loaded.Load() || g.storeWatch.unreachable.Load() {
-		for _, m := range g.updateSources() {
-			if m.Name == g.settings.Host.Name || len(toFollow) == maxFollowed {
-				continue
-			}
-			toFollow[m.Name] = true
-			if streams[m.Name] != nil {
-				continue
-			}
-			followCtx, cancel := context.WithCancel(ctx)
-			streams[m.Name] = cancel
-			go func() {
-				g.followPeer(followCtx, m)
-				cancel()
-				ended <- m.Name
-			}()
-		}
-	}
-	for name, cancel := range streams {
-		if !toFollow[name] {
-			cancel()
-		}
-	}
-}
-
-// updateSources returns the hosts that may be followed: the watchers, or all ready hosts while none of them reaches the
-// store.
-func (g *Gateway) updateSources() []host.Member {
-	if watchers := g.watchers(); len(watchers) > 0 {
-		return watchers
-	}
-	return g.members.Live(g.now())
-}
-
-// queueIfNewer queues the sender of a heartbeat or its reply for runCatchUp if it has a newer note than this host.
-func (g *Gateway) queueIfNewer(sender string, members []*inner.Member) {
-	if m, ahead := inner.SenderWithNewerNote(sender, members, g.chain.Number()); ahead {
-		g.peersWithNewerNote.Push(m)
-	}
-}
-
-// runCatchUp is the background task that fetches the entries of the store from a peer with a newer note when the
-// watchers have not sent them in time. The watchers may be slow, or unreachable from this host only.
-func (g *Gateway) runCatchUp(ctx context.Context) {
-	for {
-		m, ok := g.peersWithNewerNote.Pop(ctx)
-		if !ok {
-			return
-		}
-		if duty.Sleep(ctx, catchUpDelay) && m.Note > g.chain.Number() {
-			g.catchUp(ctx, m)
-		}
-	}
-}
-
-// catchUp receives and applies all entries of the store that a peer has.
-func (g *Gateway) catchUp(ctx context.Context, m host.Member) {
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-	defer cancel()
-	stream, err := g.client.Peer(ctx, m.Inner).FollowStore(ctx, &inner.FollowStoreRequest{})
-	if err == nil {
-		var reply *inner.FollowStoreReply
-		if reply, err = stream.Recv(); err == nil {
-			g.applyUpdate(reply)
-		}
-	}
-	g.logger.Info().Str("Peer", m.Name).Int("Note", g.chain.Number()).Err(err).Msg("asked a peer that is ahead")
-}
-
-// applyUpdate applies an update of the store from a peer and passes it on to this host's followers.
-func (g *Gateway) applyUpdate(reply *inner.FollowStoreReply) {
-	g.stats.storeBytesReceived.Add(int64(proto.Size(reply)))
-	u := fromFollowReply(reply)
-	// A watcher that cannot reach the store receives changes this way, and its followers depend on it.
-	returned := u.returned && g.roster.StoreReturned(g.now())
-	g.broadcastChanges(g.roster.Apply(g.now(), u.changes, u.revision), u.revision, returned)
-}
-
-// followPeer receives updates from one host until the stream ends or sends nothing for followSilenceTimeout.
-func (g *Gateway) followPeer(ctx context.Context, m host.Member) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	timer := time.AfterFunc(followSilenceTimeout, cancel)
-	defer timer.Stop()
-	g.stats.followsStarted.Add(1)
-	stream, err := g.client.Peer(ctx, m.Inner).FollowStore(ctx, &inner.FollowStoreRequest{})
-	for err == nil {
-		var reply *inner.FollowStoreReply
-		if reply, err = stream.Recv(); err == nil {
-			timer.Reset(followSilenceTimeout)
-			g.applyUpdate(reply)
-		}
-	}
-	if ctx.Err() == nil {
-		g.logger.Info().Str("Peer", m.Name).Err(err).Msg("stream of store changes ended")
-	}
-	duty.Sleep(ctx, watchRetryPause)
-}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -29,6 +29,10 @@
 	Decode DecodeFunc
 	// OnRejectedEntry is called for each entry that cannot be decoded or is older than the configuration in force.
 	OnRejectedEntry func(key string, err error)
+	// OnUpdate is called with those applied changes that replicas on other hosts need to reach the same state, and with the
+	// revision up to which they make them complete. Calls are in order, and come before OnChange. It must not block and
+	// must not call the roster. It may be nil.
+	OnUpdate func(changes []platform.Change, revision int64)
 	// OnChange is called after each change of the view. The view may have changed again by then.
 	OnChange func()
 }
@@ -64,6 +68,8 @@
 	configurationChange platform.Change
 	view                atomic.Pointer[View]
 	tombstones          int
+	// droppedRevision is the highest revision of the deletions that are no longer remembered.
+	droppedRevision int64
 }
 
 // New returns an empty roster.
@@ -95,20 +101,28 @@
 	return true
 }
 
-// Apply applies changes that make the roster complete up to a revision. It returns those changes that replicas on other
-// hosts need to reach the same state. Changes may come late or twice: for each key the highest revision wins.
-func (r *Roster) Apply(now time.Duration, changes []platform.Change, revision int64) []platform.Change {
+// Apply applies changes that make the roster complete up to a revision. Changes may come late or twice: for each key the
+// highest revision wins.
+func (r *Roster) Apply(now time.Duration, changes []platform.Change, revision int64) {
 	r.mu.Lock()
+	r.applyAll(now, changes, revision)
+}
+
+// applyAll applies changes and unlocks r.mu, which the caller holds.
+func (r *Roster) applyAll(now time.Duration, changes []platform.Change, revision int64) {
 	var updates []platform.Change
 	for _, c := range changes {
 		if r.applyOne(now, c) {
 			updates = append(updates, c)
 		}
 	}
+	advanced := revision > r.revision
 	r.revision = max(r.revision, revision)
 	updates = r.dropSuperseded(updates)
+	if (len(updates) > 0 || advanced) && r.config.OnUpdate != nil {
+		r.config.OnUpdate(updates, r.revision)
+	}
 	r.unlockAndPublish(len(updates) > 0)
-	return updates
 }
 
 // dropSuperseded removes the changes that a later change of the same key replaces, except the configuration in force.
@@ -126,7 +140,7 @@
 
 // ApplySnapshot applies a complete list of the store's entries at a revision, as Apply does. Keys that are not in it are
 // deleted, unless a later revision has written them.
-func (r *Roster) ApplySnapshot(now time.Duration, entries []platform.Entry, revision int64) []platform.Change {
+func (r *Roster) ApplySnapshot(now time.Duration, entries []platform.Entry, revision int64) {
 	listed := map[string]bool{}
 	changes := make([]platform.Change, 0, len(entries))
 	for _, e := range entries {
@@ -139,8 +153,7 @@
 			changes = append(changes, platform.Change{Entry: platform.Entry{Key: key, Revision: revision}, Deleted: true})
 		}
 	}
-	r.mu.Unlock()
-	return r.Apply(now, changes, revision)
+	r.applyAll(now, changes, revision)
 }
 
 // applyOne applies one change and reports whether replicas on other hosts need it. An entry that cannot be decoded
@@ -192,6 +205,7 @@
 func (r *Roster) dropTombstones() {
 	for key, state := range r.entries {
 		if state.change.Deleted && state.decoded == nil {
+			r.droppedRevision = max(r.droppedRevision, state.change.Revision)
 			delete(r.entries, key)
 		}
 	}
@@ -240,18 +254,44 @@
 	return v
 }
 
-// AllChanges returns the content of the roster as changes, oldest first, for a new replica, and the revision up to which
-// they are complete.
-func (r *Roster) AllChanges() ([]platform.Change, int64) {
+// Difference is what a replica that is complete up to one revision needs to be complete up to a later one.
+type Difference struct {
+	// Changes are in the order of their revisions.
+	Changes  []platform.Change
+	Revision int64
+	// Complete is set if Changes lists all entries, and any other was deleted.
+	Complete bool
+}
+
+// Since returns what a replica needs that is complete up to a revision; 0 stands for an empty one.
+func (r *Roster) Since(revision int64) Difference {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changes := make([]platform.Change, 0, len(r.entries))
+	d := Difference{Revision: r.revision, Complete: revision < r.droppedRevision}
 	for _, state := range r.entries {
-		changes = append(changes, state.change)
+		if state.change.Revision > revision || d.Complete && !state.change.Deleted {
+			d.Changes = append(d.Changes, state.change)
+		}
 	}
-	if state := r.entries[r.configurationChange.Key]; state != nil && state.change.Revision != r.configurationChange.Revision {
-		changes = append(changes, r.configurationChange)
+	inForce := r.configurationChange
+	if state := r.entries[inForce.Key]; state != nil && state.change.Revision != inForce.Revision && (inForce.Revision > revision || d.Complete) {
+		d.Changes = append(d.Changes, inForce)
+	}
+	slices.SortFunc(d.Changes, func(a, b platform.Change) int { return cmp.Compare(a.Revision, b.Revision) })
+	return d
+}
+
+// ApplyDifference applies what Since returned on another host.
+func (r *Roster) ApplyDifference(now time.Duration, d Difference) {
+	if !d.Complete {
+		r.Apply(now, d.Changes, d.Revision)
+		return
+	}
+	entries := make([]platform.Entry, 0, len(d.Changes))
+	for _, c := range d.Changes {
+		if !c.Deleted {
+			entries = append(entries, c.Entry)
+		}
 	}
-	slices.SortFunc(changes, func(a, b platform.Change) int { return cmp.Compare(a.Revision, b.Revision) })
-	return changes, r.revision
+	r.ApplySnapshot(now, entries, d.Revision)
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -41,11 +42,16 @@
 type testRoster struct {
 	*Roster
 	rejected, changes int
+	// updates are the changes that OnUpdate was last called with.
+	updates []platform.Change
 }
 
 func newTestRoster() *testRoster {
 	r := &testRoster{}
-	r.Roster = New(Config{Decode: decode, OnRejectedEntry: func(string, error) { r.rejected++ }, OnChange: func() { r.changes++ }})
+	r.Roster = New(Config{
+		Decode: decode, OnRejectedEntry: func(string, error) { r.rejected++ }, OnChange: func() { r.changes++ },
+		OnUpdate: func(changes []platform.Change, _ int64) { r.updates = changes },
+	})
 	return r
 }
 
@@ -65,7 +71,9 @@
 	is := is.New(t)
 	r := newTestRoster()
 	r.Apply(time.Minute, []platform.Change{put("config", "7", 5)}, 5)
-	is.Equal(len(r.Apply(time.Minute, []platform.Change{put("config", "6", 4), put("config", "7", 5)}, 5)), 0)
+	r.updates = nil
+	r.Apply(time.Minute, []platform.Change{put("config", "6", 4), put("config", "7", 5)}, 5)
+	is.Equal(len(r.updates), 0)
 	r.Apply(time.Minute, []platform.Change{put("config", "3", 9)}, 9)
 	is.Equal(r.View().Configuration.Number, 7)
 	is.Equal(r.rejected, 1)
@@ -95,11 +103,10 @@
 			}
 			changes = append(changes, put("t/a", "x", 35))
 			r, follower, newReplica := newTestRoster(), newTestRoster(), newTestRoster()
-			updates := r.Apply(0, append(changes, c.last...), 50)
-			is.Equal(len(updates), c.updates)
-			follower.Apply(0, updates, 50)
-			all, revision := r.AllChanges()
-			newReplica.Apply(0, all, revision)
+			r.Apply(0, append(changes, c.last...), 50)
+			is.Equal(len(r.updates), c.updates)
+			follower.Apply(0, r.updates, 50)
+			newReplica.ApplyDifference(0, r.Since(0))
 			for _, x := range []*testRoster{r, follower, newReplica} {
 				is.Equal(x.View().Configuration.Number, 39)
 				is.Equal(x.targets(), 1)
@@ -172,6 +179,40 @@
 	})
 }
 
+// TestSince lets a replica follow another one with interruptions: at any time, what Since returns for the replica's
+// revision brings it to the same state, also when the other one no longer remembers all deletions.
+func TestSince(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source, replica := newTestRoster(), newTestRoster()
+		source.Apply(time.Minute, []platform.Change{put("config", "1", 1)}, 1)
+		for i := range rapid.IntRange(1, 40).Draw(t, "changes") {
+			revision := int64(i + 2)
+			c := put(rapid.SampledFrom([]string{"t/a", "t/b", "t/c", "t/d"}).Draw(t, "key"), strconv.Itoa(i), revision)
+			c.Deleted = rapid.Bool().Draw(t, "delete")
+			source.Apply(time.Minute, []platform.Change{c}, revision)
+			if rapid.IntRange(0, 9).Draw(t, "forget deletions") == 0 {
+				source.mu.Lock()
+				source.dropTombstones()
+				source.mu.Unlock()
+			}
+			if rapid.IntRange(0, 3).Draw(t, "reconnect") > 0 {
+				continue
+			}
+			before := replica.Revision()
+			d := source.Since(before)
+			for _, change := range d.Changes {
+				if change.Revision <= before && !d.Complete {
+					t.Fatalf("revision %d is sent again to a replica at %d", change.Revision, before)
+				}
+			}
+			replica.ApplyDifference(time.Minute, d)
+			if got, want := replica.View().Targets["s"], source.View().Targets["s"]; !slices.Equal(got, want) {
+				t.Fatalf("after revision %d the replica has %v, want %v", revision, got, want)
+			}
+		}
+	})
+}
+
 func indexes(n int) []int {
 	var numbers []int
 	for i := range n {
