Pass changes of the store on in trees

The root cause: each change went whole from one watcher of a failure domain to all its hosts, and from one other watcher, the second choice of all other domains, to all the rest. The busiest of 102 hosts sent 98 copies of 377 KB over a link that may have 10 Mbit/s, which takes 30 s; its heartbeats, calls to the store and new connections waited behind them, so that peers and the store seemed lost, new watchers were chosen and the storm began there.

The hosts of a failure domain now form a tree with a fan-out of four, whose root is the watcher. A second host, at the same position in another domain, only announces the revision that it has; who is behind 0.3 s later asks it. Hosts whose stream failed are passed over for the next ancestor. No host sends more the larger the fleet is (TestBusiestHostSendsFewCopies: 1.4 MB before for 100 hosts, 0.19 MB now, 0.07 MB for 13 hosts).

--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -110,8 +110,8 @@
 	return r
 }
 
-// configure writes a configuration to the store, as the operator does.
-func (f *fleet) configure(version int, rules ...rule) {
+// configure writes a configuration to the store, as the operator does, and returns its size in bytes.
+func (f *fleet) configure(version int, rules ...rule) int {
 	value, err := json.Marshal(map[string]any{
 		"version": fmt.Sprintf("%08x", version), "routes": rules,
 		"services": []any{map[string]any{"name": "stock", "health-path": "/health", "max-connections": 100}, map[string]any{"name": "other", "health-path": "/health", "max-connections": 100}},
@@ -119,6 +119,7 @@
 	})
 	f.is.NoErr(err)
 	f.store.Put("op/config", value)
+	return len(value)
 }
 
 // start starts a gateway; one that ran before under the same name keeps its addresses.
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -117,9 +117,13 @@
 // keepAliveUpdate is sent while nothing changes.
 var keepAliveUpdate = newEncodedUpdate(storeUpdate{})
 
-// sendUpdate sends the messages of an update to a follower. Hosts of older versions cannot join parts.
+// sendUpdate sends an update to a follower, or only the revision that this host has reached if the follower wants no more.
+// Hosts of older versions cannot join the parts of an update.
 func (g *Gateway) sendUpdate(r *inner.FollowStoreRequest, stream inner.DRPCPeer_FollowStoreStream, u *encodedUpdate) error {
-	if !r.JoinsParts {
+	switch {
+	case r.AnnounceOnly:
+		return stream.Send(&inner.FollowStoreReply{Revision: g.roster.Revision(), Returned: u.returned})
+	case !r.JoinsParts:
 		return stream.Send(toFollowReply(u.storeUpdate))
 	}
 	messages, err := u.messages()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,17 +122,17 @@
 	client *inner.Client
 	// heartbeatTrigger starts a round of heartbeats before its time.
 	heartbeatTrigger *ring.Queue[struct{}]
-	// peersWithNewerNote holds a peer that has a newer note than this host.
-	peersWithNewerNote *ring.Queue[host.Member]
-	homeServer         *homeServer
-	pools              *pools
-	homeClient         *homeClient
-	rules              atomic.Pointer[ruleIndex]
-	split              trafficSplit
-	histograms         *meter.Histograms
-	stats              stats
-	followers          followers
-	storeWatch         watchState
+	// peersAhead holds a peer that knows more of the store than this host.
+	peersAhead *ring.Queue[peerAhead]
+	homeServer *homeServer
+	pools      *pools
+	homeClient *homeClient
+	rules      atomic.Pointer[ruleIndex]
+	split      trafficSplit
+	histograms *meter.Histograms
+	stats      stats
+	followers  followers
+	storeWatch watchState
 	// receiving is the number of streams on which an update of the store has arrived in part.
 	receiving atomic.Int32
 	bodies    bodyBudget
@@ -157,7 +157,7 @@
 	}
 	g := &Gateway{
 		config: c, settings: c.Settings, dialect: c.Dialect, start: time.Now(), chain: &note.Chain{},
-		heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}), peersWithNewerNote: ring.NewQueue[host.Member](ring.Config{Capacity: 1}), histograms: meter.NewHistograms(), logger: c.Logger,
+		heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}), peersAhead: ring.NewQueue[peerAhead](ring.Config{Capacity: 1}), histograms: meter.NewHistograms(), logger: c.Logger,
 		bodies: bodyBudget{limit: int64(c.Settings.Limits.HeldBytes)},
 	}
 	g.reloadable.Store(&g.settings)
--- a/internal/gateway/large_test.go
+++ b/internal/gateway/large_test.go
@@ -44,6 +44,15 @@
 	return count
 }
 
+// bytesSent returns the number of bytes that each host has sent.
+func (f *fleet) bytesSent() map[string]int64 {
+	sent := map[string]int64{}
+	for name := range f.hosts {
+		sent[name] = f.net.BytesSent(name)
+	}
+	return sent
+}
+
 // TestLargeConfigurationOnThinLinks guards against a distribution of the store's changes that takes longer the more
 // hosts there are: a large configuration is in force everywhere in time, and no host loses the store meanwhile.
 func TestLargeConfigurationOnThinLinks(t *testing.T) {
@@ -65,6 +74,27 @@
 	}
 }
 
+// TestBusiestHostSendsFewCopies guards against a host that serves the whole fleet: one change costs each host the copies
+// for its followers, whatever the size of the fleet.
+func TestBusiestHostSendsFewCopies(t *testing.T) {
+	for _, hosts := range []int{13, 100} {
+		t.Run(fmt.Sprintf("%d hosts", hosts), func(t *testing.T) {
+			withFleet(t, hosts, 4, func(f *fleet) {
+				before := f.bytesSent()
+				size := int64(f.configure(2, largeRules()...))
+				time.Sleep(inForceTimeLimit)
+				f.is.Equal(f.hostsWithoutNote(2), 0)
+				busiest := int64(0)
+				for name, sent := range f.bytesSent() {
+					busiest = max(busiest, sent-before[name])
+				}
+				t.Logf("the busiest host sends %d bytes for a configuration of %d", busiest, size)
+				f.is.True(busiest <= 5*size) // four followers, and as much again as one of them for all other traffic
+			})
+		})
+	}
+}
+
 // TestReconnectsSendNoEntriesAgain guards against load that grows with failure: hosts whose connections were reset get
 // the changes that they missed, not all entries.
 func TestReconnectsSendNoEntriesAgain(t *testing.T) {
@@ -72,18 +102,13 @@
 		f.configure(2, largeRules()...)
 		time.Sleep(10 * time.Second)
 		f.is.Equal(f.hostsWithoutNote(2), 0)
-		before := map[string]int64{}
-		for name := range f.hosts {
-			before[name] = f.net.BytesSent(name)
-		}
+		before := f.bytesSent()
 		for name := range f.hosts {
 			f.net.ResetConnections(name)
 		}
 		time.Sleep(5 * time.Second)
-		for name := range f.hosts {
-			sent := f.net.BytesSent(name) - before[name]
-			t.Logf("%s sent %d bytes", name, sent)
-			f.is.True(sent < 150<<10) // less than one copy of the configuration, at 20 KB a second for all traffic between hosts
+		for name, sent := range f.bytesSent() {
+			f.is.True(sent-before[name] < 150<<10) // less than one copy, at 20 KB a second for all traffic between hosts
 		}
 	})
 }
--- a/internal/host/home.go
+++ b/internal/host/home.go
@@ -103,12 +103,15 @@
 	return 1
 }
 
+// watcherRank returns the name for which Rank orders the hosts of a failure domain as its watchers.
+func watcherRank(domain string) string { return "watcher\x00" + domain }
+
 // Watchers returns the hosts that watch the platform's store on behalf of all others, perDomain of each failure domain,
 // in the order of the list. Hosts with the same view of the members select the same watchers.
 func Watchers(live []Member, perDomain int) []Member {
 	selected := map[string][]score{}
 	for i, m := range live {
-		best := append(selected[m.Domain], scoreOf("watcher\x00"+m.Domain, m, i))
+		best := append(selected[m.Domain], scoreOf(watcherRank(m.Domain), m, i))
 		if len(best) > perDomain {
 			slices.SortFunc(best, func(a, b score) int { return a.compare(b, live) })
 			best = best[:perDomain]
--- a/internal/host/table.go
+++ b/internal/host/table.go
@@ -211,7 +211,7 @@
 	return names
 }
 
-func sortedKeys(m map[string][]string) []string {
+func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
 		keys = append(keys, k)
