Give health probes to requests, from an equal share of the limit on each host

Cause: no limit held over all hosts. A primary home sent up to 18 probes a target and second, and each host that reached no other one took itself for it; fallback homes sent four probes a request without a common bound.

Each host now owns an equal share of four fifths of the limit of the settings, by the number of hosts it has known in the last hour, dead ones included, and gives probes to its requests, 8 at most each. Homes send only probes that requests brought (placement.ProbeAllowance). So the sum holds whoever takes itself for a home (TestHomesKeepProbeLimit, rapid).

TestFallbackHomesLimitProbes and TestFormerPrimaryHomeStillProbes tested the two roles' separate limits, which no longer exist: the first is replaced by TestHomesKeepProbeLimit, whose bound has no allowance per home, the second by TestScarceProbesReachAllTargets.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -217,6 +217,7 @@
 	return &placement.Request{
 		Class: x.rule.Class, Priority: x.rule.Priority, Goal: x.goal, Deadline: x.deadline, Repeatable: x.repeatable(),
 		Tried: x.tried, Fingerprint: x.request.fingerprint(), Domain: x.gateway.settings.Host.Domain,
+		Probes: x.gateway.homeClient.takeProbes(x.service),
 	}
 }
 
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -60,6 +60,8 @@
 	mu         sync.Mutex
 	home       *placement.Home
 	healthPath string
+	// primary is set while this host is the service's primary home, which all hosts try first.
+	primary bool
 }
 
 // session is the placement stream of one host that sends requests here. Verdicts are delivered in order.
@@ -186,7 +188,7 @@
 	primary := len(ranked) > 0 && ranked[0].Name == s.gateway.settings.Host.Name
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.home.SetPrimary(primary)
+	h.primary = primary
 	h.home.SetRetrySlack(s.retrySlack(primary, len(ranked)))
 	h.home.Submit(s.gateway.now(), r)
 	h.sendProbes()
@@ -198,7 +200,7 @@
 func (h *serviceHome) sendProbes() {
 	g := h.server.gateway
 	sent := &g.stats.fallbackProbes
-	if h.home.Primary() {
+	if h.primary {
 		sent = &g.stats.primaryProbes
 	}
 	for _, p := range h.home.DueProbes(g.now()) {
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -25,6 +25,9 @@
 	placeCallQueueSize = 1024
 	// maxRemoteHomes is the number of other hosts to which a request is sent for placement before this host places it.
 	maxRemoteHomes = 2
+	// probeLimitShare is the share of Budget.ProbesPerSec that is given to requests. The rest covers what hosts save up
+	// and, after a restart, get once more.
+	probeLimitShare = 0.8
 	// rankCacheTime is how long the ranking of a service's homes is cached.
 	rankCacheTime = 50 * time.Millisecond
 )
@@ -70,11 +73,13 @@
 	// suspects holds, by the name of a host, the time until which no requests are sent to it for placement.
 	suspects map[string]time.Duration
 	// ranks is keyed by service.
-	ranks  map[string]cachedRank
-	local  *localHome
-	ctx    context.Context
-	cancel context.CancelFunc
-	tasks  sync.WaitGroup
+	ranks map[string]cachedRank
+	// allowances holds this host's share of the health probes of each service.
+	allowances map[string]*placement.ProbeAllowance
+	local      *localHome
+	ctx        context.Context
+	cancel     context.CancelFunc
+	tasks      sync.WaitGroup
 }
 
 // cachedRank is the order in which hosts are tried as homes of a service, as computed at a time of Gateway.now.
@@ -86,6 +91,7 @@
 func newHomeClient(g *Gateway) *homeClient {
 	c := &homeClient{
 		gateway: g, pending: map[uint64]*pendingRequest{}, remotes: map[string]*remoteHome{}, suspects: map[string]time.Duration{}, ranks: map[string]cachedRank{},
+		allowances: map[string]*placement.ProbeAllowance{},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.local = &localHome{client: c}
@@ -157,6 +163,22 @@
 	return r.members
 }
 
+// takeProbes returns the number of health probes that a request of the service brings to its home.
+func (c *homeClient) takeProbes(service string) int {
+	g := c.gateway
+	view := g.roster.View()
+	// A host that has just started and reaches no other one may know from the store that there are others.
+	targets, hosts := len(view.Targets[service]), max(g.members.FleetSize(), len(view.PeerAddresses))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.allowances[service]
+	if a == nil {
+		a = &placement.ProbeAllowance{PerTarget: probeLimitShare * g.settings.Budget.ProbesPerSec}
+		c.allowances[service] = a
+	}
+	return a.Take(g.now(), targets, hosts, placement.ProbesPerRequest)
+}
+
 // placers returns the homes to try for a request of the service, best first. The last one is always this host, so that
 // requests are placed even when no home can be reached.
 func (c *homeClient) placers(service string) []placer {
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -49,6 +49,8 @@
 	deadAfter = 2500 * time.Millisecond
 	// removeAfter is the time since its last heartbeat after which a dead member is removed from the table.
 	removeAfter = time.Minute
+	// countedAfterRemoval is how long a removed member still counts in the size of the fleet.
+	countedAfterRemoval = time.Hour
 	// pauseThreshold is the time since this host's last round of heartbeats above which its process counts as paused
 	// (suspended, or starved of CPU).
 	pauseThreshold = 1500 * time.Millisecond
--- a/internal/host/table.go
+++ b/internal/host/table.go
@@ -48,6 +48,8 @@
 	self   Member
 	// peers holds the other hosts by name.
 	peers map[string]*peer
+	// removed holds when a dead host was removed from peers, by name.
+	removed map[string]time.Duration
 	// lastRound is when the last round of heartbeats began.
 	lastRound time.Duration
 	// discovered is set when a new member, or a new incarnation of one, appeared since the last round of heartbeats.
@@ -70,7 +72,7 @@
 
 // NewMemberTable returns a table that holds only this host.
 func NewMemberTable(c Config) *MemberTable {
-	return &MemberTable{config: c, self: c.Self, peers: map[string]*peer{}}
+	return &MemberTable{config: c, self: c.Self, peers: map[string]*peer{}, removed: map[string]time.Duration{}}
 }
 
 // Self returns the current state of this host.
@@ -243,8 +245,30 @@
 		}
 		if p.dead && age > removeAfter {
 			delete(t.peers, name)
+			if !p.member.Leaving {
+				t.removed[name] = now
+			}
 		}
 	}
+	for name, at := range t.removed {
+		if now-at > countedAfterRemoval {
+			delete(t.removed, name)
+		}
+	}
+}
+
+// FleetSize returns the number of hosts that may be running, this one included. Dead hosts that did not
+// stop gracefully count for countedAfterRemoval and longer, because they may be running where this host cannot reach them.
+func (t *MemberTable) FleetSize() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	size := len(t.peers) + 1
+	for name := range t.removed {
+		if t.peers[name] == nil {
+			size++
+		}
+	}
+	return size
 }
 
 // Merge updates the table from a heartbeat or a reply; sender is the name of the host that sent it.
--- a/internal/placement/allowance.go
+++ b/internal/placement/allowance.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// ProbesPerRequest is the number of health probes that a request should bring to its home.
+const ProbesPerRequest = 8
+
 // allowanceBurst is how much of its share a ProbeAllowance saves up.
 const allowanceBurst = 500 * time.Millisecond
 
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -70,10 +70,11 @@
 	// lastRequestAt is when a request was last submitted.
 	lastRequestAt time.Duration
 	lateWait      lateWaitEstimator
-	// primary is set on the primary home. On a fallback home, probeCredit is the number of probes that it may still send.
-	primary     bool
-	probeCredit float64
-	crashes     crashTracker
+	// probeCredit is the number of probes that requests have brought and that were not sent yet.
+	probeCredit int
+	// nextProbed is the index of the target at which DueProbes ran out of probes, where it goes on.
+	nextProbed int
+	crashes    crashTracker
 	// refusals is the number of refusals so far. It gives each retry delay a different jitter.
 	refusals uint64
 }
@@ -106,7 +107,6 @@
 		next = append(next, t)
 		byName[registered.Name] = t
 	}
-	h.probeCredit += float64(max(0, len(next)-len(h.targets)))
 	h.targets, h.byName = next, byName
 	h.Dispatch(now)
 }
@@ -115,7 +115,7 @@
 func (h *Home) Submit(now time.Duration, r *Request) {
 	h.resumeProbing(now)
 	h.lastRequestAt = now
-	h.addProbeCredit()
+	h.addProbeCredit(r)
 	r.submittedAt = now
 	if h.crashes.quarantined(now, r.Fingerprint) {
 		h.refuse(now, r, ReasonQuarantined)
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -26,9 +26,8 @@
 	// probeRate is the maximum long-term rate of probes to one target, per second, and probeBurst the maximum burst.
 	probeRate  = 18.0
 	probeBurst = 10.0
-	// fallbackProbesPerRequest is the number of probes that a fallback home may send for each submitted request, so that
-	// all fallback homes together send no more probes than one primary home.
-	fallbackProbesPerRequest = 4.0
+	// maxCreditPerTarget limits how many probes a home saves up.
+	maxCreditPerTarget = 2
 	// targetsProbedAtOnce is the number of targets that are probed for a request if the reported paces are too old.
 	targetsProbedAtOnce = 3
 )
@@ -75,36 +74,33 @@
 )
 
 // DueProbes returns the targets to probe now, as Placed values of which only Target and Address are set. For each of them
-// the caller must call RecordProbe with the result.
+// the caller must call RecordProbe with the result. Each probe takes one from those that requests have brought; targets
+// for which a request waits come first.
 func (h *Home) DueProbes(now time.Duration) []Placed {
 	var due []Placed
-	for _, t := range h.targets {
-		if !h.primary && h.probeCredit < 1 {
-			break
-		}
-		if t.probe.pending || t.Draining || !t.probe.awaited && !h.probeDue(now, t) || !t.probe.spend(now) {
-			continue
-		}
-		if !h.primary {
+	first := h.nextProbed
+	for _, awaited := range []bool{true, false} {
+		for i := range h.targets {
+			index := (first + i) % len(h.targets)
+			t := h.targets[index]
+			if h.probeCredit == 0 {
+				h.nextProbed = index
+				return due
+			}
+			if t.probe.awaited != awaited || t.probe.pending || t.Draining || !awaited && !h.probeDue(now, t) || !t.probe.spend(now) {
+				continue
+			}
 			h.probeCredit--
+			t.probe.sentAt, t.probe.pending, t.probe.awaited = now, true, false
+			due = append(due, Placed{Target: t.Name, Address: t.Address})
 		}
-		t.probe.sentAt, t.probe.pending, t.probe.awaited = now, true, false
-		due = append(due, Placed{Target: t.Name, Address: t.Address})
 	}
 	return due
 }
 
-// SetPrimary sets whether this is the primary home of the service, which all hosts try first. Otherwise it is a
-// fallback home. Many of these may be active while hosts cannot reach the primary; therefore each starts with a credit
-// of one probe per target and gets more credit only with requests.
-func (h *Home) SetPrimary(primary bool) { h.primary = primary }
-
-// Primary reports whether this is the primary home of the service, as last set by SetPrimary.
-func (h *Home) Primary() bool { return h.primary }
-
-// addProbeCredit adds the probe credit of a fallback home for one submitted request.
-func (h *Home) addProbeCredit() {
-	h.probeCredit = min(h.probeCredit+fallbackProbesPerRequest, 2*float64(len(h.targets)))
+// addProbeCredit adds the probes that a request has brought.
+func (h *Home) addProbeCredit(r *Request) {
+	h.probeCredit = min(h.probeCredit+r.Probes, maxCreditPerTarget*len(h.targets))
 }
 
 // probeDue reports whether the probe interval of a target has passed.
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -43,6 +43,8 @@
 	Fingerprint uint64
 	// Domain is the failure domain of the host that will send the request.
 	Domain string
+	// Probes is the number of health probes that the home may send in exchange for the request; see ProbeAllowance.
+	Probes int
 
 	runs        []*run
 	submittedAt time.Duration
