Grant a primary home's retries only where it sees most of the fleet

A primary home that sees no more than half of the hosts known in the last hour gets the share of a fallback home.

--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -150,13 +150,14 @@
 }
 
 // retrySlack returns how many extra attempts beyond the ratio this host may grant. A fallback home gets an equal part
-// of fallbackSlackShare, since every host may act as one at the same time.
-func (s *homeServer) retrySlack(primary bool, hosts int) float64 {
-	total := float64(s.gateway.reloadable.Load().Retries.Slack)
-	if primary {
+// of fallbackSlackShare, since every host of the fleet may act as one at the same time. So does a primary home that
+// sees no more than half of the fleet, since the other part may have a primary home of its own.
+func (s *homeServer) retrySlack(primary bool, live int) float64 {
+	total, fleet := float64(s.gateway.reloadable.Load().Retries.Slack), s.gateway.members.FleetSize()
+	if primary && 2*live > fleet {
 		return primarySlackShare * total
 	}
-	return fallbackSlackShare * total / float64(max(1, hosts))
+	return fallbackSlackShare * total / float64(fleet)
 }
 
 // applyView passes changed targets to the placement state of every service.
--- a/internal/gateway/probes_test.go
+++ b/internal/gateway/probes_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"briarcroft/internal/settings"
 	"briarcroft/platform/standin"
 )
 
@@ -73,3 +74,33 @@
 		})
 	}
 }
+
+// TestManyHomesShareRetryBudget guards against a retry budget that each host keeps for itself: hosts that are cut off from
+// each other all grant retries, and together they must not grant more than one home may.
+func TestManyHomesShareRetryBudget(t *testing.T) {
+	const hosts, requestsPerSecond, seconds, slack = 24, 50, 9, 48
+	for _, groups := range []int{1, 2, 6, hosts} {
+		t.Run(fmt.Sprintf("%d groups", groups), func(t *testing.T) {
+			withFleet(t, hosts, 6, func(f *fleet) {
+				for _, n := range f.hosts {
+					s := settings.Default()
+					s.Retries.Slack = slack
+					n.gateway.Reload(s)
+				}
+				for _, x := range f.targets {
+					x.Update(func(t *standin.Target) { t.RefuseRuns = true })
+				}
+				f.cutInto(groups)
+				time.Sleep(10 * time.Second) // until hosts know who is left, and no retry counts any more
+				f.load(requestsPerSecond, seconds*time.Second)
+				retries := 0
+				for i := range requestsPerSecond * seconds {
+					retries += max(0, f.arrivalsOf(fmt.Sprintf("load-%d", i))-1)
+				}
+				t.Logf("%d retries for %d requests", retries, requestsPerSecond*seconds)
+				f.is.True(float64(retries) <= 0.2*requestsPerSecond*seconds+slack)
+				f.is.True(retries > 0)
+			})
+		})
+	}
+}
