Answer a request that has arrived when its connection is closed as idle

A host that stops, or whose idle limit passes, ended the read of the next request by a deadline. On a busy host a request may have arrived that was not read yet; its connection was closed all the same. The connection now stays open while unread bytes are there, and the answer is its last one.

TestArrivedRequestIsAnsweredOnStop failed before (unexpected EOF).

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -43,6 +43,8 @@
 	accepted, responded int
 	// closing is set once no further request is accepted.
 	closing bool
+	// closesWhenIdle is set once the connection is to be closed unless a request is being handled or has arrived.
+	closesWhenIdle bool
 	// lastDone is closed when the last accepted request has been answered.
 	lastDone chan struct{}
 	// pipelineSlots holds one item for each request in progress, up to maxPipelined.
@@ -186,12 +188,12 @@
 	}
 }
 
-// closeIfIdle closes the connection if no request is being handled on it.
+// closeIfIdle closes the connection if no request is being handled on it and none has arrived.
 func (c *callerConn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closesWhenIdle = true
 	if c.accepted == c.responded {
-		c.closing = true
 		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -201,7 +203,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.closing:
+	case c.closing, c.closesWhenIdle && c.accepted == c.responded:
 		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 	case c.accepted == c.responded:
 		_ = c.conn.SetReadDeadline(time.Now().Add(idle))
@@ -234,6 +236,13 @@
 // callerDisconnected reports whether reading ended because the caller disconnected or was idle for too long, not because
 // this host is closing the connection.
 func (c *callerConn) callerDisconnected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closing && !c.closesWhenIdle
+}
+
+// acceptsMore reports whether a further request is accepted.
+func (c *callerConn) acceptsMore() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !c.closing
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -7,12 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"briarcroft/internal/note"
+	"briarcroft/internal/socket"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -104,6 +106,13 @@
 	c.conn.remaining = limits.HeaderBytes + requestLineBytes
 	c.setIdleDeadline(limits.IdleTimeout)
 	_, err := c.reader.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.acceptsMore() {
+		// A busy host may get to read a request only after the deadline although the request arrived before it.
+		_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+		if socket.HasUnread(c.conn.Conn) {
+			_, err = c.reader.Peek(1)
+		}
+	}
 	return err == nil
 }
 
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -57,20 +58,43 @@
 // although no request is outstanding. It never blocks. For a connection without a file descriptor, such as one over TLS
 // or in memory, it returns false.
 func Stale(c net.Conn) bool {
+	unread, err := peek(c)
+	return unread || err != nil
+}
+
+// HasUnread reports whether bytes have arrived on a connection that were not read yet. It never blocks, and returns false
+// once the connection's read deadline has passed and for a connection without a file descriptor.
+func HasUnread(c net.Conn) bool {
+	unread, _ := peek(c)
+	return unread
+}
+
+// peek reports whether there are unread bytes, and the error that a read would return otherwise, if it would not block.
+func peek(c net.Conn) (unread bool, err error) {
 	sysConn, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return false, nil
 	}
 	rawConn, err := sysConn.SyscallConn()
 	if err != nil {
-		return true
+		return false, err
 	}
-	stale := false
+	var received int
+	var receiveErr error
 	err = rawConn.Read(func(fd uintptr) bool {
 		var buffer [1]byte
-		n, _, recvErr := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		stale = n > 0 || recvErr != unix.EAGAIN && recvErr != unix.EWOULDBLOCK
+		received, _, receiveErr = unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		return true
 	})
-	return stale || err != nil
+	switch {
+	case err != nil:
+		return false, err
+	case receiveErr == unix.EAGAIN || receiveErr == unix.EWOULDBLOCK:
+		return false, nil
+	case receiveErr != nil:
+		return false, receiveErr
+	case received == 0:
+		return false, io.EOF
+	}
+	return true, nil
 }
