Give more of the probes to requests for the primary home, and use nine tenths of the limit

Now 8 and 4: most of what a home learns serves requests at the primary home only. The share of the limit that is given out goes from 0.8 to 0.9. Targets for which a request waits are looked for only if there are any.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -195,7 +195,7 @@
 	for _, p := range x.gateway.homeClient.placers(x.service) {
 		x.placer = p
 		x.homesTried++
-		p.place(x.pending, x.placementRequest())
+		p.place(x.pending, x.placementRequest(p))
 		v, timedOut := x.awaitVerdict(ctx, p)
 		switch v := v.(type) {
 		case placement.Placed:
@@ -213,11 +213,11 @@
 	return nil, &placement.Refused{Reason: placement.ReasonNoTargets, RetryAfter: refusedRetryAfter}
 }
 
-func (x *exchange) placementRequest() *placement.Request {
+func (x *exchange) placementRequest(p placer) *placement.Request {
 	return &placement.Request{
 		Class: x.rule.Class, Priority: x.rule.Priority, Goal: x.goal, Deadline: x.deadline, Repeatable: x.repeatable(),
 		Tried: x.tried, Fingerprint: x.request.fingerprint(), Domain: x.gateway.settings.Host.Domain,
-		Probes: x.gateway.homeClient.takeProbes(x.service),
+		Probes: x.gateway.homeClient.takeProbes(x.service, p.name()),
 	}
 }
 
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -27,7 +27,7 @@
 	maxRemoteHomes = 2
 	// probeLimitShare is the share of Budget.ProbesPerSec that is given to requests. The rest covers what hosts save up
 	// and, after a restart, get once more.
-	probeLimitShare = 0.8
+	probeLimitShare = 0.9
 	// rankCacheTime is how long the ranking of a service's homes is cached.
 	rankCacheTime = 50 * time.Millisecond
 )
@@ -163,9 +163,13 @@
 	return r.members
 }
 
-// takeProbes returns the number of health probes that a request of the service brings to its home.
-func (c *homeClient) takeProbes(service string) int {
+// takeProbes returns the number of health probes that a request of the service brings to one of its homes.
+func (c *homeClient) takeProbes(service, home string) int {
 	g := c.gateway
+	wanted := placement.ProbesPerFallbackRequest
+	if ranked := c.rankedHomes(service); len(ranked) > 0 && ranked[0].Name == home {
+		wanted = placement.ProbesPerRequest
+	}
 	view := g.roster.View()
 	// A host that has just started and reaches no other one may know from the store that there are others.
 	targets, hosts := len(view.Targets[service]), max(g.members.FleetSize(), len(view.PeerAddresses))
@@ -176,7 +180,7 @@
 		a = &placement.ProbeAllowance{PerTarget: probeLimitShare * g.settings.Budget.ProbesPerSec}
 		c.allowances[service] = a
 	}
-	return a.Take(g.now(), targets, hosts, placement.ProbesPerRequest)
+	return a.Take(g.now(), targets, hosts, wanted)
 }
 
 // placers returns the homes to try for a request of the service, best first. The last one is always this host, so that
--- a/internal/placement/allowance.go
+++ b/internal/placement/allowance.go
@@ -2,8 +2,12 @@
 
 import "time"
 
-// ProbesPerRequest is the number of health probes that a request should bring to its home.
-const ProbesPerRequest = 8
+// Numbers of health probes that a request should bring to a home of its service. What the primary home knows serves most
+// requests; what a fallback home learns is soon outdated.
+const (
+	ProbesPerRequest         = 8
+	ProbesPerFallbackRequest = 4
+)
 
 // allowanceBurst is how much of its share a ProbeAllowance saves up.
 const allowanceBurst = 500 * time.Millisecond
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -74,7 +74,9 @@
 	probeCredit int
 	// nextProbed is the index of the target at which DueProbes ran out of probes, where it goes on.
 	nextProbed int
-	crashes    crashTracker
+	// awaitsProbes is set while a queued request may wait for a probe that was not sent yet.
+	awaitsProbes bool
+	crashes      crashTracker
 	// refusals is the number of refusals so far. It gives each retry delay a different jitter.
 	refusals uint64
 }
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -79,25 +79,36 @@
 func (h *Home) DueProbes(now time.Duration) []Placed {
 	var due []Placed
 	first := h.nextProbed
-	for _, awaited := range []bool{true, false} {
+	for _, onlyAwaited := range []bool{true, false} {
+		if onlyAwaited && !h.awaitsProbes {
+			continue
+		}
 		for i := range h.targets {
 			index := (first + i) % len(h.targets)
-			t := h.targets[index]
 			if h.probeCredit == 0 {
 				h.nextProbed = index
 				return due
 			}
-			if t.probe.awaited != awaited || t.probe.pending || t.Draining || !awaited && !h.probeDue(now, t) || !t.probe.spend(now) {
-				continue
+			if t := h.targets[index]; h.probeAllowed(now, t, onlyAwaited) {
+				h.probeCredit--
+				t.probe.sentAt, t.probe.pending, t.probe.awaited = now, true, false
+				due = append(due, Placed{Target: t.Name, Address: t.Address})
 			}
-			h.probeCredit--
-			t.probe.sentAt, t.probe.pending, t.probe.awaited = now, true, false
-			due = append(due, Placed{Target: t.Name, Address: t.Address})
 		}
+		h.awaitsProbes = false
 	}
 	return due
 }
 
+// probeAllowed reports whether to probe a target now: if a request waits for it or, unless onlyAwaited is set, its probe
+// interval has passed. The probe then counts against the target's rate limit.
+func (h *Home) probeAllowed(now time.Duration, t *targetState, onlyAwaited bool) bool {
+	if t.probe.pending || t.Draining {
+		return false
+	}
+	return (t.probe.awaited || !onlyAwaited && h.probeDue(now, t)) && t.probe.spend(now)
+}
+
 // addProbeCredit adds the probes that a request has brought.
 func (h *Home) addProbeCredit(r *Request) {
 	h.probeCredit = min(h.probeCredit+r.Probes, maxCreditPerTarget*len(h.targets))
@@ -145,6 +156,7 @@
 		}
 		excluded = append(excluded, t.Name)
 		t.probe.awaited = !t.probe.pending && now-t.paceAt >= maxPaceAge
+		h.awaitsProbes = h.awaitsProbes || t.probe.awaited
 	}
 	return true
 }
