--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -154,6 +154,7 @@
 		{"FallbackProbes", func() any { return s.fallbackProbes.Load() }},
 		{"StoreBytesSent", func() any { return s.storeBytesSent.Load() }},
 		{"StoreBytesReceived", func() any { return s.storeBytesReceived.Load() }},
+		{"FollowsStarted", func() any { return s.followsStarted.Load() }},
 		{"Followers", func() any { return g.followers.count() }},
 		{"StoreCalls", func() any { return s.storeCalls.Load() }},
 		{"StoreLost", func() any { return g.storeWatch.unreachable.Load() }},
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -29,7 +29,9 @@
 }
 
 func newEncodedUpdate(u storeUpdate) *encodedUpdate {
-	return &encodedUpdate{u, sync.OnceValues(func() ([]*inner.FollowStoreReply, error) { return inner.SplitUpdate(toFollowReply(u)) })}
+	return &encodedUpdate{u, sync.OnceValues(func() ([]*inner.FollowStoreReply, error) {
+		return inner.SplitUpdate(toFollowReply(u))
+	})}
 }
 
 // followers are the hosts that receive changes of the store from this one.
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -15,7 +15,8 @@
 const (
 	// followKeepAliveInterval is how often a host sends its followers a keep-alive message while nothing changes.
 	followKeepAliveInterval = 500 * time.Millisecond
-	// followSilenceTimeout is how long a followed host may send nothing, not even a part of an update, before its stream is closed.
+	// followSilenceTimeout is how long a followed host may send nothing, not even a part of an update, before its stream is
+	// closed.
 	followSilenceTimeout = 3 * followKeepAliveInterval
 	// catchUpDelay is how long to wait for changes that a peer is known to have to arrive from the followed host before they
 	// are fetched from that peer.
@@ -27,8 +28,8 @@
 	followAgainDelay = 5 * time.Second
 )
 
-// stream identifies a stream from a followed host.
-type stream struct {
+// followedStream identifies a stream from a followed host.
+type followedStream struct {
 	host string
 	// announceOnly is set if the host tells only up to which revision it knows the store.
 	announceOnly bool
@@ -38,7 +39,7 @@
 type following struct {
 	gateway *Gateway
 	// open holds the functions that close the streams.
-	open map[stream]context.CancelFunc
+	open map[followedStream]context.CancelFunc
 	// ended receives the streams that have ended.
 	ended chan endedStream
 	// failedAt is when a stream from a host last failed, by the host's name.
@@ -47,20 +48,22 @@
 
 // endedStream is a stream that has ended. It has failed if this host did not close it.
 type endedStream struct {
-	stream
+	followedStream
 	failed bool
 }
 
 // runPeerFollowing is the background task that receives changes of the store from other hosts while this host does not
 // follow the store itself or cannot reach it.
 func (g *Gateway) runPeerFollowing(ctx context.Context) {
-	f := following{gateway: g, open: map[stream]context.CancelFunc{}, ended: make(chan endedStream), failedAt: map[string]time.Duration{}}
+	f := following{
+		gateway: g, open: map[followedStream]context.CancelFunc{}, ended: make(chan endedStream), failedAt: map[string]time.Duration{},
+	}
 	for {
 		f.update(ctx)
 		waitCtx, cancel := context.WithTimeout(ctx, watchRetryPause)
 		select {
 		case s := <-f.ended:
-			delete(f.open, s.stream)
+			delete(f.open, s.followedStream)
 			if s.failed {
 				f.failedAt[s.host] = g.now()
 			}
@@ -101,18 +104,18 @@
 
 // sources returns the streams that should be open, with the hosts at their other ends: a parent and an announcer while
 // this host does not follow the store itself, has not read it yet or cannot reach it, and none otherwise.
-func (f *following) sources() map[stream]host.Member {
+func (f *following) sources() map[followedStream]host.Member {
 	g := f.gateway
 	if g.storeWatch.watching.Load() && g.storeWatch.loaded.Load() && !g.storeWatch.unreachable.Load() {
 		return nil
 	}
-	sources := map[stream]host.Member{}
+	sources := map[followedStream]host.Member{}
 	found := host.FindSources(g.members.Self(), g.members.Live(g.now()), followersPerHost)
 	if m, ok := f.firstWorking(found.Parents); ok {
-		sources[stream{m.Name, false}] = m
+		sources[followedStream{m.Name, false}] = m
 	}
 	if m, ok := f.firstWorking(found.Announcers); ok {
-		sources[stream{m.Name, true}] = m
+		sources[followedStream{m.Name, true}] = m
 	}
 	return sources
 }
@@ -178,7 +181,8 @@
 		g.applyUpdate(reply)
 		return false
 	})
-	g.logger.Info().Str("Peer", m.Name).Int("Note", g.chain.Number()).Int64("Revision", g.roster.Revision()).Err(err).Msg("asked a peer that is ahead")
+	g.logger.Info().Str("Peer", m.Name).Int("Note", g.chain.Number()).Int64("Revision", g.roster.Revision()).Err(err).
+		Msg("asked a peer that is ahead")
 }
 
 // applyUpdate applies an update of the store from a peer and passes it on to this host's followers.
@@ -241,13 +245,14 @@
 	}
 }
 
-// countReceiving updates the number of streams on which an update has arrived in part.
-func (g *Gateway) countReceiving(partial *bool, now bool) {
+// countReceiving keeps the number of streams on which an update has arrived in part when that changes for one stream, from
+// *before to now.
+func (g *Gateway) countReceiving(before *bool, now bool) {
 	switch {
-	case now && !*partial:
+	case now && !*before:
 		g.receiving.Add(1)
-	case !now && *partial:
+	case !now && *before:
 		g.receiving.Add(-1)
 	}
-	*partial = now
+	*before = now
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -183,7 +183,9 @@
 	g.pools = newPools(g)
 	g.homeClient = newHomeClient(g)
 	g.followers.queues = map[uint64]*ring.Queue[*encodedUpdate]{}
-	g.roster = roster.New(roster.Config{Decode: c.Dialect.Decode, OnRejectedEntry: g.recordRejectedEntry, OnUpdate: g.followers.broadcastChanges, OnChange: g.applyView})
+	g.roster = roster.New(roster.Config{
+		Decode: c.Dialect.Decode, OnRejectedEntry: g.recordRejectedEntry, OnUpdate: g.followers.broadcastChanges, OnChange: g.applyView,
+	})
 	return g, func() {
 		cancelBackground()
 		g.homeClient.close()
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -96,16 +96,18 @@
 		Msg("request ended")
 }
 
-// stats holds the counters that the metrics page shows. Those with less obvious names are: unresponsiveHomes, homes that
-// gave no verdict within firstVerdictTimeout; slowReaders, hosts cut off because they did not read their verdicts; truncated,
-// responses that could not be sent completely; rejected, requests that could not be read; storeBytesSent and
-// storeBytesReceived, bytes of the streams on which hosts pass on changes of the store; followsStarted, attempts to open
-// such a stream; primaryProbes and fallbackProbes,
-// health probes sent as a primary and as a fallback home.
+// stats holds the counters that the metrics page shows.
 type stats struct {
-	requests, attempts, storeCalls, unresponsiveHomes, slowReaders, rejected          atomic.Int64
-	answered, refused, failed, notFound, truncated                                    atomic.Int64
-	primaryProbes, fallbackProbes, storeBytesSent, storeBytesReceived, followsStarted atomic.Int64
+	requests, attempts, storeCalls                 atomic.Int64
+	answered, refused, failed, notFound, truncated atomic.Int64
+	// unresponsiveHomes counts homes that gave no verdict within firstVerdictTimeout; slowReaders, hosts that were cut off
+	// because they did not read their verdicts; rejected, requests that could not be read.
+	unresponsiveHomes, slowReaders, rejected atomic.Int64
+	// primaryProbes and fallbackProbes count health probes by the role in which they were sent.
+	primaryProbes, fallbackProbes atomic.Int64
+	// storeBytesSent and storeBytesReceived count the bytes of the streams on which hosts pass on changes of the store, and
+	// followsStarted this host's attempts to open one.
+	storeBytesSent, storeBytesReceived, followsStarted atomic.Int64
 }
 
 // countersInterval is the time between two lines with the counters in the log.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -14,8 +14,9 @@
 	"github.com/joomcode/errorx"
 )
 
-// Times and counts of replicating the store. A few hosts, the watchers, follow the store itself; the others follow the
-// watchers, so that the number of calls to the store does not grow with the number of hosts.
+// Times and counts of replicating the store. A few hosts, the watchers, follow the store itself; the others follow them in
+// trees (see host.FindSources), so that neither the number of calls to the store nor what a host sends grows with the
+// number of hosts.
 const (
 	// watchersPerDomain is the number of hosts in each failure domain that follow the store itself.
 	watchersPerDomain = 1
@@ -51,21 +52,11 @@
 	loaded atomic.Bool
 }
 
-// watchers returns the hosts that follow the store itself, those of this host's failure domain first.
+// watchers returns the hosts that follow the store itself.
 func (g *Gateway) watchers() []host.Member {
 	live := g.members.Live(g.now())
 	connected := slices.DeleteFunc(slices.Clone(live), func(m host.Member) bool { return m.StoreLost })
-	watchers := host.Watchers(connected, watchersPerDomain)
-	slices.SortStableFunc(watchers, func(a, b host.Member) int { return g.distance(a) - g.distance(b) })
-	return watchers
-}
-
-// distance returns 0 for hosts of this host's failure domain and 1 for others.
-func (g *Gateway) distance(m host.Member) int {
-	if m.Domain == g.settings.Host.Domain {
-		return 0
-	}
-	return 1
+	return host.Watchers(connected, watchersPerDomain)
 }
 
 // isWatcher reports whether this host should follow the store itself: because it is one of the watchers, or because no
