--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -25,9 +25,6 @@
 	placeCallQueueSize = 1024
 	// maxRemoteHomes is the number of other hosts to which a request is sent for placement before this host places it.
 	maxRemoteHomes = 2
-	// probeLimitShare is the share of Budget.ProbesPerSec that is given to requests. The rest covers what hosts save up
-	// and, after a restart, get once more.
-	probeLimitShare = 0.9
 	// rankCacheTime is how long the ranking of a service's homes is cached.
 	rankCacheTime = 50 * time.Millisecond
 )
@@ -163,26 +160,6 @@
 	return r.members
 }
 
-// takeProbes returns the number of health probes that a request of the service brings to one of its homes.
-func (c *homeClient) takeProbes(service, home string) int {
-	g := c.gateway
-	wanted := placement.ProbesPerFallbackRequest
-	if ranked := c.rankedHomes(service); len(ranked) > 0 && ranked[0].Name == home {
-		wanted = placement.ProbesPerRequest
-	}
-	view := g.roster.View()
-	// A host that has just started and reaches no other one may know from the store that there are others.
-	targets, hosts := len(view.Targets[service]), max(g.members.FleetSize(), len(view.PeerAddresses))
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	a := c.allowances[service]
-	if a == nil {
-		a = &placement.ProbeAllowance{PerTarget: probeLimitShare * g.settings.Budget.ProbesPerSec}
-		c.allowances[service] = a
-	}
-	return a.Take(g.now(), targets, hosts, wanted)
-}
-
 // placers returns the homes to try for a request of the service, best first. The last one is always this host, so that
 // requests are placed even when no home can be reached.
 func (c *homeClient) placers(service string) []placer {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -17,6 +17,30 @@
 // only if they were read to the end.
 const maxHealthBytes = 4 << 10
 
+// probeLimitShare is the share of Budget.ProbesPerSec that is given to requests. The rest covers what hosts save up and,
+// after a restart, get once more.
+const probeLimitShare = 0.9
+
+// takeProbes returns the number of health probes that a request of the service brings to one of its homes.
+func (c *homeClient) takeProbes(service, home string) int {
+	g := c.gateway
+	wanted := placement.ProbesPerFallbackRequest
+	if ranked := c.rankedHomes(service); len(ranked) > 0 && ranked[0].Name == home {
+		wanted = placement.ProbesPerRequest
+	}
+	view := g.roster.View()
+	// A host that has just started and reaches no other one may know from the store that there are others.
+	targets, hosts := len(view.Targets[service]), max(g.members.FleetSize(), len(view.PeerAddresses))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.allowances[service]
+	if a == nil {
+		a = &placement.ProbeAllowance{PerTarget: probeLimitShare * g.settings.Budget.ProbesPerSec}
+		c.allowances[service] = a
+	}
+	return a.Take(g.now(), targets, hosts, wanted)
+}
+
 // probe requests a target's health path and passes the result and the reported load to the placement state.
 func (h *serviceHome) probe(ctx context.Context, p placement.Placed) {
 	g := h.server.gateway
