Log which requests repeat one another, and each one that is quarantined

Lines of requests that a target may have run without an answer now hold caller, path and fingerprint; a home records RequestQuarantined and counts it.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -150,6 +150,7 @@
 		{"RejectedRequests", func() any { return s.rejected.Load() }},
 		{"Attempts", func() any { return s.attempts.Load() }},
 		{"Probes", func() any { return s.primaryProbes.Load() + s.fallbackProbes.Load() }},
+		{"Quarantined", func() any { return s.quarantined.Load() }},
 		{"PrimaryProbes", func() any { return s.primaryProbes.Load() }},
 		{"FallbackProbes", func() any { return s.fallbackProbes.Load() }},
 		{"StoreBytesSent", func() any { return s.storeBytesSent.Load() }},
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -54,12 +54,14 @@
 	lastOutcome string
 	// verdict is the last verdict that placed or refused the request.
 	verdict placement.Verdict
+	// fingerprint recognizes repetitions of the request; see request.fingerprint.
+	fingerprint uint64
 	// cancel ends the context of the runs. A response that is still being read from a target needs it until it is sent.
 	cancel context.CancelFunc
 }
 
 func newExchange(c *callerConn, q *request) *exchange {
-	return &exchange{gateway: c.gateway, caller: c, request: q, cancel: func() {}}
+	return &exchange{gateway: c.gateway, caller: c, request: q, fingerprint: q.fingerprint(), cancel: func() {}}
 }
 
 // run handles the request and returns the response for the caller.
@@ -216,7 +218,7 @@
 func (x *exchange) placementRequest(p placer) *placement.Request {
 	return &placement.Request{
 		Class: x.rule.Class, Priority: x.rule.Priority, Goal: x.goal, Deadline: x.deadline, Repeatable: x.repeatable(),
-		Tried: x.tried, Fingerprint: x.request.fingerprint(), Domain: x.gateway.settings.Host.Domain,
+		Tried: x.tried, Fingerprint: x.fingerprint, Domain: x.gateway.settings.Host.Domain,
 		Probes: x.gateway.homeClient.takeProbes(x.service, p.name()),
 	}
 }
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -124,7 +125,8 @@
 		h = &serviceHome{server: s, service: service}
 		h.home = placement.New(placement.Config{
 			Random: rand.New(rand.NewPCG(s.gateway.incarnation, uint64(len(s.services)))), Budget: s.retryBudget(), OnVerdict: s.sendVerdict,
-			OnEjection: func(e placement.Ejection) { s.recordEjection(service, e) },
+			OnEjection:   func(e placement.Ejection) { s.recordEjection(service, e) },
+			OnQuarantine: func(fingerprint uint64, target string) { s.recordQuarantine(service, fingerprint, target) },
 		})
 		s.services[service] = h
 		h.applyView(s.gateway.roster.View())
@@ -143,6 +145,17 @@
 	g.records.Add(r)
 }
 
+// recordQuarantine writes a change record for a request that is refused from now on, because it broke the connections of
+// several targets. The fingerprint is that of the request log.
+func (s *homeServer) recordQuarantine(service string, fingerprint uint64, target string) {
+	g := s.gateway
+	g.stats.quarantined.Add(1)
+	g.records.Add(record.Record{
+		Kind: record.RequestQuarantined, Service: service, Target: target, Cause: "BrokeConnections", Note: g.chain.Number(),
+		Evidence: record.Evidence{Detail: strconv.FormatUint(fingerprint, 16)},
+	})
+}
+
 // retryBudget returns the ratio of extra attempts to requests that this host may grant for a service, without slack.
 func (s *homeServer) retryBudget() placement.RetryBudget {
 	r := s.gateway.reloadable.Load().Retries
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,8 @@
 	routineLinesPerSecond = 10
 	// notableLinesPerSecond limits the entries for all other requests.
 	notableLinesPerSecond = 100
+	// maxLoggedPath is the number of bytes of a path that an entry holds at most.
+	maxLoggedPath = 120
 )
 
 // logEntry is the entry of one request in the request log.
@@ -35,6 +38,10 @@
 	duration, remaining      time.Duration
 	// verdict is the last verdict about the request, with the estimates that it was based on.
 	verdict placement.Verdict
+	// caller, path and fingerprint tell which requests repeat one another. They are set for requests that a target may have
+	// run without a response, and for those that were refused because of that.
+	caller, path string
+	fingerprint  uint64
 }
 
 // requestLog writes entries in the background. It drops and counts entries rather than delay a request.
@@ -88,6 +95,9 @@
 	case placement.Refused:
 		e.Dur("ExpectedMilliseconds", v.Expected).Int("Waiting", v.Waiting).Int("Slots", v.Slots)
 	}
+	if entry.fingerprint != 0 {
+		e.Str("Caller", entry.caller).Str("Path", entry.path).Str("Fingerprint", strconv.FormatUint(entry.fingerprint, 16))
+	}
 	e.
 		Time("At", entry.at).Str("Request", entry.id).Str("Rule", entry.rule).Str("Service", entry.service).Str("Home", entry.home).
 		Str("Targets", entry.targets).Str("Outcome", entry.outcome).Str("Reason", entry.reason).Int("Status", entry.status).Int("Note", entry.note).
@@ -103,6 +113,8 @@
 	// unresponsiveHomes counts homes that gave no verdict within firstVerdictTimeout; slowReaders, hosts that were cut off
 	// because they did not read their verdicts; rejected, requests that could not be read.
 	unresponsiveHomes, slowReaders, rejected atomic.Int64
+	// quarantined counts the requests that this host, as a home, has put in quarantine.
+	quarantined atomic.Int64
 	// primaryProbes and fallbackProbes count health probes by the role in which they were sent.
 	primaryProbes, fallbackProbes atomic.Int64
 	// storeBytesSent and storeBytesReceived count the bytes of the streams on which hosts pass on changes of the store, and
@@ -119,7 +131,8 @@
 	s := &g.stats
 	for duty.Sleep(ctx, countersInterval) {
 		g.logger.Info().
-			Int64("Requests", s.requests.Load()).Int64("PrimaryProbes", s.primaryProbes.Load()).Int64("FallbackProbes", s.fallbackProbes.Load()).
+			Int64("Requests", s.requests.Load()).Int64("Quarantined", s.quarantined.Load()).
+			Int64("PrimaryProbes", s.primaryProbes.Load()).Int64("FallbackProbes", s.fallbackProbes.Load()).
 			Int64("StoreCalls", s.storeCalls.Load()).Int64("StoreBytesSent", s.storeBytesSent.Load()).
 			Int64("StoreBytesReceived", s.storeBytesReceived.Load()).Int64("FollowsStarted", s.followsStarted.Load()).
 			Int("Followers", g.followers.count()).Int("LiveHosts", len(g.members.Live(g.now()))).
@@ -151,6 +164,9 @@
 	if x.placer != nil {
 		entry.home = x.placer.name()
 	}
+	if x.mayHaveRun || x.lastOutcome == string(placement.ReasonQuarantined) {
+		entry.caller, entry.path, entry.fingerprint = x.request.callerAddress, x.request.path[:min(len(x.request.path), maxLoggedPath)], x.fingerprint
+	}
 	for i, target := range x.tried {
 		if i > 0 {
 			entry.targets += " "
--- a/internal/placement/crash.go
+++ b/internal/placement/crash.go
@@ -21,11 +21,13 @@
 // crashTracker finds requests that crash every target they run on. Its keys are request fingerprints.
 type crashTracker map[uint64]*crashSuspect
 
-// recordConnectionBreak records that the connection to a target broke while the target ran the request.
-func (c crashTracker) recordConnectionBreak(now time.Duration, fingerprint uint64, target string) {
+// recordConnectionBreak records that the connection to a target broke while the target ran the request. It reports whether
+// the request is quarantined from now on.
+func (c crashTracker) recordConnectionBreak(now time.Duration, fingerprint uint64, target string) bool {
 	if fingerprint == 0 {
-		return
+		return false
 	}
+	before := c.quarantined(now, fingerprint)
 	s := c[fingerprint]
 	if s == nil {
 		if len(c) >= maxCrashSuspects {
@@ -36,6 +38,7 @@
 	}
 	s.targets[target] = true
 	s.lastCrashAt = now
+	return !before && c.quarantined(now, fingerprint)
 }
 
 // remove removes a request from the suspects, because a target has answered it.
--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -59,7 +59,9 @@
 		t.recordFailure(now, h.mayEject(now))
 	case OutcomeConnectionBroke:
 		t.recordFailure(now, h.mayEject(now))
-		h.crashes.recordConnectionBreak(now, r.Fingerprint, t.Name)
+		if h.crashes.recordConnectionBreak(now, r.Fingerprint, t.Name) && h.config.OnQuarantine != nil {
+			h.config.OnQuarantine(r.Fingerprint, t.Name)
+		}
 	case OutcomeNotRun:
 		// Count the target as full: it has more requests than this home knows of.
 		t.reportedLoad, t.loadAt = max(t.Slots, t.reportedLoad), now
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -39,6 +39,9 @@
 	OnVerdict func(*Request, Verdict)
 	// OnEjection is called when a target is ejected and when its ejection ends. It must not call the home. It may be nil.
 	OnEjection func(Ejection)
+	// OnQuarantine is called when a request is put in quarantine because the given target has broken its connection. It must
+	// not call the home. It may be nil.
+	OnQuarantine func(fingerprint uint64, target string)
 }
 
 // Ejection reports that a target was ejected after consecutive failures or, if Ejected is false, that its ejection ended.
