--- /dev/null
+++ b/internal/gateway/crash_test.go
@@ -0,0 +1,150 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"briarcroft/internal/host"
+	"briarcroft/platform/standin"
+)
+
+// Limits for a request that crashes the targets that run it, from the requirements of the platform.
+const (
+	// crashesBeforeLimit is the number of crashed targets after which the limit applies, and crashReaction the time after the
+	// last of these crashes from which it does.
+	crashesBeforeLimit = 3
+	crashReaction      = 3 * time.Second
+	// maxLateCrashes is the number of runs that may begin after that.
+	maxLateCrashes = 3
+)
+
+// crashingPath is the path of the request that crashes targets.
+const crashingPath = "/lookup/crash"
+
+// crashTest sends a request that crashes targets again and again, to each host in turn, beside requests that do not.
+type crashTest struct {
+	*fleet
+	// sends is the number of times that the request is sent, one sendInterval after the other.
+	sends        int
+	sendInterval time.Duration
+	// query returns the query of the i-th time; nil means none.
+	query func(i int) string
+	// soundFailed counts the other requests that were not answered with status 200.
+	mu          sync.Mutex
+	soundFailed int
+}
+
+// crashTargets makes crashingPath crash all targets, which are then silent for the given time; zero means that they only
+// break the connection.
+func (f *fleet) crashTargets(silent time.Duration) {
+	for _, x := range f.targets {
+		x.Update(func(t *standin.Target) { t.CrashPath, t.SilentTime = crashingPath, silent })
+	}
+}
+
+// run sends the requests and returns when runs that crashed targets began, in order.
+func (c *crashTest) run() []time.Time {
+	var group sync.WaitGroup
+	for i := range c.sends {
+		name, path := fmt.Sprintf("h%d", i%len(c.hosts)), crashingPath
+		if c.query != nil {
+			path += "?" + c.query(i)
+		}
+		group.Go(func() { c.call(name, http.MethodGet, path, fmt.Sprintf("crash-%d", i)) })
+		group.Go(func() { c.sendSound(fmt.Sprintf("h%d", (i+1)%len(c.hosts)), i) })
+		time.Sleep(c.sendInterval)
+	}
+	group.Wait()
+	var crashes []time.Time
+	for _, x := range c.targets {
+		x.Update(func(t *standin.Target) { crashes = append(crashes, t.Crashes...) })
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	return crashes
+}
+
+func (c *crashTest) sendSound(name string, i int) {
+	if r := c.call(name, http.MethodGet, fmt.Sprintf("/lookup/%d", i), fmt.Sprintf("sound-%d", i)); r.status != http.StatusOK {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.soundFailed++
+	}
+}
+
+// lateCrashes returns how many runs began later than crashReaction after the third crash. A run crashes its target when it
+// ends.
+func lateCrashes(crashes []time.Time) int {
+	if len(crashes) < crashesBeforeLimit {
+		return 0
+	}
+	limitFrom := crashes[crashesBeforeLimit-1].Add(standin.NewTarget("").RunDuration + crashReaction)
+	late := 0
+	for _, at := range crashes {
+		if at.After(limitFrom) {
+			late++
+		}
+	}
+	return late
+}
+
+// TestCrashingRequestWithOtherQueryIsStopped guards against taking a request that crashes targets for a new one when its
+// query differs.
+func TestCrashingRequestWithOtherQueryIsStopped(t *testing.T) {
+	withFleet(t, 13, 14, func(f *fleet) {
+		f.crashTargets(0)
+		c := &crashTest{fleet: f, sends: 60, sendInterval: 500 * time.Millisecond, query: func(i int) string { return fmt.Sprintf("page=%d", i) }}
+		crashes := c.run()
+		t.Logf("%d runs in all, %d late; %d other requests failed", len(crashes), lateCrashes(crashes), c.soundFailed)
+		f.is.True(len(crashes) >= crashesBeforeLimit)
+		f.is.True(lateCrashes(crashes) <= maxLateCrashes)
+		f.is.Equal(c.soundFailed, 0)
+	})
+}
+
+// TestCrashingRequestIsStoppedAfterHomeEnds guards against forgetting a request that crashes targets with the home that
+// has seen it.
+func TestCrashingRequestIsStoppedAfterHomeEnds(t *testing.T) {
+	withFleet(t, 13, 14, func(f *fleet) {
+		f.crashTargets(0)
+		c := &crashTest{fleet: f, sends: 60, sendInterval: 500 * time.Millisecond}
+		var killer sync.WaitGroup
+		killer.Go(func() { f.killHomes(6, 4*time.Second) })
+		crashes := c.run()
+		killer.Wait()
+		t.Logf("%d runs in all, %d late; %d other requests failed", len(crashes), lateCrashes(crashes), c.soundFailed)
+		f.is.True(len(crashes) >= crashesBeforeLimit)
+		f.is.True(lateCrashes(crashes) <= maxLateCrashes)
+	})
+}
+
+// killHomes ends the primary home of the service a number of times, at the given interval. A host that was ended does not
+// come back.
+func (f *fleet) killHomes(times int, interval time.Duration) {
+	running := make([]host.Member, 0, len(f.hosts))
+	for name := range f.hosts {
+		running = append(running, host.Member{Name: name})
+	}
+	for range times {
+		time.Sleep(interval)
+		home := host.Rank("stock", running)[0].Name
+		f.crash(home)
+		running = slices.DeleteFunc(running, func(m host.Member) bool { return m.Name == home })
+	}
+}
+
+// TestCrashingRequestThatSilencesTargetsIsStopped guards against counting only broken connections as crashes: a target
+// may also fall silent.
+func TestCrashingRequestThatSilencesTargetsIsStopped(t *testing.T) {
+	withFleet(t, 13, 14, func(f *fleet) {
+		f.crashTargets(2 * time.Second)
+		c := &crashTest{fleet: f, sends: 60, sendInterval: 500 * time.Millisecond}
+		crashes := c.run()
+		t.Logf("%d runs in all, %d late; %d other requests failed", len(crashes), lateCrashes(crashes), c.soundFailed)
+		f.is.True(len(crashes) >= crashesBeforeLimit)
+		f.is.True(lateCrashes(crashes) <= maxLateCrashes)
+	})
+}
