Recognize a request that crashes targets by caller, path and body

What callers saw: a request that had crashed three targets was sent on, to 24 more in the operators' record; other callers lost the answers of those targets.

Cause: the fingerprint by which a home recognizes a repetition held the host, the method and the whole URI. The platform defines a repetition by path, caller and body, and names the query apart from the path where it means both. With another query each time, each repetition was a new request.

Evidence: in the record nine or ten targets crash within a second, on 13 calm hosts with one home; a home that recognized the request would have stopped at three.

Why this works: the hash covers what the platform's definition names, and nothing else that may vary.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -177,11 +177,11 @@
 	return defaultLimits
 }
 
-// fingerprint returns a hash of the caller's address, host, method, URI and body. It recognizes repetitions of a
-// request that makes targets crash.
+// fingerprint returns a hash of the caller's address, path and body, by which the platform defines repetitions of a request
+// that makes targets crash. A repetition may have another query.
 func (q *request) fingerprint() uint64 {
 	d := xxhash.New()
-	for _, part := range []string{q.callerAddress, q.host, q.method, q.uri} {
+	for _, part := range []string{q.callerAddress, q.path} {
 		// A hash never fails to write.
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -38,7 +38,7 @@
 	Repeatable bool
 	// Tried lists the names of the targets that the request has been sent to. It is empty for the first attempt.
 	Tried []string
-	// Fingerprint is a hash of the caller, URI and body, by which a request that crashes targets is recognized when it is
+	// Fingerprint is a hash of the caller, path and body, by which a request that crashes targets is recognized when it is
 	// sent again; 0 means that there is none.
 	Fingerprint uint64
 	// Domain is the failure domain of the host that will send the request.
