Move the quarantine into a package of its own

It is about to serve the gateway too, which keeps a quarantine of its own for each service so far. The number of targets is a parameter now, the encoding of quarantines moves to the protocol between hosts; behaviour stays as it is.

--- a/internal/claim/key.go
+++ b/internal/claim/key.go
@@ -6,8 +6,7 @@
 // which has no grant, is claimed in the platform's store first: the store keeps the grant of the only incarnation that
 // may run its request. A stopping host seals its table and copies it to peers, which answer resends from then on.
 //
-// The package also implements the quarantine of requests that crash backend servers. It opens no connections and reads
-// no clock: callers pass in the time since the start of their host.
+// The package opens no connections and reads no clock: callers pass in the time since the start of their host.
 package claim
 
 import (
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -66,7 +66,7 @@
 
 func (h *Host) heartbeatRequest(update host.Gossip) *inner.HeartbeatRequest {
 	request := inner.NewHeartbeatRequest(h.Name(), update)
-	request.Quarantines = h.quarantinesToWire()
+	request.Quarantines = inner.EncodeQuarantines(h.quarantine.All(h.now()))
 	return request
 }
 
@@ -77,7 +77,7 @@
 // handlePeerState processes the parts of a heartbeat or its reply that the membership table does not handle:
 // it merges the peer's quarantines and queues the fetch of a note when the peer has a newer one.
 func (h *Host) handlePeerState(sender string, members []*inner.Member, quarantines []*inner.Quarantine) {
-	h.quarantine.Merge(h.now(), quarantinesFromWire(quarantines))
+	h.quarantine.Merge(h.now(), inner.DecodeQuarantines(quarantines))
 	h.peersCompared.Store(true)
 	if m, newer := inner.SenderWithNewerNote(sender, members, h.chain.Number()); newer {
 		h.noteHints.Push(noteHint{m.Inner, m.Note})
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -29,6 +29,7 @@
 	"briarcroft/internal/meter"
 	"briarcroft/internal/note"
 	"briarcroft/internal/platform"
+	"briarcroft/internal/quarantine"
 	"briarcroft/internal/record"
 	"briarcroft/internal/ring"
 	"briarcroft/internal/settings"
@@ -52,6 +53,9 @@
 	// heartbeatPeersPerDomain is how many peers of this host's failure domain receive each round of heartbeats. Of each
 	// other failure domain one peer does.
 	heartbeatPeersPerDomain = 2
+	// crashesToQuarantine is how many targets must break their connection during attempts of a request before the request is
+	// quarantined.
+	crashesToQuarantine = 2
 )
 
 // Config configures a Host.
@@ -84,7 +88,7 @@
 	idempotency    *claim.Table
 	sealedTables   *claim.SealedTables
 	tableAssembler *tableAssembler
-	quarantine     *claim.Quarantine
+	quarantine     *quarantine.List
 	plainKeys      *plainKeyStore
 	records        *record.Log
 	histograms     *meter.Histograms
@@ -127,7 +131,7 @@
 	h := &Host{
 		config: c, settings: c.Settings, start: time.Now(), chain: &note.Chain{},
 		noteHints: ring.NewQueue[noteHint](ring.Config{Capacity: maxNoteHints}), heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}),
-		quarantine: claim.NewQuarantine(), histograms: meter.NewHistograms(), peerCounts: newPeerCounts(), homes: homeTracker{primary: map[string]string{}}, tableAssembler: newTableAssembler(),
+		quarantine: quarantine.New(quarantine.Config{Targets: crashesToQuarantine}), histograms: meter.NewHistograms(), peerCounts: newPeerCounts(), homes: homeTracker{primary: map[string]string{}}, tableAssembler: newTableAssembler(),
 	}
 	h.incarnation = uint64(h.start.UnixMilli())<<16 | uint64(rand.Uint32N(1<<16))
 	if err := h.listen(); err != nil {
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -33,7 +33,7 @@
 	h := p.host
 	h.handlePeerState(r.Sender, r.Members, r.Quarantines)
 	reply := inner.HandleHeartbeat(h.membership, h.now(), r)
-	reply.Quarantines = h.quarantinesToWire()
+	reply.Quarantines = inner.EncodeQuarantines(h.quarantine.All(h.now()))
 	return reply, nil
 }
 
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -2,29 +2,11 @@
 
 import (
 	"net/http"
-	"time"
 
 	"briarcroft/internal/claim"
 	"briarcroft/internal/inner"
 )
 
-// quarantinesToWire returns the requests that this host has in quarantine, as sent in heartbeats.
-func (h *Host) quarantinesToWire() []*inner.Quarantine {
-	var encoded []*inner.Quarantine
-	for _, o := range h.quarantine.List(h.now()) {
-		encoded = append(encoded, &inner.Quarantine{Fingerprint: o.Fingerprint, RemainingMilliseconds: o.Remaining.Milliseconds(), Reason: o.Reason})
-	}
-	return encoded
-}
-
-func quarantinesFromWire(quarantines []*inner.Quarantine) []claim.QuarantinedRequest {
-	var decoded []claim.QuarantinedRequest
-	for _, q := range quarantines {
-		decoded = append(decoded, claim.QuarantinedRequest{Fingerprint: q.Fingerprint, Remaining: time.Duration(q.RemainingMilliseconds) * time.Millisecond, Reason: q.Reason})
-	}
-	return decoded
-}
-
 func fieldsToWire(fields []claim.HeaderField) []*inner.Header {
 	encoded := make([]*inner.Header, 0, len(fields))
 	for _, f := range fields {
--- a/internal/steering/attempt.go
+++ b/internal/steering/attempt.go
@@ -138,7 +138,7 @@
 // classifyBreak decides whether a broken connection counts against the target or against the request. A request that
 // has broken the connections of two targets is put in quarantine, and the break does not count against the target.
 func (s *Service) classifyBreak(now, started time.Duration, r *Request, target string) route.Outcome {
-	if r.Fingerprint == 0 || !s.dispatcher.config.Quarantine.RecordConnectionBreak(now, started, r.Fingerprint, target) {
+	if r.Fingerprint == 0 || !s.dispatcher.config.Quarantine.RecordBreak(now, started, r.Fingerprint, target) {
 		return route.Failed
 	}
 	s.dispatcher.config.Records.Add(record.Record{
--- a/internal/steering/dispatcher.go
+++ b/internal/steering/dispatcher.go
@@ -11,8 +11,8 @@
 
 	"briarcroft/internal/admission"
 	"briarcroft/internal/backend"
-	"briarcroft/internal/claim"
 	"briarcroft/internal/note"
+	"briarcroft/internal/quarantine"
 	"briarcroft/internal/record"
 	"briarcroft/internal/route"
 )
@@ -20,7 +20,7 @@
 // Config configures a Dispatcher.
 type Config struct {
 	Records    *record.Log
-	Quarantine *claim.Quarantine
+	Quarantine *quarantine.List
 	// Clock is the host's monotonic clock.
 	Clock func() time.Duration
 	// Seed is the seed of the random numbers that break ties between targets.
