Share the quarantine of requests that crash targets among all hosts

What callers saw: after each end of a service's home, a request that crashes targets took down up to three more; a request that another service's rule or a fallback home placed was counted anew.

Cause: what was known about a request lived in one home of one service (placement.Home.crashes) and ended with it. Two quarantines existed; only the one of the other platform was told to peers.

Why this works: a host has one list for all its homes and tells peers in heartbeats, at once when a request is added, so every host refuses it, whoever is home; new hosts learn it with their first heartbeat. Because a list of the fleet makes each mistake one of the fleet, the stricter condition of the other list now holds for both: only runs that began after the last break count, so targets that fail together put nothing in quarantine. So that this does not let a burst through, a request that has crashed a target runs on one target at a time until it is answered.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -79,6 +79,9 @@
 	}
 	x.ruleFound = true
 	x.applyRule(rule)
+	if q, found := g.quarantine.Lookup(g.now(), x.fingerprint); found {
+		return x.refuse(placement.Refused{Reason: placement.ReasonQuarantined, RetryAfter: q.Remaining})
+	}
 	var ctx context.Context
 	ctx, x.cancel = context.WithTimeout(x.caller.requestContext(x.repeatable()), x.deadline-g.now())
 	x.pending = g.homeClient.register(x.service)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"briarcroft/internal/note"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/platform"
+	"briarcroft/internal/quarantine"
 	"briarcroft/internal/record"
 	"briarcroft/internal/ring"
 	"briarcroft/internal/roster"
@@ -51,6 +52,9 @@
 // failure domain one peer does.
 const heartbeatPeersPerDomain = 2
 
+// crashesToQuarantine is the number of targets that a request must crash to be put in quarantine, from the platform's rules.
+const crashesToQuarantine = 3
+
 // Dialect holds the header fields, paths and formats that a platform uses between callers, entry hosts, backend
 // servers and its store.
 type Dialect struct {
@@ -125,6 +129,8 @@
 	// peersAhead holds a peer that knows more of the store than this host.
 	peersAhead *ring.Queue[peerAhead]
 	homeServer *homeServer
+	// quarantine lists the requests that are refused because they crash targets.
+	quarantine *quarantine.List
 	pools      *pools
 	homeClient *homeClient
 	rules      atomic.Pointer[ruleIndex]
@@ -174,11 +180,14 @@
 		Seeds: c.Settings.Peers.Seeds, DomainFanOut: heartbeatPeersPerDomain, Random: rand.New(rand.NewPCG(g.incarnation, 2)),
 	})
 	g.heartbeats = &inner.Heartbeats{Table: g.members, Client: g.client, Now: g.now, NewRequest: func(n host.Gossip) *inner.HeartbeatRequest {
-		return inner.NewHeartbeatRequest(c.Settings.Host.Name, n)
-	}, OnReply: func(r *inner.HeartbeatReply) { g.queueIfNewer(r.Sender, r.Members) }}
+		request := inner.NewHeartbeatRequest(c.Settings.Host.Name, n)
+		request.Quarantines = inner.EncodeQuarantines(g.quarantine.All(g.now()))
+		return request
+	}, OnReply: func(r *inner.HeartbeatReply) { g.handlePeerState(r.Sender, r.Members, r.Quarantines) }}
 	var cancelBackground context.CancelFunc
 	g.background, cancelBackground = context.WithCancel(context.Background())
 	g.rules.Store(&ruleIndex{})
+	g.quarantine = quarantine.New(quarantine.Config{Targets: crashesToQuarantine})
 	g.homeServer = newHomeServer(g)
 	g.pools = newPools(g)
 	g.homeClient = newHomeClient(g)
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -124,7 +124,7 @@
 	if h == nil {
 		h = &serviceHome{server: s, service: service}
 		h.home = placement.New(placement.Config{
-			Random: rand.New(rand.NewPCG(s.gateway.incarnation, uint64(len(s.services)))), Budget: s.retryBudget(), OnVerdict: s.sendVerdict,
+			Random: rand.New(rand.NewPCG(s.gateway.incarnation, uint64(len(s.services)))), Budget: s.retryBudget(), Quarantine: s.gateway.quarantine, OnVerdict: s.sendVerdict,
 			OnEjection:   func(e placement.Ejection) { s.recordEjection(service, e) },
 			OnQuarantine: func(fingerprint uint64, target string) { s.recordQuarantine(service, fingerprint, target) },
 		})
@@ -146,7 +146,7 @@
 }
 
 // recordQuarantine writes a change record for a request that is refused from now on, because it broke the connections of
-// several targets. The fingerprint is that of the request log.
+// several targets, and tells peers at once. The fingerprint is that of the request log.
 func (s *homeServer) recordQuarantine(service string, fingerprint uint64, target string) {
 	g := s.gateway
 	g.stats.quarantined.Add(1)
@@ -154,6 +154,7 @@
 		Kind: record.RequestQuarantined, Service: service, Target: target, Cause: "BrokeConnections", Note: g.chain.Number(),
 		Evidence: record.Evidence{Detail: strconv.FormatUint(fingerprint, 16)},
 	})
+	g.heartbeatTrigger.Push(struct{}{})
 }
 
 // retryBudget returns the ratio of extra attempts to requests that this host may grant for a service, without slack.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -27,8 +27,17 @@
 
 // Heartbeat implements inner.DRPCPeerServer.
 func (p *peerServer) Heartbeat(_ context.Context, r *inner.HeartbeatRequest) (*inner.HeartbeatReply, error) {
-	p.gateway.queueIfNewer(r.Sender, r.Members)
-	return inner.HandleHeartbeat(p.gateway.members, p.gateway.now(), r), nil
+	g := p.gateway
+	g.handlePeerState(r.Sender, r.Members, r.Quarantines)
+	reply := inner.HandleHeartbeat(g.members, g.now(), r)
+	reply.Quarantines = inner.EncodeQuarantines(g.quarantine.All(g.now()))
+	return reply, nil
+}
+
+// handlePeerState processes the parts of a heartbeat or its reply that the membership table does not handle.
+func (g *Gateway) handlePeerState(sender string, members []*inner.Member, quarantines []*inner.Quarantine) {
+	g.quarantine.Merge(g.now(), inner.DecodeQuarantines(quarantines))
+	g.queueIfNewer(sender, members)
 }
 
 // Place implements inner.DRPCPeerServer: it places requests of the host at the other end of the stream.
--- a/internal/placement/crash.go
+++ b/internal/placement/crash.go
@@ -1,63 +1,31 @@
 package placement
 
-import "time"
-
-// Limits of the quarantine for requests that crash targets.
-const (
-	// crashesToQuarantine is the number of targets whose connection broke after which a request is quarantined.
-	crashesToQuarantine = 3
-	// quarantineTime is the duration of the quarantine after the last broken connection.
-	quarantineTime = 2 * time.Minute
-	// maxCrashSuspects limits the memory for suspects.
-	maxCrashSuspects = 4096
+import (
+	"strconv"
+	"time"
 )
 
-// crashSuspect is a request of which at least one run ended with OutcomeConnectionBroke.
-type crashSuspect struct {
-	targets     map[string]bool
-	lastCrashAt time.Duration
+// quarantined reports whether a request must not be sent to any more targets, because it has crashed several.
+func (h *Home) quarantined(now time.Duration, r *Request) bool {
+	_, found := h.config.Quarantine.Lookup(now, r.Fingerprint)
+	return found
 }
 
-// crashTracker finds requests that crash every target they run on. Its keys are request fingerprints.
-type crashTracker map[uint64]*crashSuspect
-
-// recordConnectionBreak records that the connection to a target broke while the target ran the request. It reports whether
-// the request is quarantined from now on.
-func (c crashTracker) recordConnectionBreak(now time.Duration, fingerprint uint64, target string) bool {
-	if fingerprint == 0 {
-		return false
-	}
-	before := c.quarantined(now, fingerprint)
-	s := c[fingerprint]
-	if s == nil {
-		if len(c) >= maxCrashSuspects {
-			c.evict(now)
-		}
-		s = &crashSuspect{targets: map[string]bool{}}
-		c[fingerprint] = s
-	}
-	s.targets[target] = true
-	s.lastCrashAt = now
-	return !before && c.quarantined(now, fingerprint)
+// awaitsOtherRun reports whether a request must wait until another run of the same request has ended: one that may have
+// crashed a target runs on one target at a time.
+func (h *Home) awaitsOtherRun(now time.Duration, r *Request) bool {
+	return h.running[r.Fingerprint] > 0 && h.config.Quarantine.Suspected(now, r.Fingerprint)
 }
 
-// remove removes a request from the suspects, because a target has answered it.
-func (c crashTracker) remove(fingerprint uint64) { delete(c, fingerprint) }
-
-// quarantined reports whether a request must not be sent to any more targets.
-func (c crashTracker) quarantined(now time.Duration, fingerprint uint64) bool {
-	s := c[fingerprint]
-	return s != nil && len(s.targets) >= crashesToQuarantine && now-s.lastCrashAt < quarantineTime
-}
-
-// evict removes suspects whose last crash is more than quarantineTime ago, or all suspects if that does not make room.
-func (c crashTracker) evict(now time.Duration) {
-	for fingerprint, s := range c {
-		if now-s.lastCrashAt > quarantineTime {
-			delete(c, fingerprint)
-		}
+// recordCrash records that the target of a run may have crashed because of it.
+func (h *Home) recordCrash(now time.Duration, ended *run) {
+	fingerprint, t := ended.request.Fingerprint, ended.target
+	if fingerprint == 0 {
+		return
 	}
-	if len(c) >= maxCrashSuspects {
-		clear(c)
+	// A target that has crashed may return under its old name.
+	incarnation := t.Name + " " + strconv.FormatInt(t.Incarnation, 10)
+	if h.config.Quarantine.RecordBreak(now, ended.startedAt, fingerprint, incarnation) && h.config.OnQuarantine != nil {
+		h.config.OnQuarantine(fingerprint, t.Name)
 	}
 }
--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // RunEnd reports the end of one run.
 type RunEnd struct {
@@ -36,8 +39,7 @@
 		}
 	}
 	if ended != nil {
-		ended.target.removeRun(ended)
-		r.removeRun(ended)
+		h.removeRun(ended)
 		h.recordOutcome(now, r, ended, end)
 		if len(r.runs) == 0 && !r.queued {
 			delete(h.requests, r.ID)
@@ -52,16 +54,14 @@
 	switch end.Outcome {
 	case OutcomeAnswered:
 		t.recordSuccess(now)
-		h.crashes.remove(r.Fingerprint)
+		h.config.Quarantine.RecordSuccess(now, r.Fingerprint)
 		h.recordDuration(r, ended, end.Duration)
 		h.responseBytes[r.Class] += (float64(end.Bytes) - h.responseBytes[r.Class]) * responseBytesGain
 	case OutcomeFailed, OutcomeTimedOut:
 		t.recordFailure(now, h.mayEject(now))
 	case OutcomeConnectionBroke:
 		t.recordFailure(now, h.mayEject(now))
-		if h.crashes.recordConnectionBreak(now, r.Fingerprint, t.Name) && h.config.OnQuarantine != nil {
-			h.config.OnQuarantine(r.Fingerprint, t.Name)
-		}
+		h.recordCrash(now, ended)
 	case OutcomeNotRun:
 		// Count the target as full: it has more requests than this home knows of.
 		t.reportedLoad, t.loadAt = max(t.Slots, t.reportedLoad), now
@@ -151,10 +151,9 @@
 
 // removeRequest removes a request and frees the slots of its runs.
 func (h *Home) removeRequest(r *Request) {
-	for _, active := range r.runs {
-		active.target.removeRun(active)
+	for _, active := range slices.Clone(r.runs) {
+		h.removeRun(active)
 	}
-	r.runs = nil
 	delete(h.requests, r.ID)
 }
 
--- a/internal/placement/hedge.go
+++ b/internal/placement/hedge.go
@@ -43,6 +43,9 @@
 	if ageRatio < lastChanceAgeRatio {
 		return
 	}
+	if h.config.Quarantine.Suspected(now, r.Fingerprint) {
+		return
+	}
 	t, e := h.pickTarget(now, r, append(slices.Clone(r.Tried), first.target.Name))
 	if t == nil || e.nearlyFull || now+e.expected > r.Deadline {
 		return
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"briarcroft/internal/quarantine"
 )
 
 // Parameters of the statistics of a service. A gain is the weight of one new value in an exponential moving average.
@@ -35,6 +37,8 @@
 type Config struct {
 	Random *rand.Rand
 	Budget RetryBudget
+	// Quarantine lists requests that crash targets. All homes of a host share one.
+	Quarantine *quarantine.List
 	// OnVerdict is called with each verdict. It must not call the home.
 	OnVerdict func(*Request, Verdict)
 	// OnEjection is called when a target is ejected and when its ejection ends. It must not call the home. It may be nil.
@@ -79,7 +83,8 @@
 	nextProbed int
 	// awaitsProbes is set while a queued request may wait for a probe that was not sent yet.
 	awaitsProbes bool
-	crashes      crashTracker
+	// running is the number of runs of each request that has any, by its fingerprint.
+	running map[uint64]int
 	// refusals is the number of refusals so far. It gives each retry delay a different jitter.
 	refusals uint64
 }
@@ -88,7 +93,7 @@
 func New(c Config) *Home {
 	return &Home{
 		config: c, byName: map[string]*targetState{}, requests: map[RequestID]*Request{}, serviceTimes: map[string]float64{}, responseBytes: map[string]float64{},
-		averagePace: initialPace, nearlyFullSlowdown: initialNearlyFullSlowdown, lastRequestAt: -time.Hour, crashes: crashTracker{},
+		averagePace: initialPace, nearlyFullSlowdown: initialNearlyFullSlowdown, lastRequestAt: -time.Hour, running: map[uint64]int{},
 	}
 }
 
@@ -122,7 +127,7 @@
 	h.lastRequestAt = now
 	h.addProbeCredit(r)
 	r.submittedAt = now
-	if h.crashes.quarantined(now, r.Fingerprint) {
+	if h.quarantined(now, r) {
 		h.refuse(now, r, ReasonQuarantined)
 		return
 	}
@@ -251,8 +256,12 @@
 // placeOrRefuse places or refuses a queued request, unless it is better kept in the queue, and reports whether the
 // request has left the queue. The number of queued requests ahead of it is ahead, of which lateAhead are late.
 func (h *Home) placeOrRefuse(now time.Duration, r *Request, ahead, lateAhead int) bool {
+	if h.quarantined(now, r) {
+		h.refuse(now, r, ReasonQuarantined)
+		return true
+	}
 	t, e := h.pickTarget(now, r, r.Tried)
-	if t != nil && h.shouldPlaceNow(now, r, e.expected) {
+	if t != nil && !h.awaitsOtherRun(now, r) && h.shouldPlaceNow(now, r, e.expected) {
 		if h.shouldAwaitProbe(now, r, t) {
 			return false
 		}
@@ -370,6 +379,17 @@
 	started := &run{request: r, target: t, startedAt: now, expected: e.expected, slowdown: e.slowdown, nearlyFull: e.nearlyFull}
 	t.runs = append(t.runs, started)
 	r.runs = append(r.runs, started)
+	h.running[r.Fingerprint]++
+}
+
+// removeRun frees the slot of a run.
+func (h *Home) removeRun(ended *run) {
+	ended.target.removeRun(ended)
+	ended.request.removeRun(ended)
+	fingerprint := ended.request.Fingerprint
+	if h.running[fingerprint]--; h.running[fingerprint] == 0 {
+		delete(h.running, fingerprint)
+	}
 }
 
 // refuse refuses a request and tells the caller when to retry.
--- a/internal/placement/home_test.go
+++ b/internal/placement/home_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"briarcroft/internal/fixedseed"
+	"briarcroft/internal/quarantine"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -15,6 +16,9 @@
 
 func TestMain(m *testing.M) { os.Exit(fixedseed.Main(m)) }
 
+// crashesToQuarantine is the number of targets that a request must crash to be put in quarantine.
+const crashesToQuarantine = 3
+
 // testHome is a home with a simulated clock that records its verdicts by request number.
 type testHome struct {
 	home       *Home
@@ -26,7 +30,7 @@
 // newTestHome returns a home with the given number of targets. Each has three slots and has just reported a pace of 1.
 func newTestHome(targets int, budget RetryBudget) *testHome {
 	f := &testHome{verdicts: map[uint64][]Verdict{}, now: time.Minute}
-	f.home = New(Config{Random: rand.New(rand.NewPCG(1, 1)), Budget: budget, OnVerdict: func(r *Request, v Verdict) {
+	f.home = New(Config{Random: rand.New(rand.NewPCG(1, 1)), Budget: budget, Quarantine: quarantine.New(quarantine.Config{Targets: crashesToQuarantine}), OnVerdict: func(r *Request, v Verdict) {
 		f.verdicts[r.ID.Number] = append(f.verdicts[r.ID.Number], v)
 	}})
 	var list []Target
--- a/internal/placement/returns.go
+++ b/internal/placement/returns.go
@@ -10,8 +10,6 @@
 	minRetryDelay = 50 * time.Millisecond
 	// noTargetsRetryDelay applies while the service has no available target.
 	noTargetsRetryDelay = 300 * time.Millisecond
-	// quarantineRetryDelay applies to requests that crash targets.
-	quarantineRetryDelay = 5 * time.Second
 	// retryDelaySpread is the largest jitter, relative to the delay.
 	retryDelaySpread = 0.5
 )
@@ -21,15 +19,17 @@
 var goldenRatio = (math.Sqrt(5) - 1) / 2
 
 // retryAfter returns the delay after which a refused caller should retry. For a request that was refused because of
-// load it is about the time in which the current queue is served; for other reasons it is fixed. Jitter is added, so
-// that callers refused together do not retry together, except for quarantined requests.
+// load it is about the time in which the current queue is served, for one in quarantine what remains of that; for other
+// reasons it is fixed. Jitter is added, so that callers refused together do not retry together, except for quarantined
+// requests.
 func (h *Home) retryAfter(now time.Duration, r *Request, reason Reason) time.Duration {
 	h.refusals++
 	_, fraction := math.Modf(float64(h.refusals) * goldenRatio)
 	delay := minRetryDelay
 	switch reason {
 	case ReasonQuarantined:
-		return quarantineRetryDelay
+		quarantined, _ := h.config.Quarantine.Lookup(now, r.Fingerprint)
+		return quarantined.Remaining
 	case ReasonNoTargets:
 		delay = noTargetsRetryDelay
 	case ReasonDeadlineCannotBeMet, ReasonRetryBudgetSpent:
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -3,20 +3,27 @@
 package quarantine
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // Limits of the list.
 const (
-	// duration is how long a request stays in quarantine.
-	duration = 2 * time.Minute
-	// suspicionTime is how long after its last recorded connection break a suspect is remembered.
+	// firstDuration is how long a request stays in quarantine for the first time. When that has ended, one more broken
+	// connection puts it back for twice as long as before, up to maxDuration.
+	firstDuration = 2 * time.Minute
+	maxDuration   = time.Hour
+	// suspicionTime is how long after its last recorded connection break a request that was never in quarantine is
+	// remembered.
 	suspicionTime = 2 * time.Minute
-	// maxSuspects is the maximum number of suspects and, separately, of quarantined requests.
+	// maxSuspects is the maximum number of requests in a list, and maxShared of those that All returns.
 	maxSuspects = 4096
+	maxShared   = 256
 )
 
 // Config configures a List.
@@ -35,28 +42,32 @@
 	Reason    string
 }
 
-// suspect is a request that broke the connections of fewer than Config.Targets targets.
+// suspect is a request that has broken the connection of at least one target, or that a peer has put in quarantine.
 type suspect struct {
+	// targets are those that broke their connection since the last response to the request.
 	targets   []string
 	lastBreak time.Duration
-	expires   time.Duration
+	// until is when the last quarantine of the request ends and duration how long it takes; both are zero if there was none.
+	until, duration time.Duration
+	reason          string
 }
 
-// List holds the quarantined requests that a host knows of. It is safe for concurrent use.
+// expires returns when the request is forgotten.
+func (s *suspect) expires() time.Duration { return max(s.lastBreak+suspicionTime, s.until+s.duration) }
+
+// List holds the requests that a host has seen crash targets, and those that peers have put in quarantine. It is safe for
+// concurrent use.
 type List struct {
 	config Config
-	mu     sync.Mutex
-	// suspects, quarantined and expires are keyed by the fingerprint of a request.
-	suspects    map[uint64]*suspect
-	quarantined map[uint64]Request
-	// expires is when the quarantine of a request ends.
-	expires map[uint64]time.Duration
+	// size is the number of suspects.
+	size atomic.Int64
+	mu   sync.Mutex
+	// suspects are keyed by the fingerprint of a request.
+	suspects map[uint64]*suspect
 }
 
 // New returns an empty list.
-func New(c Config) *List {
-	return &List{config: c, suspects: map[uint64]*suspect{}, quarantined: map[uint64]Request{}, expires: map[uint64]time.Duration{}}
-}
+func New(c Config) *List { return &List{config: c, suspects: map[uint64]*suspect{}} }
 
 // RecordBreak records that a target broke its connection during an attempt that started at the given time, and reports
 // whether this break is the one for which the request is put in quarantine. An attempt that started before the request's
@@ -66,35 +77,73 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sweep(now)
-	s := l.suspects[fingerprint]
-	if s == nil {
-		if len(l.suspects) >= maxSuspects {
-			return false
-		}
-		s = &suspect{}
-		l.suspects[fingerprint] = s
-	}
-	if len(s.targets) > 0 && started < s.lastBreak {
+	s := l.suspect(fingerprint)
+	if started < s.lastBreak {
 		return false
 	}
-	s.lastBreak, s.expires = now, now+suspicionTime
-	if slices.Contains(s.targets, target) {
-		return false
+	s.lastBreak = now
+	if !slices.Contains(s.targets, target) {
+		s.targets = append(s.targets, target)
 	}
-	s.targets = append(s.targets, target)
-	if len(s.targets) < l.config.Targets {
+	switch {
+	case now < s.until:
+		return false
+	case s.duration > 0:
+		s.duration = min(maxDuration, 2*s.duration)
+	case len(s.targets) >= l.config.Targets:
+		s.duration = firstDuration
+	default:
 		return false
 	}
-	delete(l.suspects, fingerprint)
-	l.add(now, Request{fingerprint, duration, "broke the connections of " + strings.Join(s.targets, " and ")})
+	s.until = now + s.duration
+	s.reason = "broke the connections of " + strings.Join(s.targets, " and ")
+	s.targets = nil
 	return true
 }
 
-// RecordSuccess records that a target sent a response to a request, which is therefore no longer a suspect.
-func (l *List) RecordSuccess(fingerprint uint64) {
+// suspect returns the entry of a request, which it adds if there is none. The one that would be forgotten first gives way
+// in a full list.
+func (l *List) suspect(fingerprint uint64) *suspect {
+	if s := l.suspects[fingerprint]; s != nil {
+		return s
+	}
+	if len(l.suspects) >= maxSuspects {
+		l.removeFirstToExpire()
+	}
+	// A request without a recorded break has a last one before the start of the host.
+	s := &suspect{lastBreak: -suspicionTime}
+	l.suspects[fingerprint] = s
+	l.size.Store(int64(len(l.suspects)))
+	return s
+}
+
+func (l *List) removeFirstToExpire() {
+	var first uint64
+	var expires time.Duration = math.MaxInt64
+	for fingerprint, s := range l.suspects {
+		if s.expires() < expires {
+			first, expires = fingerprint, s.expires()
+		}
+	}
+	l.remove(first)
+}
+
+func (l *List) remove(fingerprint uint64) {
+	delete(l.suspects, fingerprint)
+	l.size.Store(int64(len(l.suspects)))
+}
+
+// RecordSuccess records that a target sent a response to a request, which is therefore no longer a suspect. A quarantine
+// goes on until its end.
+func (l *List) RecordSuccess(now time.Duration, fingerprint uint64) {
+	if l.size.Load() == 0 {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.suspects, fingerprint)
+	if s := l.suspects[fingerprint]; s != nil && now >= s.until {
+		l.remove(fingerprint)
+	}
 }
 
 // Merge adds requests that a peer has put in quarantine. It ignores those whose remaining time is not between 0 and the
@@ -103,56 +152,69 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range requests {
-		if r.Remaining > 0 && r.Remaining <= duration {
-			l.add(now, r)
+		if r.Remaining <= 0 || r.Remaining > maxDuration {
+			continue
+		}
+		s := l.suspect(r.Fingerprint)
+		s.duration = max(s.duration, firstDuration)
+		if until := now + r.Remaining; until > s.until {
+			s.until, s.reason = until, r.Reason
 		}
 	}
 }
 
-func (l *List) add(now time.Duration, r Request) {
-	if len(l.quarantined) >= maxSuspects {
-		return
-	}
-	l.quarantined[r.Fingerprint] = r
-	l.expires[r.Fingerprint] = max(l.expires[r.Fingerprint], now+r.Remaining)
-}
-
 // Lookup returns the quarantined request with the given fingerprint; found is false if there is none.
 func (l *List) Lookup(now time.Duration, fingerprint uint64) (request Request, found bool) {
+	if l.size.Load() == 0 {
+		return Request{}, false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r, found := l.quarantined[fingerprint]
-	if !found || now >= l.expires[fingerprint] {
+	s := l.suspects[fingerprint]
+	if s == nil || now >= s.until {
 		return Request{}, false
 	}
-	r.Remaining = l.expires[fingerprint] - now
-	return r, true
+	return Request{fingerprint, s.until - now, s.reason}, true
 }
 
-// All returns all requests in quarantine, with the time that remains for each.
+// Suspected reports whether a request has broken the connection of a target, or was in quarantine, and was not answered
+// since.
+func (l *List) Suspected(now time.Duration, fingerprint uint64) bool {
+	if l.size.Load() == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.suspects[fingerprint]
+	return s != nil && now < s.expires()
+}
+
+// All returns the requests in quarantine, with the time that remains for each. Of more than maxShared it returns those that
+// remain longest.
 func (l *List) All(now time.Duration) []Request {
+	if l.size.Load() == 0 {
+		return nil
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sweep(now)
 	var requests []Request
-	for fingerprint, r := range l.quarantined {
-		r.Remaining = l.expires[fingerprint] - now
-		requests = append(requests, r)
+	for fingerprint, s := range l.suspects {
+		if now < s.until {
+			requests = append(requests, Request{fingerprint, s.until - now, s.reason})
+		}
+	}
+	if len(requests) > maxShared {
+		slices.SortFunc(requests, func(a, b Request) int { return cmp.Compare(b.Remaining, a.Remaining) })
+		requests = requests[:maxShared]
 	}
 	return requests
 }
 
-// sweep removes quarantined requests and suspects whose time has passed.
+// sweep removes the requests that are to be forgotten.
 func (l *List) sweep(now time.Duration) {
-	for fingerprint, expires := range l.expires {
-		if now >= expires {
-			delete(l.expires, fingerprint)
-			delete(l.quarantined, fingerprint)
-		}
-	}
 	for fingerprint, s := range l.suspects {
-		if now >= s.expires {
-			delete(l.suspects, fingerprint)
+		if now >= s.expires() {
+			l.remove(fingerprint)
 		}
 	}
 }
--- a/internal/steering/attempt.go
+++ b/internal/steering/attempt.go
@@ -204,7 +204,7 @@
 	closeErr := httpResponse.Body.Close()
 	finishRequest(outcomeOf(closeErr))
 	if r.Fingerprint != 0 {
-		s.dispatcher.config.Quarantine.RecordSuccess(r.Fingerprint)
+		s.dispatcher.config.Quarantine.RecordSuccess(s.dispatcher.config.Clock(), r.Fingerprint)
 	}
 	response.setBody(content)
 	if noBody {
