Count targets that fall silent as crashed by the run that they left unanswered

What callers saw: a request that makes its targets fall silent instead of breaking the connection was sent on without end, and each target's other requests timed out with it.

Cause: only a broken connection counted as a crash. A run that timed out or whose caller had left was forgotten.

Why this works: a run without a response counts once its target doesn't respond to a probe either, is gone from the store without having drained, or has started again. A target that is only slow responds to probes, and a run whose request another target has answered never counts.

--- a/internal/placement/crash.go
+++ b/internal/placement/crash.go
@@ -17,6 +17,43 @@
 	return h.running[r.Fingerprint] > 0 && h.config.Quarantine.Suspected(now, r.Fingerprint)
 }
 
+// maxUnanswered limits the number of unanswered runs that are kept for a target.
+const maxUnanswered = 16
+
+// recordResponse records that the target responds, so that it has not crashed.
+func (t *targetState) recordResponse(now time.Duration) {
+	t.respondedAt = now
+	t.unanswered = nil
+}
+
+// recordDown marks a target as down because it does not respond, and the runs that it has left unanswered as the possible
+// causes.
+func (h *Home) recordDown(now time.Duration, t *targetState) {
+	t.probe.down = true
+	h.recordLost(now, t)
+}
+
+// recordLost records that a target has ended or does not respond any more.
+func (h *Home) recordLost(now time.Duration, t *targetState) {
+	for _, ended := range t.unanswered {
+		h.recordCrash(now, ended)
+	}
+	t.unanswered = nil
+}
+
+// recordUnanswered records that a run has ended without a response. If its target does not respond to probes either, it may
+// have crashed because of the run; otherwise that shows with the next probe.
+func (h *Home) recordUnanswered(now time.Duration, ended *run) {
+	t := ended.target
+	switch {
+	case ended.request.answered:
+	case t.probe.down && t.respondedAt <= ended.startedAt:
+		h.recordCrash(now, ended)
+	case len(t.unanswered) < maxUnanswered:
+		t.unanswered = append(t.unanswered, ended)
+	}
+}
+
 // recordCrash records that the target of a run may have crashed because of it.
 func (h *Home) recordCrash(now time.Duration, ended *run) {
 	fingerprint, t := ended.request.Fingerprint, ended.target
--- a/internal/placement/crash_test.go
+++ b/internal/placement/crash_test.go
@@ -23,7 +23,8 @@
 	refused, isRefused := f.lastVerdict(waiting).(Refused)
 	is.True(isRefused)
 	is.Equal(refused.Reason, ReasonQuarantined)
-	is.True(refused.RetryAfter > time.Minute) // until the quarantine ends
+	quarantined, _ := f.home.config.Quarantine.Lookup(f.now, 7)
+	is.Equal(refused.RetryAfter, quarantined.Remaining)
 }
 
 // TestSuspectRunsOnOneTargetAtATime sends one request many times at once: after its first crash only one of its runs is in
@@ -67,3 +68,73 @@
 	}
 	is.Equal(second.lastVerdict(second.submit(func(r *Request) { r.Fingerprint = 7 })).(Refused).Reason, ReasonQuarantined)
 }
+
+// TestUnansweredRunsCountAsCrashes ends a run without a response and checks whether it counts as the cause of a crash,
+// depending on what becomes of its target.
+func TestUnansweredRunsCountAsCrashes(t *testing.T) {
+	probed := func(result ProbeResult) func(*testHome) {
+		return func(f *testHome) { f.home.RecordProbe(f.now, "t0", result, nil) }
+	}
+	replaced := func(targets ...Target) func(*testHome) {
+		return func(f *testHome) { f.home.SetTargets(f.now, targets) }
+	}
+	nothing := func(*testHome) {}
+	old := Target{Name: "t0", Address: "10.0.0.1:80", Domain: "a", Slots: 3}
+	draining, restarted := old, old
+	draining.Draining, restarted.Incarnation = true, 1
+	for _, c := range []struct {
+		name          string
+		during, after func(*testHome)
+		outcome       Outcome
+		suspected     bool
+	}{
+		{"nothing is known of the target", nothing, nothing, OutcomeTimedOut, false},
+		{"no response to a probe during the run", probed(ProbeNoResponse), nothing, OutcomeTimedOut, true},
+		{"no response to a probe after the run", nothing, probed(ProbeNoResponse), OutcomeTimedOut, true},
+		{"no response after the caller has left", nothing, probed(ProbeNoResponse), OutcomeCanceled, true},
+		{"slow, healthy", nothing, probed(ProbeHealthy), OutcomeTimedOut, false},
+		{"slow, healthy, then silent", probed(ProbeHealthy), func(f *testHome) {
+			probed(ProbeHealthy)(f)
+			probed(ProbeNoResponse)(f)
+		}, OutcomeTimedOut, false},
+		{"slow, unhealthy", probed(ProbeUnhealthy), nothing, OutcomeTimedOut, false},
+		{"entry removed", nothing, replaced(), OutcomeTimedOut, true},
+		{"restarted under its name", nothing, replaced(restarted), OutcomeTimedOut, true},
+		{"entry rewritten", nothing, replaced(old), OutcomeTimedOut, false},
+		{"removed after draining", nothing, func(f *testHome) {
+			replaced(draining)(f)
+			replaced()(f)
+		}, OutcomeTimedOut, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestHome(1, ampleBudget)
+			number := f.submit(func(r *Request) { r.Fingerprint = 7 })
+			f.now += 100 * time.Millisecond
+			c.during(f)
+			f.now += 900 * time.Millisecond
+			f.endRun(number, c.outcome)
+			c.after(f)
+			is.Equal(f.home.config.Quarantine.Suspected(f.now, 7), c.suspected)
+		})
+	}
+}
+
+// TestAnsweredRequestIsNotSuspected checks that the canceled run of a request that another target has answered is not
+// taken for the cause of a crash.
+func TestAnsweredRequestIsNotSuspected(t *testing.T) {
+	is := is.New(t)
+	f := newTestHome(2, ampleBudget)
+	number := f.submit(func(r *Request) { r.Fingerprint, r.Repeatable = 7, true })
+	first := f.placedOn(number)
+	f.now += 150 * time.Millisecond
+	f.reportPace(1)
+	f.now += 50 * time.Millisecond
+	f.home.Tick(f.now)
+	hedge, isHedge := f.lastVerdict(number).(Hedge)
+	is.True(isHedge)
+	f.home.RecordProbe(f.now, first, ProbeNoResponse, nil)
+	f.home.RunEnded(f.now, RunEnd{ID: RequestID{Number: number}, Target: hedge.Target, Outcome: OutcomeAnswered, Duration: 50 * time.Millisecond})
+	f.home.RunEnded(f.now, RunEnd{ID: RequestID{Number: number}, Target: first, Outcome: OutcomeCanceled})
+	is.True(!f.home.config.Quarantine.Suspected(f.now, 7))
+}
--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -51,14 +51,21 @@
 // recordOutcome updates the state of the target and the statistics of the service from the end of a run.
 func (h *Home) recordOutcome(now time.Duration, r *Request, ended *run, end RunEnd) {
 	t := ended.target
+	if end.Outcome == OutcomeAnswered || end.Outcome == OutcomeFailed || end.Outcome == OutcomeNotRun && end.Load != nil {
+		t.recordResponse(now)
+	}
 	switch end.Outcome {
 	case OutcomeAnswered:
+		r.answered = true
 		t.recordSuccess(now)
 		h.config.Quarantine.RecordSuccess(now, r.Fingerprint)
 		h.recordDuration(r, ended, end.Duration)
 		h.responseBytes[r.Class] += (float64(end.Bytes) - h.responseBytes[r.Class]) * responseBytesGain
-	case OutcomeFailed, OutcomeTimedOut:
+	case OutcomeFailed:
+		t.recordFailure(now, h.mayEject(now))
+	case OutcomeTimedOut:
 		t.recordFailure(now, h.mayEject(now))
+		h.recordUnanswered(now, ended)
 	case OutcomeConnectionBroke:
 		t.recordFailure(now, h.mayEject(now))
 		h.recordCrash(now, ended)
@@ -68,10 +75,11 @@
 		t.failureRate = max(t.failureRate, failureGain)
 	case OutcomeUnreachable:
 		t.recordFailure(now, h.mayEject(now))
-		t.probe.down = true
+		h.recordDown(now, t)
 	case OutcomeOtherServer:
 		t.otherServer = true
 	case OutcomeCanceled:
+		h.recordUnanswered(now, ended)
 	}
 }
 
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -117,6 +117,11 @@
 		next = append(next, t)
 		byName[registered.Name] = t
 	}
+	for _, t := range h.targets {
+		if byName[t.Name] != t && !t.Draining {
+			h.recordLost(now, t)
+		}
+	}
 	h.targets, h.byName = next, byName
 	h.Dispatch(now)
 }
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -171,10 +171,14 @@
 	t.probe.pending = false
 	switch result {
 	case ProbeHealthy:
+		t.recordResponse(now)
 		t.probe.down = false
 		t.otherServer = false
-	case ProbeUnhealthy, ProbeNoResponse:
+	case ProbeUnhealthy:
+		t.recordResponse(now)
 		t.probe.down = true
+	case ProbeNoResponse:
+		h.recordDown(now, t)
 	case ProbeOtherServer:
 		t.otherServer = true
 	}
@@ -188,7 +192,7 @@
 func (h *Home) checkProbeTimeouts(now time.Duration) {
 	for _, t := range h.targets {
 		if t.probe.pending && now-t.probe.sentAt > probeTimeout {
-			t.probe.down = true
+			h.recordDown(now, t)
 		}
 	}
 }
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -50,6 +50,8 @@
 	submittedAt time.Duration
 	hedged      bool
 	queued      bool
+	// answered is set once a run has been answered.
+	answered bool
 }
 
 // Verdict is a decision of the home about a request: Placed, Queued, Refused or Hedge.
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -68,7 +68,11 @@
 	failureRateAt       time.Duration
 	consecutiveFailures int
 	// answeredAt is when a run last ended with a response.
-	answeredAt   time.Duration
+	answeredAt time.Duration
+	// respondedAt is when the target last responded to anything, probes included.
+	respondedAt time.Duration
+	// unanswered holds runs that ended without a response while the target was not known to be down.
+	unanswered   []*run
 	ejectedUntil time.Duration
 	// ejections counts the ejections since the last success.
 	ejections int
