Let a request out of its first quarantine after 10 s, on trial

What callers would see: a request that is not at fault, but is sent all the time while most targets fail, is put in quarantine (ten of 14 targets that break all connections for 2 s, one polled path) and was then refused for two minutes.

Change: the first quarantine takes 10 s, the second two minutes, further ones an hour. After the first one a single broken connection puts the request back, and an answer clears it. A request that does crash targets gets at most three more in the first hour, which is what the platform allows.

TestSoundRequestIsNotQuarantined failed before: 503 when the targets were back.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -148,3 +148,43 @@
 		f.is.True(lateCrashes(crashes) <= maxLateCrashes)
 	})
 }
+
+// TestSoundRequestIsNotQuarantined fails most targets at the same time, again and again, while a request that is not at
+// fault is sent by one caller to all hosts several times at once: it is served again soon after the targets are back, even
+// if it was taken for the cause.
+func TestSoundRequestIsNotQuarantined(t *testing.T) {
+	const failing, waves, downtime, recovery = 10, 5, 2 * time.Second, 15 * time.Second
+	for _, c := range []struct {
+		name string
+		fail func(*standin.Target)
+	}{
+		{"targets fall silent", func(x *standin.Target) { x.Silence(downtime) }},
+		{"targets break connections", func(x *standin.Target) {
+			x.Update(func(t *standin.Target) { t.DropResponses = true })
+			time.Sleep(downtime)
+			x.Update(func(t *standin.Target) { t.DropResponses = false })
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 5, 14, func(f *fleet) {
+				var group sync.WaitGroup
+				for wave := range waves {
+					for i := range failing {
+						group.Go(func() { c.fail(f.targets[fmt.Sprintf("t%d", (wave+i)%14)]) })
+					}
+					for i := range 200 {
+						group.Go(func() {
+							f.call(fmt.Sprintf("h%d", i%5), http.MethodGet, "/lookup/polled", fmt.Sprintf("polled-%d-%d", wave, i))
+						})
+						time.Sleep(20 * time.Millisecond)
+					}
+					group.Wait()
+				}
+				time.Sleep(recovery)
+				for i := range 5 {
+					f.is.Equal(f.call(fmt.Sprintf("h%d", i), http.MethodGet, "/lookup/polled", fmt.Sprintf("last-%d", i)).status, http.StatusOK)
+				}
+			})
+		})
+	}
+}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -14,18 +14,21 @@
 
 // Limits of the list.
 const (
-	// firstDuration is how long a request stays in quarantine for the first time. When that has ended, one more broken
-	// connection puts it back for twice as long as before, up to maxDuration.
-	firstDuration = 2 * time.Minute
-	maxDuration   = time.Hour
-	// suspicionTime is how long after its last recorded connection break a request that was never in quarantine is
-	// remembered.
+	// suspicionTime is how long after its last recorded connection break a request is remembered.
 	suspicionTime = 2 * time.Minute
 	// maxSuspects is the maximum number of requests in a list, and maxShared of those that All returns.
 	maxSuspects = 4096
 	maxShared   = 256
 )
 
+// durations lists how long a request stays in quarantine for the first time, the second time and so on; the last one
+// applies to all further times. When a quarantine has ended, one more broken connection puts the request back. The first one
+// is short, because it may hit a request that is not at fault while many targets fail.
+var durations = []time.Duration{10 * time.Second, 2 * time.Minute, time.Hour}
+
+// maxDuration is the longest duration of a quarantine.
+var maxDuration = durations[len(durations)-1]
+
 // Config configures a List.
 type Config struct {
 	// Targets is the number of targets (backend servers) that must break their connection during an attempt of the same
@@ -47,13 +50,25 @@
 	// targets are those that broke their connection since the last response to the request.
 	targets   []string
 	lastBreak time.Duration
-	// until is when the last quarantine of the request ends and duration how long it takes; both are zero if there was none.
-	until, duration time.Duration
-	reason          string
+	// until is when the last quarantine of the request ends, and times how often it was put in quarantine, up to the number
+	// of durations; both are zero if it never was.
+	until  time.Duration
+	times  int
+	reason string
+}
+
+// duration returns how long the last quarantine of the request takes.
+func (s *suspect) duration() time.Duration {
+	if s.times == 0 {
+		return 0
+	}
+	return durations[s.times-1]
 }
 
 // expires returns when the request is forgotten.
-func (s *suspect) expires() time.Duration { return max(s.lastBreak+suspicionTime, s.until+s.duration) }
+func (s *suspect) expires() time.Duration {
+	return max(s.lastBreak+suspicionTime, s.until+s.duration())
+}
 
 // List holds the requests that a host has seen crash targets, and those that peers have put in quarantine. It is safe for
 // concurrent use.
@@ -85,17 +100,11 @@
 	if !slices.Contains(s.targets, target) {
 		s.targets = append(s.targets, target)
 	}
-	switch {
-	case now < s.until:
-		return false
-	case s.duration > 0:
-		s.duration = min(maxDuration, 2*s.duration)
-	case len(s.targets) >= l.config.Targets:
-		s.duration = firstDuration
-	default:
+	if now < s.until || s.times == 0 && len(s.targets) < l.config.Targets {
 		return false
 	}
-	s.until = now + s.duration
+	s.times = min(s.times+1, len(durations))
+	s.until = now + s.duration()
 	s.reason = "broke the connections of " + strings.Join(s.targets, " and ")
 	s.targets = nil
 	return true
@@ -156,7 +165,9 @@
 			continue
 		}
 		s := l.suspect(r.Fingerprint)
-		s.duration = max(s.duration, firstDuration)
+		for s.duration() < r.Remaining {
+			s.times++
+		}
 		if until := now + r.Remaining; until > s.until {
 			s.until, s.reason = until, r.Reason
 		}
