Read the rate limits that targets name, record and count them

The limit comes with the end of each run to the home that placed it, which records TargetLimited when it begins and ends; runs on such targets are counted by the home's role. Nothing is decided by it yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,6 +29,8 @@
 	// response is what the caller may get; it is nil unless the outcome is OutcomeAnswered or OutcomeFailed.
 	response *callerResponse
 	load     *placement.LoadReport
+	// rateLimit is that of placement.RunEnd.
+	rateLimit *float64
 	// duration is the time until the response header arrived, or until the run ended without one.
 	duration time.Duration
 	// index is the position of the run among its hedgedRuns.
@@ -52,7 +54,7 @@
 		r.duration = x.gateway.now() - started
 	}
 	x.gateway.stats.attempts.Add(1)
-	end := placement.RunEnd{Target: p.Target, Outcome: r.outcome, Duration: r.duration, Load: r.load}
+	end := placement.RunEnd{Target: p.Target, Outcome: r.outcome, Duration: r.duration, Load: r.load, RateLimit: r.rateLimit}
 	if r.response != nil {
 		end.Bytes = len(r.response.body)
 	}
@@ -69,7 +71,7 @@
 	if err != nil {
 		return &runResult{outcome: x.outcomeOfError(ctx, err)}
 	}
-	r := &runResult{load: g.parseLoad(response.Header), duration: g.now() - started}
+	r := &runResult{load: g.parseLoad(response.Header), rateLimit: g.parseRateLimit(response.Header), duration: g.now() - started}
 	if response.Header.Get(g.dialect.NotRunHeader) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		r.outcome = placement.OutcomeNotRun
 		if response.StatusCode == http.StatusMisdirectedRequest {
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -153,6 +153,8 @@
 		{"Quarantined", func() any { return s.quarantined.Load() }},
 		{"PrimaryProbes", func() any { return s.primaryProbes.Load() }},
 		{"FallbackProbes", func() any { return s.fallbackProbes.Load() }},
+		{"PrimaryLimitedRuns", func() any { return s.primaryLimitedRuns.Load() }},
+		{"FallbackLimitedRuns", func() any { return s.fallbackLimitedRuns.Load() }},
 		{"StoreBytesSent", func() any { return s.storeBytesSent.Load() }},
 		{"StoreBytesReceived", func() any { return s.storeBytesReceived.Load() }},
 		{"FollowsStarted", func() any { return s.followsStarted.Load() }},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,9 @@
 	LoadHeader string
 	// ParseLoad parses LoadHeader; it returns false for a malformed value.
 	ParseLoad func(string) (placement.LoadReport, bool)
+	// RateLimitHeader is the response header field with the number of requests per second that the backend server takes from
+	// all hosts together; one that names no limit omits it.
+	RateLimitHeader string
 	// Decode decodes entries of the store.
 	Decode roster.DecodeFunc
 	// PeerKey returns the store key under which a host registers its inner address.
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -126,6 +126,7 @@
 		h.home = placement.New(placement.Config{
 			Random: rand.New(rand.NewPCG(s.gateway.incarnation, uint64(len(s.services)))), Budget: s.retryBudget(), Quarantine: s.gateway.quarantine, OnVerdict: s.sendVerdict,
 			OnEjection:   func(e placement.Ejection) { s.recordEjection(service, e) },
+			OnRateLimit:  func(c placement.RateLimitChange) { s.recordRateLimit(service, c) },
 			OnQuarantine: func(fingerprint uint64, target string) { s.recordQuarantine(service, fingerprint, target) },
 		})
 		s.services[service] = h
@@ -145,6 +146,15 @@
 	g.records.Add(r)
 }
 
+// recordRateLimit writes a change record for a target that has begun or stopped to name a rate limit.
+func (s *homeServer) recordRateLimit(service string, c placement.RateLimitChange) {
+	g := s.gateway
+	g.records.Add(record.Record{
+		Kind: record.TargetLimited, Service: service, Target: c.Target, Cause: "Named", Note: g.chain.Number(),
+		Evidence: record.Evidence{Detail: strconv.FormatFloat(c.PerSecond, 'g', 4, 64)},
+	})
+}
+
 // recordQuarantine writes a change record for a request that is refused from now on, because it broke the connections of
 // several targets, and tells peers at once. The fingerprint is that of the request log.
 func (s *homeServer) recordQuarantine(service string, fingerprint uint64, target string) {
@@ -224,6 +234,16 @@
 	}
 }
 
+// countLimitedRuns adds the runs on targets with a rate limit to the counters; the caller holds h.mu.
+func (h *serviceHome) countLimitedRuns() {
+	counter := &h.server.gateway.stats.fallbackLimitedRuns
+	if h.primary {
+		counter = &h.server.gateway.stats.primaryLimitedRuns
+	}
+	counter.Add(h.home.LimitedRuns)
+	h.home.LimitedRuns = 0
+}
+
 // runEnded frees the slot of a run of a service and records its outcome.
 func (s *homeServer) runEnded(service string, end placement.RunEnd) {
 	h := s.serviceHome(service)
@@ -288,6 +308,7 @@
 				wait = tickInterval
 			}
 			h.sendProbes()
+			h.countLimitedRuns()
 			h.mu.Unlock()
 		}
 		if now := g.now(); now-lastKeepAlive >= keepAliveInterval {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
+	"strconv"
 	"time"
 
 	"briarcroft/internal/backend"
@@ -91,3 +93,22 @@
 	}
 	return &load
 }
+
+// parseRateLimit returns the rate limit that a response names, in requests per second, or an infinite one if the target
+// itself made the response and names none. It returns nil for a malformed value and for a response that may not be the
+// target's.
+func (g *Gateway) parseRateLimit(header http.Header) *float64 {
+	value := header.Get(g.dialect.RateLimitHeader)
+	if value == "" {
+		if header.Get(g.dialect.SealHeader) == "" && header.Get(g.dialect.NotRunHeader) == "" {
+			return nil
+		}
+		unlimited := math.Inf(1)
+		return &unlimited
+	}
+	limit, err := strconv.ParseFloat(value, 64)
+	if err != nil || math.IsNaN(limit) || limit < 0 {
+		return nil
+	}
+	return &limit
+}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -117,6 +117,8 @@
 	quarantined atomic.Int64
 	// primaryProbes and fallbackProbes count health probes by the role in which they were sent.
 	primaryProbes, fallbackProbes atomic.Int64
+	// primaryLimitedRuns and fallbackLimitedRuns count runs placed on targets that name a rate limit, by the home's role.
+	primaryLimitedRuns, fallbackLimitedRuns atomic.Int64
 	// storeBytesSent and storeBytesReceived count the bytes of the streams on which hosts pass on changes of the store, and
 	// followsStarted this host's attempts to open one.
 	storeBytesSent, storeBytesReceived, followsStarted atomic.Int64
@@ -133,6 +135,7 @@
 		g.logger.Info().
 			Int64("Requests", s.requests.Load()).Int64("Quarantined", s.quarantined.Load()).
 			Int64("PrimaryProbes", s.primaryProbes.Load()).Int64("FallbackProbes", s.fallbackProbes.Load()).
+			Int64("PrimaryLimitedRuns", s.primaryLimitedRuns.Load()).Int64("FallbackLimitedRuns", s.fallbackLimitedRuns.Load()).
 			Int64("StoreCalls", s.storeCalls.Load()).Int64("StoreBytesSent", s.storeBytesSent.Load()).
 			Int64("StoreBytesReceived", s.storeBytesReceived.Load()).Int64("FollowsStarted", s.followsStarted.Load()).
 			Int("Followers", g.followers.count()).Int("LiveHosts", len(g.members.Live(g.now()))).
--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -16,6 +16,9 @@
 	Bytes int
 	// Load is the load report that came with the response, or nil.
 	Load *LoadReport
+	// RateLimit is the rate limit that the target named in its response, in requests per second from all hosts together. It
+	// is infinite if the target named none, and nil if there was no response from which to tell.
+	RateLimit *float64
 }
 
 // RunEnded records the end of a run, frees its slot and dispatches queued requests.
@@ -30,6 +33,9 @@
 		}
 		h.recordLoad(now, t, load)
 	}
+	if t != nil && end.RateLimit != nil && end.Outcome != OutcomeOtherServer {
+		h.recordRateLimit(t, *end.RateLimit)
+	}
 	var ended *run
 	if r != nil {
 		for _, candidate := range r.runs {
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -43,6 +43,8 @@
 	OnVerdict func(*Request, Verdict)
 	// OnEjection is called when a target is ejected and when its ejection ends. It must not call the home. It may be nil.
 	OnEjection func(Ejection)
+	// OnRateLimit is called when a target begins or stops to name a rate limit. It must not call the home. It may be nil.
+	OnRateLimit func(RateLimitChange)
 	// OnQuarantine is called when a request is put in quarantine because the given target has broken its connection. It must
 	// not call the home. It may be nil.
 	OnQuarantine func(fingerprint uint64, target string)
@@ -85,6 +87,8 @@
 	awaitsProbes bool
 	// running is the number of runs of each request that has any, by its fingerprint.
 	running map[uint64]int
+	// LimitedRuns counts the runs on targets that named a rate limit when they started. The caller may reset it.
+	LimitedRuns int64
 	// refusals is the number of refusals so far. It gives each retry delay a different jitter.
 	refusals uint64
 }
@@ -107,7 +111,7 @@
 	for _, registered := range targets {
 		t := h.byName[registered.Name]
 		if t == nil || t.Incarnation != registered.Incarnation || t.Address != registered.Address {
-			t = &targetState{Target: registered, warmUpUntil: now + registered.WarmUpLeft, paceAt: -time.Hour, loadAt: -time.Hour, failureRateAt: -time.Hour, probe: probeState{sentAt: -time.Hour}}
+			t = &targetState{Target: registered, warmUpUntil: now + registered.WarmUpLeft, paceAt: -time.Hour, loadAt: -time.Hour, failureRateAt: -time.Hour, rateLimit: math.Inf(1), probe: probeState{sentAt: -time.Hour}}
 		}
 		if registered.WarmUpLeft != t.WarmUpLeft {
 			// The target has written its store entry again: the new warm-up time counts from now.
@@ -385,6 +389,9 @@
 	t.runs = append(t.runs, started)
 	r.runs = append(r.runs, started)
 	h.running[r.Fingerprint]++
+	if t.limited() {
+		h.LimitedRuns++
+	}
 }
 
 // removeRun frees the slot of a run.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -36,6 +36,9 @@
 	HomeMoved Kind = "HomeMoved"
 	// RequestQuarantined means that a request is refused for a while because it broke connections of several targets.
 	RequestQuarantined Kind = "RequestQuarantined"
+	// TargetLimited means that a target has named a limit of requests per second, which Evidence.Detail holds, or has stopped
+	// to name one.
+	TargetLimited Kind = "TargetLimited"
 	// BudgetExhausted means that probes of targets are skipped because the budget for measuring is spent.
 	BudgetExhausted Kind = "BudgetExhausted"
 	// OverloadBegan and OverloadEnded enclose a time in which the queue of a service refused requests.
