--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"briarcroft/internal/placement"
+	"briarcroft/internal/quarantine"
 )
 
 // Policy is a load-balancing policy: Ideal, Home, LeastInFlight or AtRandom.
@@ -232,7 +233,10 @@
 	if !p.Hedges {
 		budget = placement.RetryBudget{Window: retryBudgetWindow}
 	}
-	b.home = placement.New(placement.Config{Random: rand.New(rand.NewPCG(sim.workload.Seed, 9)), Budget: budget, OnVerdict: b.onVerdict})
+	b.home = placement.New(placement.Config{
+		Random: rand.New(rand.NewPCG(sim.workload.Seed, 9)), Budget: budget, Quarantine: quarantine.New(quarantine.Config{Targets: len(sim.servers)}),
+		OnVerdict: b.onVerdict,
+	})
 	var targets []placement.Target
 	for _, t := range sim.servers {
 		targets = append(targets, placement.Target{Name: t.name, Address: t.name, Slots: sim.workload.Slots})
