Keep the rate limits that targets name

What callers saw: a server in need that asked for fewer requests got as many as before, and answered them badly or not at all.

Cause: nothing read Server-Limit. Class of fault: a limit of the whole fleet without anybody to keep it.

Why this works: the limit comes to the home with the end of each run and to all other hosts with heartbeats, so whoever places requests knows it. The primary home that sees most of the fleet sends up to 0.8 of it. Hosts that take themselves for a home beside it, or that are cut off, share the rest: they get permits at random times and can't save them up, so that the limit holds for any number of them without talking. Every run counts, retries and hedges too. What doesn't fit goes to other targets, waits, or is refused at once with the time until there is room; a limited target is neither slow nor failing, gets one probe a second, and a request now and then, which tells when the limit ends.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"briarcroft/internal/placement"
 	"briarcroft/internal/platform"
 	"briarcroft/internal/quarantine"
+	"briarcroft/internal/ratelimit"
 	"briarcroft/internal/record"
 	"briarcroft/internal/ring"
 	"briarcroft/internal/roster"
@@ -134,6 +135,8 @@
 	homeServer *homeServer
 	// quarantine lists the requests that are refused because they crash targets.
 	quarantine *quarantine.List
+	// rateLimits holds the rate limits that targets name.
+	rateLimits *ratelimit.Table
 	pools      *pools
 	homeClient *homeClient
 	rules      atomic.Pointer[ruleIndex]
@@ -185,12 +188,14 @@
 	g.heartbeats = &inner.Heartbeats{Table: g.members, Client: g.client, Now: g.now, NewRequest: func(n host.Gossip) *inner.HeartbeatRequest {
 		request := inner.NewHeartbeatRequest(c.Settings.Host.Name, n)
 		request.Quarantines = inner.EncodeQuarantines(g.quarantine.All(g.now()))
+		request.RateLimits = inner.EncodeRateLimits(g.rateLimits.Share(g.now()))
 		return request
-	}, OnReply: func(r *inner.HeartbeatReply) { g.handlePeerState(r.Sender, r.Members, r.Quarantines) }}
+	}, OnReply: func(r *inner.HeartbeatReply) { g.handlePeerState(r.Sender, r.Members, r.Quarantines, r.RateLimits) }}
 	var cancelBackground context.CancelFunc
 	g.background, cancelBackground = context.WithCancel(context.Background())
 	g.rules.Store(&ruleIndex{})
 	g.quarantine = quarantine.New(quarantine.Config{Targets: crashesToQuarantine})
+	g.rateLimits = ratelimit.New()
 	g.homeServer = newHomeServer(g)
 	g.pools = newPools(g)
 	g.homeClient = newHomeClient(g)
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -26,13 +26,19 @@
 	keepAliveInterval = 150 * time.Millisecond
 )
 
-// Shares of the retry slack and ratio of the settings. The primary home of a service and all fallback homes together
-// must stay within the whole.
+// Shares of the retry slack and ratio of the settings, and of the rate limits that targets name. The primary home of a
+// service and all fallback homes together must stay within the whole.
 const (
 	// primarySlackShare is the share of the slack that the primary home of a service gets.
 	primarySlackShare = 0.4
 	// fallbackSlackShare is the share of the slack that all fallback homes divide among them.
 	fallbackSlackShare = 0.4
+	// majorityLimitShare is the share of the rate limits of targets that a primary home gets that sees most of the fleet.
+	// Primary homes of smaller parts of the fleet divide minorityLimitShare among them, by the hosts that they see, and all
+	// fallback homes fallbackLimitShare.
+	majorityLimitShare = 0.8
+	minorityLimitShare = 0.4
+	fallbackLimitShare = 0.2
 	// retryRatioShare is the share of the ratio that a home may grant. The rest leaves room for extra attempts that were
 	// granted by a home that has just been replaced.
 	retryRatioShare = 0.9
@@ -124,7 +130,7 @@
 	if h == nil {
 		h = &serviceHome{server: s, service: service}
 		h.home = placement.New(placement.Config{
-			Random: rand.New(rand.NewPCG(s.gateway.incarnation, uint64(len(s.services)))), Budget: s.retryBudget(), Quarantine: s.gateway.quarantine, OnVerdict: s.sendVerdict,
+			Random: rand.New(rand.NewPCG(s.gateway.incarnation, uint64(len(s.services)))), Budget: s.retryBudget(), Quarantine: s.gateway.quarantine, RateLimits: s.gateway.rateLimits, OnVerdict: s.sendVerdict,
 			OnEjection:   func(e placement.Ejection) { s.recordEjection(service, e) },
 			OnRateLimit:  func(c placement.RateLimitChange) { s.recordRateLimit(service, c) },
 			OnQuarantine: func(fingerprint uint64, target string) { s.recordQuarantine(service, fingerprint, target) },
@@ -184,6 +190,19 @@
 	return fallbackSlackShare * total / float64(fleet)
 }
 
+// limitShare returns this host's share in the rate limits of targets. That of a fallback home is an equal part, since every
+// host of the fleet may act as one at the same time.
+func (s *homeServer) limitShare(primary bool, live int) placement.LimitShare {
+	fleet := s.gateway.fleetSize()
+	switch {
+	case primary && 2*live > fleet:
+		return placement.LimitShare{Share: majorityLimitShare, Majority: true}
+	case primary:
+		return placement.LimitShare{Share: minorityLimitShare * float64(live) / float64(fleet)}
+	}
+	return placement.LimitShare{Share: fallbackLimitShare / float64(fleet)}
+}
+
 // applyView passes changed targets to the placement state of every service.
 func (s *homeServer) applyView(v *roster.View) {
 	for _, h := range s.serviceHomes() {
@@ -215,6 +234,7 @@
 	defer h.mu.Unlock()
 	h.primary = primary
 	h.home.SetRetrySlack(s.retrySlack(primary, len(ranked)))
+	h.home.SetLimitShare(s.limitShare(primary, len(ranked)))
 	h.home.Submit(s.gateway.now(), r)
 	h.sendProbes()
 	// The timers must run while the service has requests: they start hedges and refuse queued requests that are too late.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -28,15 +28,17 @@
 // Heartbeat implements inner.DRPCPeerServer.
 func (p *peerServer) Heartbeat(_ context.Context, r *inner.HeartbeatRequest) (*inner.HeartbeatReply, error) {
 	g := p.gateway
-	g.handlePeerState(r.Sender, r.Members, r.Quarantines)
+	g.handlePeerState(r.Sender, r.Members, r.Quarantines, r.RateLimits)
 	reply := inner.HandleHeartbeat(g.members, g.now(), r)
 	reply.Quarantines = inner.EncodeQuarantines(g.quarantine.All(g.now()))
+	reply.RateLimits = inner.EncodeRateLimits(g.rateLimits.Share(g.now()))
 	return reply, nil
 }
 
 // handlePeerState processes the parts of a heartbeat or its reply that the membership table does not handle.
-func (g *Gateway) handlePeerState(sender string, members []*inner.Member, quarantines []*inner.Quarantine) {
+func (g *Gateway) handlePeerState(sender string, members []*inner.Member, quarantines []*inner.Quarantine, limits []*inner.RateLimit) {
 	g.quarantine.Merge(g.now(), inner.DecodeQuarantines(quarantines))
+	g.rateLimits.Merge(g.now(), inner.DecodeRateLimits(limits))
 	g.queueIfNewer(sender, members)
 }
 
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -30,9 +30,7 @@
 	if ranked := c.rankedHomes(service); len(ranked) > 0 && ranked[0].Name == home {
 		wanted = placement.ProbesPerRequest
 	}
-	view := g.roster.View()
-	// A host that has just started and reaches no other one may know from the store that there are others.
-	targets, hosts := len(view.Targets[service]), max(g.members.FleetSize(), len(view.PeerAddresses))
+	targets, hosts := len(g.roster.View().Targets[service]), g.fleetSize()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a := c.allowances[service]
@@ -43,6 +41,12 @@
 	return a.Take(g.now(), targets, hosts, wanted)
 }
 
+// fleetSize returns the number of hosts that may be running. A host that has just started and reaches no other one may know
+// from the store that there are others.
+func (g *Gateway) fleetSize() int {
+	return max(1, g.members.FleetSize(), len(g.roster.View().PeerAddresses))
+}
+
 // probe requests a target's health path and passes the result and the reported load to the placement state.
 func (h *serviceHome) probe(ctx context.Context, p placement.Placed) {
 	g := h.server.gateway
--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -8,6 +8,7 @@
 
 	"briarcroft/internal/placement"
 	"briarcroft/internal/quarantine"
+	"briarcroft/internal/ratelimit"
 )
 
 // Policy is a load-balancing policy: Ideal, Home, LeastInFlight or AtRandom.
@@ -235,7 +236,7 @@
 	}
 	b.home = placement.New(placement.Config{
 		Random: rand.New(rand.NewPCG(sim.workload.Seed, 9)), Budget: budget, Quarantine: quarantine.New(quarantine.Config{Targets: len(sim.servers)}),
-		OnVerdict: b.onVerdict,
+		RateLimits: ratelimit.New(), OnVerdict: b.onVerdict,
 	})
 	var targets []placement.Target
 	for _, t := range sim.servers {
--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -34,7 +34,7 @@
 		h.recordLoad(now, t, load)
 	}
 	if t != nil && end.RateLimit != nil && end.Outcome != OutcomeOtherServer {
-		h.recordRateLimit(t, *end.RateLimit)
+		h.recordRateLimit(now, t, *end.RateLimit)
 	}
 	var ended *run
 	if r != nil {
@@ -179,6 +179,7 @@
 func (h *Home) Tick(now time.Duration) bool {
 	h.checkProbeTimeouts(now)
 	h.reportEjections(now)
+	h.config.RateLimits.Expire(now)
 	for _, r := range h.requests {
 		if !r.queued && now > r.Deadline+runEndTimeout {
 			h.removeRequest(r)
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"briarcroft/internal/quarantine"
+	"briarcroft/internal/ratelimit"
 )
 
 // Parameters of the statistics of a service. A gain is the weight of one new value in an exponential moving average.
@@ -39,6 +40,8 @@
 	Budget RetryBudget
 	// Quarantine lists requests that crash targets. All homes of a host share one.
 	Quarantine *quarantine.List
+	// RateLimits holds the rate limits that targets name. All homes of a host share one.
+	RateLimits *ratelimit.Table
 	// OnVerdict is called with each verdict. It must not call the home.
 	OnVerdict func(*Request, Verdict)
 	// OnEjection is called when a target is ejected and when its ejection ends. It must not call the home. It may be nil.
@@ -87,6 +90,11 @@
 	awaitsProbes bool
 	// running is the number of runs of each request that has any, by its fingerprint.
 	running map[uint64]int
+	// limitShare is this home's share in the rate limits of targets. limitsVersion is the version of Config.RateLimits that
+	// the targets' limiters hold, and anyLimited is set if there is a limit.
+	limitShare    LimitShare
+	limitsVersion uint64
+	anyLimited    bool
 	// LimitedRuns counts the runs on targets that named a rate limit when they started. The caller may reset it.
 	LimitedRuns int64
 	// refusals is the number of refusals so far. It gives each retry delay a different jitter.
@@ -97,7 +105,7 @@
 func New(c Config) *Home {
 	return &Home{
 		config: c, byName: map[string]*targetState{}, requests: map[RequestID]*Request{}, serviceTimes: map[string]float64{}, responseBytes: map[string]float64{},
-		averagePace: initialPace, nearlyFullSlowdown: initialNearlyFullSlowdown, lastRequestAt: -time.Hour, running: map[uint64]int{},
+		averagePace: initialPace, nearlyFullSlowdown: initialNearlyFullSlowdown, lastRequestAt: -time.Hour, running: map[uint64]int{}, limitShare: LimitShare{Share: 1, Majority: true},
 	}
 }
 
@@ -111,7 +119,7 @@
 	for _, registered := range targets {
 		t := h.byName[registered.Name]
 		if t == nil || t.Incarnation != registered.Incarnation || t.Address != registered.Address {
-			t = &targetState{Target: registered, warmUpUntil: now + registered.WarmUpLeft, paceAt: -time.Hour, loadAt: -time.Hour, failureRateAt: -time.Hour, rateLimit: math.Inf(1), probe: probeState{sentAt: -time.Hour}}
+			t = &targetState{Target: registered, warmUpUntil: now + registered.WarmUpLeft, paceAt: -time.Hour, loadAt: -time.Hour, failureRateAt: -time.Hour, limiter: unlimited, probe: probeState{sentAt: -time.Hour}}
 		}
 		if registered.WarmUpLeft != t.WarmUpLeft {
 			// The target has written its store entry again: the new warm-up time counts from now.
@@ -127,6 +135,7 @@
 		}
 	}
 	h.targets, h.byName = next, byName
+	h.limitsVersion = 0
 	h.Dispatch(now)
 }
 
@@ -170,7 +179,7 @@
 	if slots == 0 {
 		return ReasonNoTargets, true
 	}
-	if now+h.queueWait(r)+h.serviceTime(r) > r.Deadline {
+	if now+h.queueWait(now, r)+h.serviceTime(r) > r.Deadline {
 		return ReasonDeadlineCannotBeMet, true
 	}
 	return "", false
@@ -188,23 +197,24 @@
 }
 
 // queueWait estimates how long a new request will wait behind the queued requests that are placed before it.
-func (h *Home) queueWait(r *Request) time.Duration {
+func (h *Home) queueWait(now time.Duration, r *Request) time.Duration {
 	ahead := 0
 	for _, other := range h.queue {
 		if other != r && queuedBefore(other, r) {
 			ahead++
 		}
 	}
-	slots := 0
+	slots := 0.0
 	for _, t := range h.targets {
 		if t.inService() && !t.probe.down {
-			slots += t.Slots
+			slots += h.capacity(t, h.serviceTime(r))
 		}
 	}
+	wait := h.limitWait(now)
 	if slots == 0 || ahead == 0 {
-		return 0
+		return wait
 	}
-	return time.Duration(float64(ahead) / float64(slots) * h.averagePace * float64(h.serviceTime(r)))
+	return wait + time.Duration(float64(ahead)/slots*h.averagePace*float64(h.serviceTime(r)))
 }
 
 // queuedBefore reports whether a queued request is placed before a new one in the worst case, which is that the new one
@@ -222,6 +232,7 @@
 // Dispatch places queued requests for which a suitable target has a free slot, and refuses those that can no longer meet
 // their deadline, or all if no target is available.
 func (h *Home) Dispatch(now time.Duration) {
+	h.applyRateLimits(now)
 	if len(h.queue) == 0 {
 		return
 	}
@@ -281,12 +292,12 @@
 		h.config.OnVerdict(r, newPlaced(now, t, e))
 		return true
 	}
-	slots := h.availableSlots(now)
+	slots := h.availableCapacity(now, h.serviceTime(r))
 	switch {
 	case slots == 0:
 		h.refuse(now, r, ReasonNoTargets)
 		return true
-	case now+time.Duration(float64(ahead)/float64(slots)*h.averagePace*float64(h.serviceTime(r)))+h.serviceTime(r) > r.Deadline,
+	case now+h.limitWait(now)+time.Duration(float64(ahead)/slots*h.averagePace*float64(h.serviceTime(r)))+h.serviceTime(r) > r.Deadline,
 		h.lateRank(now, r) == 1 && now+h.lateWait.estimate(now, lateAhead)+h.serviceTime(r) > r.Deadline:
 		h.refuse(now, r, ReasonDeadlineCannotBeMet)
 		return true
@@ -309,8 +320,8 @@
 }
 
 // pickTarget returns the target with the lowest expected duration, adjusted for load and for traffic between failure
-// domains, and the estimate for a run there. It considers available targets with a free slot that are not in excluded,
-// and returns nil if there is none.
+// domains, and the estimate for a run there. It considers available targets with a free slot that are not in excluded and
+// whose rate limit allows a run, and returns nil if there is none.
 func (h *Home) pickTarget(now time.Duration, r *Request, excluded []string) (*targetState, runEstimate) {
 	var best *targetState
 	var chosen runEstimate
@@ -322,11 +333,11 @@
 	serviceTime := float64(h.serviceTime(r))
 	for i := range h.targets {
 		t := h.targets[(start+i)%len(h.targets)]
-		if !t.available(now) || t.load(now) >= t.Slots || slices.Contains(excluded, t.Name) {
+		if !t.available(now) || t.load(now) >= t.Slots || slices.Contains(excluded, t.Name) || !h.mayRunOn(now, t) {
 			continue
 		}
 		factor, nearlyFull := t.slowdown(now, h.averagePace, h.nearlyFullSlowdown)
-		candidate := factor * h.crossDomainFactor(t, r) * (1 + loadPenalty*float64(t.load(now))/float64(t.Slots))
+		candidate := factor * h.crossDomainFactor(t, r) * (1 + loadPenalty*float64(t.load(now))/float64(t.Slots)) * t.limitCheckFactor(now)
 		if candidate < score {
 			best, chosen, score = t, runEstimate{time.Duration(serviceTime * factor), factor, nearlyFull}, candidate
 		}
@@ -366,22 +377,23 @@
 		// A faster target may get a free slot in time to meet the goal.
 		return false
 	}
-	return now+expected < r.Deadline && h.freeSlotShare(now) > lateFreeShare
+	return now+expected < r.Deadline && h.freeSlotShare(now, r) > lateFreeShare
 }
 
 // freeSlotShare returns the share of the slots of available targets that are free.
-func (h *Home) freeSlotShare(now time.Duration) float64 {
-	slots, used := 0, 0
+func (h *Home) freeSlotShare(now time.Duration, r *Request) float64 {
+	slots, used := 0.0, 0.0
 	for _, t := range h.targets {
 		if t.available(now) {
-			slots += t.Slots
-			used += min(t.Slots, t.load(now))
+			capacity := h.capacity(t, h.serviceTime(r))
+			slots += capacity
+			used += min(capacity, float64(t.load(now)))
 		}
 	}
 	if slots == 0 {
 		return 0
 	}
-	return 1 - float64(used)/float64(slots)
+	return 1 - used/slots
 }
 
 func (h *Home) startRun(now time.Duration, r *Request, t *targetState, e runEstimate) {
@@ -389,7 +401,9 @@
 	t.runs = append(t.runs, started)
 	r.runs = append(r.runs, started)
 	h.running[r.Fingerprint]++
-	if t.limited() {
+	if t.limiter.limited() {
+		t.limiter.credit--
+		t.limiter.usedAt = now
 		h.LimitedRuns++
 	}
 }
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -1,6 +1,23 @@
 package placement
 
-import "math"
+import (
+	"math"
+	"time"
+
+	"briarcroft/internal/ratelimit"
+)
+
+const (
+	// savedRate is how much of its part of a target's rate limit a home saves up that places most requests of the fleet.
+	savedRate = 500 * time.Millisecond
+	// permitLifetime is how long any other home may use a permit for one request.
+	permitLifetime = time.Second
+	// limitCheckInterval is how long a target that names a rate limit may get no request before it is preferred for one: only
+	// its responses tell when the limit ends.
+	limitCheckInterval = 5 * time.Second
+	// limitCheckFactor applies to the expected duration of a run on a target that is preferred.
+	limitCheckFactor = 0.5
+)
 
 // RateLimitChange reports that a target has begun to name a rate limit, or has stopped.
 type RateLimitChange struct {
@@ -9,14 +26,147 @@
 	PerSecond float64
 }
 
+// LimitShare is a home's share in the rate limits that targets name. The shares of all homes of a service must not exceed 1
+// together.
+type LimitShare struct {
+	Share float64
+	// Majority is set if the home places the requests of most of the fleet's hosts, so that there is no other such home. Only
+	// then may it save up requests: many homes that do so could send them all at once.
+	Majority bool
+}
+
+// rateLimiter is the state of a home's share in the rate limit of one target.
+type rateLimiter struct {
+	// perSecond is the number of requests per second that the target takes from all hosts together; infinite if it names no
+	// limit.
+	perSecond float64
+	// credit is the number of requests that the home may send, as of updatedAt. permitAt is when a home without the majority
+	// got its permit.
+	credit    float64
+	updatedAt time.Duration
+	permitAt  time.Duration
+	// usedAt is when the home last sent a request.
+	usedAt time.Duration
+}
+
+var unlimited = rateLimiter{perSecond: math.Inf(1)}
+
 // limited reports whether the target names a rate limit.
-func (t *targetState) limited() bool { return !math.IsInf(t.rateLimit, 1) }
+func (l *rateLimiter) limited() bool { return !math.IsInf(l.perSecond, 1) }
+
+// rate returns the number of requests per second that a home with a share may send.
+func (l *rateLimiter) rate(s LimitShare) float64 {
+	return s.Share * max(l.perSecond, ratelimit.MinPerSecond)
+}
+
+// allows reports whether the home may send a request now. A home without the majority gets permits at random times and
+// loses those that it does not use soon: however many such homes there are, the requests that they send at the same time are
+// few.
+func (l *rateLimiter) allows(now time.Duration, s LimitShare, random func() float64) bool {
+	if !l.limited() {
+		return true
+	}
+	rate, elapsed := l.rate(s), now-l.updatedAt
+	l.updatedAt = now
+	switch {
+	case s.Majority:
+		l.credit = min(max(1, rate*savedRate.Seconds()), l.credit+rate*elapsed.Seconds())
+	case l.credit < 1 || now-l.permitAt > permitLifetime:
+		l.credit = 0
+		if random() < 1-math.Exp(-rate*min(elapsed, permitLifetime).Seconds()) {
+			l.credit, l.permitAt = 1, now
+		}
+	}
+	return l.credit >= 1
+}
+
+// wait returns the expected time until the home may send a request, after a call of allows.
+func (l *rateLimiter) wait(s LimitShare) time.Duration {
+	return time.Duration((1 - l.credit) / l.rate(s) * float64(time.Second))
+}
+
+// SetLimitShare sets the home's share in the rate limits that targets name.
+func (h *Home) SetLimitShare(s LimitShare) { h.limitShare = s }
 
 // recordRateLimit records the rate limit that a target has named.
-func (h *Home) recordRateLimit(t *targetState, perSecond float64) {
-	wasLimited := t.limited()
-	t.rateLimit = perSecond
-	if t.limited() != wasLimited && h.config.OnRateLimit != nil {
+func (h *Home) recordRateLimit(now time.Duration, t *targetState, perSecond float64) {
+	wasLimited := t.limiter.limited()
+	h.config.RateLimits.Record(now, t.limitKey(), perSecond)
+	h.applyRateLimits(now)
+	if t.limiter.limited() != wasLimited && h.config.OnRateLimit != nil {
 		h.config.OnRateLimit(RateLimitChange{t.Name, perSecond})
 	}
 }
+
+func (t *targetState) limitKey() ratelimit.Key {
+	return ratelimit.Key{Target: t.Name, Incarnation: t.Incarnation}
+}
+
+// applyRateLimits takes over the limits that this host knows of if any has changed.
+func (h *Home) applyRateLimits(now time.Duration) {
+	version := h.config.RateLimits.Version()
+	if version == h.limitsVersion {
+		return
+	}
+	h.limitsVersion, h.anyLimited = version, false
+	for _, t := range h.targets {
+		perSecond := h.config.RateLimits.PerSecond(t.limitKey())
+		if !t.limiter.limited() {
+			t.limiter.credit, t.limiter.updatedAt, t.limiter.usedAt = 0, now, now
+		}
+		t.limiter.perSecond = perSecond
+		h.anyLimited = h.anyLimited || t.limiter.limited()
+	}
+}
+
+// mayRunOn reports whether the rate limit of a target allows a run now.
+func (h *Home) mayRunOn(now time.Duration, t *targetState) bool {
+	return t.limiter.allows(now, h.limitShare, h.config.Random.Float64)
+}
+
+// limitWait returns the expected time until the rate limits of targets allow a request to be placed.
+func (h *Home) limitWait(now time.Duration) time.Duration {
+	if !h.anyLimited {
+		return 0
+	}
+	var least time.Duration = math.MaxInt64
+	for _, t := range h.targets {
+		if !t.available(now) {
+			continue
+		}
+		if h.mayRunOn(now, t) {
+			return 0
+		}
+		least = min(least, t.limiter.wait(h.limitShare))
+	}
+	return least
+}
+
+// limitCheckFactor returns a factor that makes a target more attractive which has got no request for long because of its
+// rate limit.
+func (t *targetState) limitCheckFactor(now time.Duration) float64 {
+	if t.limiter.limited() && now-t.limiter.usedAt >= limitCheckInterval {
+		return limitCheckFactor
+	}
+	return 1
+}
+
+// capacity returns the number of requests with the given service time that a target can run concurrently without exceeding
+// its slots or its rate limit.
+func (h *Home) capacity(t *targetState, serviceTime time.Duration) float64 {
+	if !t.limiter.limited() {
+		return float64(t.Slots)
+	}
+	return min(float64(t.Slots), t.limiter.rate(h.limitShare)*h.averagePace*serviceTime.Seconds())
+}
+
+// availableCapacity returns the capacity of all available targets.
+func (h *Home) availableCapacity(now, serviceTime time.Duration) float64 {
+	sum := 0.0
+	for _, t := range h.targets {
+		if t.available(now) {
+			sum += h.capacity(t, serviceTime)
+		}
+	}
+	return sum
+}
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -26,6 +26,9 @@
 	// probeRate is the maximum long-term rate of probes to one target, per second, and probeBurst the maximum burst.
 	probeRate  = 18.0
 	probeBurst = 10.0
+	// limitedProbeRate and limitedProbeInterval apply to targets that name a rate limit, which are in need.
+	limitedProbeRate     = 1.0
+	limitedProbeInterval = time.Second
 	// maxCreditPerTarget limits how many probes a home saves up.
 	maxCreditPerTarget = 2
 	// targetsProbedAtOnce is the number of targets that are probed for a request if the reported paces are too old.
@@ -47,9 +50,9 @@
 	down bool
 }
 
-// spend takes one probe from the rate limit and reports whether it was allowed.
-func (p *probeState) spend(now time.Duration) bool {
-	p.credit = min(probeBurst, p.credit+probeRate*(now-p.creditAt).Seconds())
+// spend takes one probe from the limit of so many per second and reports whether it was allowed.
+func (p *probeState) spend(now time.Duration, rate float64) bool {
+	p.credit = min(max(1, probeBurst*rate/probeRate), p.credit+rate*(now-p.creditAt).Seconds())
 	p.creditAt = now
 	if p.credit < 1 {
 		return false
@@ -106,7 +109,11 @@
 	if t.probe.pending || t.Draining {
 		return false
 	}
-	return (t.probe.awaited || !onlyAwaited && h.probeDue(now, t)) && t.probe.spend(now)
+	rate := probeRate
+	if t.limiter.limited() {
+		rate = limitedProbeRate
+	}
+	return (t.probe.awaited || !onlyAwaited && h.probeDue(now, t)) && t.probe.spend(now, rate)
 }
 
 // addProbeCredit adds the probes that a request has brought.
@@ -119,6 +126,8 @@
 	switch {
 	case !h.busy(now):
 		return false
+	case t.limiter.limited():
+		return now-max(t.probe.sentAt, t.paceAt) >= limitedProbeInterval
 	case t.probe.down:
 		return now-t.probe.sentAt >= downProbeInterval
 	case len(h.queue) > 0 && t.available(now) && t.load(now) < t.Slots:
--- a/internal/placement/returns.go
+++ b/internal/placement/returns.go
@@ -33,8 +33,8 @@
 	case ReasonNoTargets:
 		delay = noTargetsRetryDelay
 	case ReasonDeadlineCannotBeMet, ReasonRetryBudgetSpent:
-		if slots := h.availableSlots(now); slots > 0 {
-			delay = max(delay, time.Duration(float64(len(h.queue)+1)/float64(slots)*h.averagePace*float64(h.serviceTime(r))))
+		if slots := h.availableCapacity(now, h.serviceTime(r)); slots > 0 {
+			delay = max(delay, time.Duration(float64(len(h.queue)+1)/slots*h.averagePace*float64(h.serviceTime(r))))
 		}
 	}
 	return delay + time.Duration(retryDelaySpread*fraction*float64(delay))
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -79,9 +79,7 @@
 	// ejectionReported is set if the last call of OnEjection for this target reported it as ejected.
 	ejectionReported bool
 	probe            probeState
-	// rateLimit is the number of requests per second that the target takes from all hosts together; infinite if it names no
-	// limit.
-	rateLimit float64
+	limiter          rateLimiter
 	// otherServer is set while another server answers at the target's address.
 	otherServer bool
 }
