Say that a request is refused because of rate limits, and send no hedges to limited targets

DeadlineCannotBeMet with twelve free slots explains nothing; RateLimited is written when the limits of all targets leave no room before the deadline. A hedge is extra load, which a target in need shouldn't get.

--- a/internal/placement/hedge.go
+++ b/internal/placement/hedge.go
@@ -1,9 +1,6 @@
 package placement
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Limits of hedging.
 const (
@@ -46,7 +43,9 @@
 	if h.config.Quarantine.Suspected(now, r.Fingerprint) {
 		return
 	}
-	t, e := h.pickTarget(now, r, append(slices.Clone(r.Tried), first.target.Name))
+	// A target in need gets no hedges.
+	excluded := append(h.limitedTargets(), first.target.Name)
+	t, e := h.pickTarget(now, r, append(excluded, r.Tried...))
 	if t == nil || e.nearlyFull || now+e.expected > r.Deadline {
 		return
 	}
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -180,7 +180,7 @@
 		return ReasonNoTargets, true
 	}
 	if now+h.queueWait(now, r)+h.serviceTime(r) > r.Deadline {
-		return ReasonDeadlineCannotBeMet, true
+		return h.lateReason(now), true
 	}
 	return "", false
 }
@@ -299,7 +299,7 @@
 		return true
 	case now+h.limitWait(now)+time.Duration(float64(ahead)/slots*h.averagePace*float64(h.serviceTime(r)))+h.serviceTime(r) > r.Deadline,
 		h.lateRank(now, r) == 1 && now+h.lateWait.estimate(now, lateAhead)+h.serviceTime(r) > r.Deadline:
-		h.refuse(now, r, ReasonDeadlineCannotBeMet)
+		h.refuse(now, r, h.lateReason(now))
 		return true
 	}
 	return false
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -151,6 +151,27 @@
 	return 1
 }
 
+// lateReason returns why a request cannot meet its deadline.
+func (h *Home) lateReason(now time.Duration) Reason {
+	if h.limitWait(now) > 0 {
+		return ReasonRateLimited
+	}
+	return ReasonDeadlineCannotBeMet
+}
+
+// limitedTargets returns the names of the targets that name a rate limit.
+func (h *Home) limitedTargets() []string {
+	var names []string
+	if h.anyLimited {
+		for _, t := range h.targets {
+			if t.limiter.limited() {
+				names = append(names, t.Name)
+			}
+		}
+	}
+	return names
+}
+
 // capacity returns the number of requests with the given service time that a target can run concurrently without exceeding
 // its slots or its rate limit.
 func (h *Home) capacity(t *targetState, serviceTime time.Duration) float64 {
--- a/internal/placement/limit_test.go
+++ b/internal/placement/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -140,7 +141,7 @@
 	for range 20 {
 		if r, isRefused := f.lastVerdict(f.submit(nil)).(Refused); isRefused {
 			refusedAtOnce++
-			is.Equal(r.Reason, ReasonDeadlineCannotBeMet)
+			is.Equal(r.Reason, ReasonRateLimited)
 			is.True(r.RetryAfter >= time.Second && r.RetryAfter < 10*time.Second) // one request a second fits
 		}
 		f.now += 10 * time.Millisecond
@@ -222,3 +223,30 @@
 	is.True(float64(probes) <= limitedProbeRate*duration.Seconds()+1)
 	is.True(probes > 0)
 }
+
+// TestLimitedTargetGetsNoHedges checks that the second run of a slow request goes to a target without a rate limit, or
+// nowhere.
+func TestLimitedTargetGetsNoHedges(t *testing.T) {
+	for _, limited := range [][]string{{"t0"}, {"t0", "t1"}, {"t0", "t1", "t2"}} {
+		is := is.New(t)
+		f := newTestHome(3, ampleBudget)
+		number := f.submit(func(r *Request) { r.Repeatable = true })
+		first := f.placedOn(number)
+		for _, name := range limited {
+			f.limitTarget(name, 100)
+		}
+		f.now += 200 * time.Millisecond
+		f.reportPace(1)
+		f.home.Tick(f.now)
+		hedge, isHedge := f.lastVerdict(number).(Hedge)
+		isLimited := func(name string) bool { return slices.Contains(limited, name) }
+		others := 0
+		for _, t := range f.home.targets {
+			if t.Name != first && !isLimited(t.Name) {
+				others++
+			}
+		}
+		is.Equal(isHedge, others > 0)
+		is.True(!isHedge || !isLimited(hedge.Target))
+	}
+}
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -96,8 +96,10 @@
 const (
 	ReasonNoTargets           Reason = "NoTargets"
 	ReasonDeadlineCannotBeMet Reason = "DeadlineCannotBeMet"
-	ReasonRetryBudgetSpent    Reason = "RetryBudgetSpent"
-	ReasonQuarantined         Reason = "Quarantined"
+	// ReasonRateLimited means that the rate limits that all targets name leave no room before the deadline.
+	ReasonRateLimited      Reason = "RateLimited"
+	ReasonRetryBudgetSpent Reason = "RetryBudgetSpent"
+	ReasonQuarantined      Reason = "Quarantined"
 )
 
 // Outcome is the way in which a run on a target ended.
--- a/internal/placement/returns.go
+++ b/internal/placement/returns.go
@@ -32,7 +32,7 @@
 		return quarantined.Remaining
 	case ReasonNoTargets:
 		delay = noTargetsRetryDelay
-	case ReasonDeadlineCannotBeMet, ReasonRetryBudgetSpent:
+	case ReasonDeadlineCannotBeMet, ReasonRateLimited, ReasonRetryBudgetSpent:
 		if slots := h.availableCapacity(now, h.serviceTime(r)); slots > 0 {
 			delay = max(delay, time.Duration(float64(len(h.queue)+1)/slots*h.averagePace*float64(h.serviceTime(r))))
 		}
