--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -18,7 +18,7 @@
 	suspicionTime = 2 * time.Minute
 	// maxSuspects is the maximum number of requests in a list, and maxShared of those that All returns.
 	maxSuspects = 4096
-	maxShared   = 256
+	maxShared   = 64
 )
 
 // durations lists how long a request stays in quarantine for the first time, the second time and so on; the last one
@@ -52,8 +52,10 @@
 	lastBreak time.Duration
 	// until is when the last quarantine of the request ends, and times how often it was put in quarantine, up to the number
 	// of durations; both are zero if it never was.
-	until  time.Duration
-	times  int
+	until time.Duration
+	times int
+	// since is when this host put the request in quarantine last, or learned that another one has.
+	since  time.Duration
 	reason string
 }
 
@@ -104,7 +106,7 @@
 		return false
 	}
 	s.times = min(s.times+1, len(durations))
-	s.until = now + s.duration()
+	s.since, s.until = now, now+s.duration()
 	s.reason = "broke the connections of " + strings.Join(s.targets, " and ")
 	s.targets = nil
 	return true
@@ -168,6 +170,9 @@
 		for s.duration() < r.Remaining {
 			s.times++
 		}
+		if now >= s.until {
+			s.since = now
+		}
 		if until := now + r.Remaining; until > s.until {
 			s.until, s.reason = until, r.Reason
 		}
@@ -201,22 +206,26 @@
 }
 
 // All returns the requests in quarantine, with the time that remains for each. Of more than maxShared it returns those that
-// remain longest.
+// crashed a target last, or were learned of last.
 func (l *List) All(now time.Duration) []Request {
 	if l.size.Load() == 0 {
 		return nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var requests []Request
+	var fingerprints []uint64
 	for fingerprint, s := range l.suspects {
 		if now < s.until {
-			requests = append(requests, Request{fingerprint, s.until - now, s.reason})
+			fingerprints = append(fingerprints, fingerprint)
 		}
 	}
-	if len(requests) > maxShared {
-		slices.SortFunc(requests, func(a, b Request) int { return cmp.Compare(b.Remaining, a.Remaining) })
-		requests = requests[:maxShared]
+	slices.SortFunc(fingerprints, func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(l.suspects[b].since, l.suspects[a].since), cmp.Compare(a, b))
+	})
+	var requests []Request
+	for _, fingerprint := range fingerprints[:min(len(fingerprints), maxShared)] {
+		s := l.suspects[fingerprint]
+		requests = append(requests, Request{fingerprint, s.until - now, s.reason})
 	}
 	return requests
 }
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -144,7 +144,9 @@
 	_, oldest := l.Lookup(now, 0)
 	_, newest := l.Lookup(now, 2*maxSuspects-1)
 	is.True(!oldest && newest)
-	is.Equal(len(l.All(now)), maxShared)
+	shared := l.All(now)
+	is.Equal(len(shared), maxShared)
+	is.Equal(shared[0].Fingerprint, uint64(2*maxSuspects-1)) // the newest first
 }
 
 // TestFleetStopsCrashingRequest sends a request that always crashes its target through several hosts, which exchange their
