--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -260,8 +260,7 @@
 	if h.primary {
 		counter = &h.server.gateway.stats.primaryLimitedRuns
 	}
-	counter.Add(h.home.LimitedRuns)
-	h.home.LimitedRuns = 0
+	counter.Add(h.home.TakeLimitedRuns())
 }
 
 // runEnded frees the slot of a run of a service and records its outcome.
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -95,8 +95,8 @@
 	limitShare    LimitShare
 	limitsVersion uint64
 	anyLimited    bool
-	// LimitedRuns counts the runs on targets that named a rate limit when they started. The caller may reset it.
-	LimitedRuns int64
+	// limitedRuns counts the runs on targets that named a rate limit when they started, since TakeLimitedRuns.
+	limitedRuns int64
 	// refusals is the number of refusals so far. It gives each retry delay a different jitter.
 	refusals uint64
 }
@@ -404,7 +404,7 @@
 	if t.limiter.limited() {
 		t.limiter.credit--
 		t.limiter.usedAt = now
-		h.LimitedRuns++
+		h.limitedRuns++
 	}
 }
 
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -26,8 +26,8 @@
 	PerSecond float64
 }
 
-// LimitShare is a home's share in the rate limits that targets name. The shares of all homes of a service must not exceed 1
-// together.
+// LimitShare is a home's share in the rate limits that targets name. What a target gets is bounded by the sum of the shares
+// of all homes of its service, so that sum should be about 1.
 type LimitShare struct {
 	Share float64
 	// Majority is set if the home places the requests of most of the fleet's hosts, so that there is no other such home. Only
@@ -88,6 +88,13 @@
 // SetLimitShare sets the home's share in the rate limits that targets name.
 func (h *Home) SetLimitShare(s LimitShare) { h.limitShare = s }
 
+// TakeLimitedRuns returns the number of runs since its last call that were placed on targets that name a rate limit.
+func (h *Home) TakeLimitedRuns() int64 {
+	runs := h.limitedRuns
+	h.limitedRuns = 0
+	return runs
+}
+
 // recordRateLimit records the rate limit that a target has named.
 func (h *Home) recordRateLimit(now time.Duration, t *targetState, perSecond float64) {
 	wasLimited := t.limiter.limited()
