--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -29,6 +29,9 @@
 	stopTimeout = 4 * time.Second
 )
 
+// crashPath is the path of the request that breaks the connection of each backend server that runs it.
+const crashPath = "/lookup/crash"
+
 // fleet is a set of entry hosts that run as processes, with a store and backend servers that run in the test process.
 type fleet struct {
 	t       *testing.T
@@ -121,6 +124,7 @@
 
 func (f *fleet) addTarget(name string) {
 	s := &backendServer{Target: standin.NewTarget(name)}
+	s.CrashPath = crashPath
 	s.relay = f.startRelay(f.startServer(s.Target))
 	s.Address = s.relay.address()
 	f.targets = append(f.targets, s)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -59,8 +59,9 @@
 
 // TestSoak checks the guarantees of the load balancer under random faults: no request that must run at most once runs
 // twice, refused requests do not run, every request gets a complete response, which may report an error, no host returns
-// to an older configuration while it runs, and every host serves the newest one after the faults. A request may get no
-// response if its host was killed or paused meanwhile, or if its host was stopping and the request did not run.
+// to an older configuration while it runs, every host serves the newest one after the faults, and a request that crashes
+// targets is stopped. A request may get no response if its host was killed or paused meanwhile, or if its host was stopping
+// and the request did not run.
 //
 // It runs the seeds that have found faults before, or those that the environment selects: SOAK_SEED is the first
 // seed, SOAK_SEEDS the number of seeds, SOAK_SECONDS the length of each run, and SOAK_HOSTS and SOAK_TARGETS the size
@@ -163,6 +164,7 @@
 	callers.Wait()
 	time.Sleep(2 * time.Second) // longer than any run that is still in flight
 	r.checkRunCounts()
+	r.checkCrashes(time.Since(end) + length)
 }
 
 // waitForRecovery waits until every host serves a route of the newest configuration.
@@ -405,6 +407,35 @@
 	}
 }
 
+// sendCrashingRequest sends the request that crashes targets several times, each time with another query.
+func (r *soakRun) sendCrashingRequest() {
+	for i := range 6 {
+		p := r.hosts[r.intN(len(r.hosts))]
+		if _, disrupted, _ := p.state(); !disrupted {
+			// Any response is allowed, and none.
+			_ = r.call(p, http.MethodGet, fmt.Sprintf("%s?page=%d", crashPath, i), fmt.Sprintf("crash%d", i))
+		}
+		time.Sleep(r.randomDuration(time.Millisecond, 200*time.Millisecond))
+	}
+}
+
+// checkCrashes checks that the request that crashes targets was stopped. Each host may let it crash three targets, while it
+// reaches no other one, and one more after each quarantine, the first two of which last 10 s and two minutes.
+func (r *soakRun) checkCrashes(length time.Duration) {
+	const crashesToQuarantine, firstQuarantine = 3, 10 * time.Second
+	allowed := crashesToQuarantine
+	if length > firstQuarantine {
+		allowed += 2
+	}
+	crashes := 0
+	for _, s := range r.targets {
+		s.Update(func(t *standin.Target) { crashes += len(t.Crashes) })
+	}
+	if crashes > allowed*len(r.hosts) {
+		r.reportViolation("a request that crashes targets ran %d times on %d hosts", crashes, len(r.hosts))
+	}
+}
+
 // randomTargetFault chooses a fault of a backend server, or makes it drain or lose its registration for a while.
 func (r *soakRun) randomTargetFault() (string, func()) {
 	s, duration := r.targets[r.intN(len(r.targets))], r.randomDuration(50*time.Millisecond, 3*time.Second)
@@ -415,7 +446,7 @@
 			s.Update(func(t *standin.Target) { change(t, false) })
 		}
 	}
-	switch r.intN(6) {
+	switch r.intN(8) {
 	case 0:
 		return "TargetDropsResponses", temporarily(func(t *standin.Target, on bool) { t.DropResponses = on })
 	case 1:
@@ -435,6 +466,15 @@
 			time.Sleep(duration)
 			r.register(s, "ready")
 		}
+	case 5:
+		return "TargetNamesRateLimit", temporarily(func(t *standin.Target, on bool) {
+			t.RateLimit = 0
+			if on {
+				t.RateLimit = 2
+			}
+		})
+	case 6:
+		return "CrashingRequest", r.sendCrashingRequest
 	}
 	return "TargetDeregistered", func() {
 		r.store.Delete("servers/" + s.Name)
