Free the slots of runs that a request has when it is submitted again

Cause: a run refers to the request that it was placed for. When the request is submitted again while a hedge of it goes on, which the host doesn't know of yet, the new request gets the list of runs, but they go on referring to the former one. Since the quarantine counts the runs of a request, the end of a run was taken from the former request's list, which shares its memory with the new one's.

Beside it, from before: if the request was refused when it was submitted again, its runs were forgotten, and their slots stayed taken for good.

TestResubmittedRequestKeepsItsRuns panicked before, and now also holds where the request is refused.

--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -145,6 +145,9 @@
 	h.lastRequestAt = now
 	h.addProbeCredit(r)
 	r.submittedAt = now
+	if previous := h.requests[r.ID]; previous != nil {
+		h.takeOverRuns(previous, r)
+	}
 	if h.quarantined(now, r) {
 		h.refuse(now, r, ReasonQuarantined)
 		return
@@ -155,10 +158,6 @@
 		h.refuse(now, r, ReasonRetryBudgetSpent)
 		return
 	}
-	if previous := h.requests[r.ID]; previous != nil {
-		// A request that is submitted again keeps the slots of runs that have not ended.
-		r.runs = previous.runs
-	}
 	h.requests[r.ID] = r
 	if reason, refused := h.cannotServe(now, r); refused {
 		h.refuse(now, r, reason)
@@ -172,6 +171,17 @@
 	}
 }
 
+// takeOverRuns gives a request that is submitted again the runs of its former submission that have not ended, such as a hedge
+// that the host does not know of yet.
+func (h *Home) takeOverRuns(previous, r *Request) {
+	h.removeFromQueue(previous)
+	r.runs, previous.runs = previous.runs, nil
+	for _, active := range r.runs {
+		active.request = r
+	}
+	h.requests[r.ID] = r
+}
+
 // cannotServe reports whether a new request must be refused, because no target is available or the request is not
 // expected to end before its deadline, and returns the reason.
 func (h *Home) cannotServe(now time.Duration, r *Request) (Reason, bool) {
--- a/internal/placement/home_test.go
+++ b/internal/placement/home_test.go
@@ -438,3 +438,51 @@
 	f.home.RecordProbe(f.now, "new", ProbeHealthy, &LoadReport{Slots: 3, Pace: 2})
 	is.Equal(f.placedOn(f.submit(nil)), "new") // expected to take 180 ms, with a goal of 250 ms
 }
+
+// TestResubmittedRequestKeepsItsRuns submits a request again while one of its runs goes on: its slot is freed once, by the end
+// of the run or by the timeout.
+func TestResubmittedRequestKeepsItsRuns(t *testing.T) {
+	for _, c := range []struct {
+		name                  string
+		quarantined, reported bool
+	}{
+		{"ends are reported", false, true},
+		{"ends are not reported", false, false},
+		{"refused, end is reported", true, true},
+		{"refused, end is not reported", true, false},
+	} {
+		t.Log(c.name)
+		is := is.New(t)
+		f := newTestHome(3, ampleBudget)
+		number := f.submit(func(r *Request) { r.Repeatable, r.Fingerprint = true, 7 })
+		first := f.placedOn(number)
+		f.now += 200 * time.Millisecond
+		f.reportPace(1)
+		f.home.Tick(f.now)
+		hedge, isHedge := f.lastVerdict(number).(Hedge)
+		is.True(isHedge)
+		f.home.RunEnded(f.now, RunEnd{ID: RequestID{Number: number}, Target: first, Outcome: OutcomeFailed})
+		if c.quarantined {
+			f.home.config.Quarantine.Merge(f.now, []quarantine.Request{{Fingerprint: 7, Remaining: time.Minute}})
+		}
+		f.home.Submit(f.now, &Request{
+			ID: RequestID{Number: number}, Class: "c", Goal: f.now + 100*time.Millisecond, Deadline: f.now + 500*time.Millisecond, Domain: "a",
+			Tried: []string{first, hedge.Target}, Fingerprint: 7,
+		})
+		third := f.placedOn(number)
+		is.Equal(third == "", c.quarantined)
+		is.True(third != first && third != hedge.Target)
+		if c.reported {
+			for _, target := range []string{hedge.Target, third} {
+				f.home.RunEnded(f.now, RunEnd{ID: RequestID{Number: number}, Target: target, Outcome: OutcomeCanceled})
+			}
+		}
+		f.now += time.Second + runEndTimeout
+		f.home.Tick(f.now)
+		is.Equal(len(f.home.requests), 0)
+		is.Equal(len(f.home.running), 0)
+		for _, x := range f.home.targets {
+			is.Equal(len(x.runs), 0)
+		}
+	}
+}
