--- a/internal/placement/crash.go
+++ b/internal/placement/crash.go
@@ -56,7 +56,7 @@
 
 // recordCrash records that the target of a run may have crashed because of it.
 func (h *Home) recordCrash(now time.Duration, ended *run) {
-	fingerprint, t := ended.request.Fingerprint, ended.target
+	fingerprint, t := ended.fingerprint, ended.target
 	if fingerprint == 0 {
 		return
 	}
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -407,10 +407,10 @@
 }
 
 func (h *Home) startRun(now time.Duration, r *Request, t *targetState, e runEstimate) {
-	started := &run{request: r, target: t, startedAt: now, expected: e.expected, slowdown: e.slowdown, nearlyFull: e.nearlyFull}
+	started := &run{request: r, target: t, startedAt: now, fingerprint: r.Fingerprint, expected: e.expected, slowdown: e.slowdown, nearlyFull: e.nearlyFull}
 	t.runs = append(t.runs, started)
 	r.runs = append(r.runs, started)
-	h.running[r.Fingerprint]++
+	h.running[started.fingerprint]++
 	if t.limiter.limited() {
 		t.limiter.credit--
 		t.limiter.usedAt = now
@@ -422,9 +422,8 @@
 func (h *Home) removeRun(ended *run) {
 	ended.target.removeRun(ended)
 	ended.request.removeRun(ended)
-	fingerprint := ended.request.Fingerprint
-	if h.running[fingerprint]--; h.running[fingerprint] == 0 {
-		delete(h.running, fingerprint)
+	if h.running[ended.fingerprint]--; h.running[ended.fingerprint] == 0 {
+		delete(h.running, ended.fingerprint)
 	}
 }
 
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -143,6 +143,8 @@
 	request   *Request
 	target    *targetState
 	startedAt time.Duration
+	// fingerprint is that of the request when the run started.
+	fingerprint uint64
 	// expected is the expected duration at the start.
 	expected time.Duration
 	// slowdown is the expected duration relative to the service time of the request's class.
