--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -214,17 +214,17 @@
 			ahead++
 		}
 	}
-	slots := 0.0
+	slots, serviceTime := 0.0, h.serviceTime(r)
 	for _, t := range h.targets {
 		if t.inService() && !t.probe.down {
-			slots += h.capacity(t, h.serviceTime(r))
+			slots += h.capacity(t, serviceTime)
 		}
 	}
 	wait := h.limitWait(now)
 	if slots == 0 || ahead == 0 {
 		return wait
 	}
-	return wait + time.Duration(float64(ahead)/slots*h.averagePace*float64(h.serviceTime(r)))
+	return wait + time.Duration(float64(ahead)/slots*h.averagePace*float64(serviceTime))
 }
 
 // queuedBefore reports whether a queued request is placed before a new one in the worst case, which is that the new one
@@ -387,15 +387,15 @@
 		// A faster target may get a free slot in time to meet the goal.
 		return false
 	}
-	return now+expected < r.Deadline && h.freeSlotShare(now, r) > lateFreeShare
+	return now+expected < r.Deadline && h.freeSlotShare(now, h.serviceTime(r)) > lateFreeShare
 }
 
-// freeSlotShare returns the share of the slots of available targets that are free.
-func (h *Home) freeSlotShare(now time.Duration, r *Request) float64 {
+// freeSlotShare returns the share of the slots of available targets that are free, where a rate limit counts as fewer slots.
+func (h *Home) freeSlotShare(now, serviceTime time.Duration) float64 {
 	slots, used := 0.0, 0.0
 	for _, t := range h.targets {
 		if t.available(now) {
-			capacity := h.capacity(t, h.serviceTime(r))
+			capacity := h.capacity(t, serviceTime)
 			slots += capacity
 			used += min(capacity, float64(t.load(now)))
 		}
