Release the lock of a home also if it panics

Cause: a panic in a call of the placement stream runs the deferred calls of the RPC library, which wait for the stream's reader. If they wait for long, the process lives on; the lock of the home stays taken, and the host applies nothing from the store any more, because that needs the locks of all homes.

Evidence: in the trace edge-benarous-26 places nothing for the service from 14.9 s on, sends no probe, and adopts no configuration, while it serves requests through other homes.

Why this works: nothing stays locked, so the next tick of the home meets the same fault in a goroutine without deferred calls, which ends the process; it is started again.

--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -105,12 +105,18 @@
 	delete(s.sessions, sess.id)
 	s.mu.Unlock()
 	for _, h := range s.serviceHomes() {
-		h.mu.Lock()
-		h.home.EndStream(s.gateway.now(), sess.id)
-		h.mu.Unlock()
+		h.use(func(home *placement.Home) { home.EndStream(s.gateway.now(), sess.id) })
 	}
 }
 
+// use calls a function with the placement state while it holds h.mu. It releases h.mu also if the function panics, because
+// deferred calls of an RPC may wait for other goroutines before the process ends.
+func (h *serviceHome) use(call func(*placement.Home)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	call(h.home)
+}
+
 // serviceHomes returns the placement states of all services, in no particular order.
 func (s *homeServer) serviceHomes() []*serviceHome {
 	s.mu.Lock()
@@ -206,9 +212,7 @@
 // applyView passes changed targets to the placement state of every service.
 func (s *homeServer) applyView(v *roster.View) {
 	for _, h := range s.serviceHomes() {
-		h.mu.Lock()
-		h.applyView(v)
-		h.mu.Unlock()
+		h.use(func(*placement.Home) { h.applyView(v) })
 	}
 }
 
@@ -265,27 +269,19 @@
 
 // runEnded frees the slot of a run of a service and records its outcome.
 func (s *homeServer) runEnded(service string, end placement.RunEnd) {
-	h := s.serviceHome(service)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.home.RunEnded(s.gateway.now(), end)
+	s.serviceHome(service).use(func(home *placement.Home) { home.RunEnded(s.gateway.now(), end) })
 }
 
 // runEndedAnyService frees the slot of a run whose service is unknown, by trying every service.
 func (s *homeServer) runEndedAnyService(end placement.RunEnd) {
 	for _, h := range s.serviceHomes() {
-		h.mu.Lock()
-		h.home.RunEnded(s.gateway.now(), end)
-		h.mu.Unlock()
+		h.use(func(home *placement.Home) { home.RunEnded(s.gateway.now(), end) })
 	}
 }
 
 // withdraw removes a request from the service's queue.
 func (s *homeServer) withdraw(service string, id placement.RequestID) {
-	h := s.serviceHome(service)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.home.CancelQueued(id)
+	s.serviceHome(service).use(func(home *placement.Home) { home.CancelQueued(id) })
 }
 
 // sendVerdict sends a verdict to the host that sent the request; its caller holds the lock of the service's placement state.
@@ -322,13 +318,13 @@
 		}
 		wait = idleTickInterval
 		for _, h := range g.homeServer.serviceHomes() {
-			h.mu.Lock()
-			if h.home.Tick(g.now()) {
-				wait = tickInterval
-			}
-			h.sendProbes()
-			h.countLimitedRuns()
-			h.mu.Unlock()
+			h.use(func(home *placement.Home) {
+				if home.Tick(g.now()) {
+					wait = tickInterval
+				}
+				h.sendProbes()
+				h.countLimitedRuns()
+			})
 		}
 		if now := g.now(); now-lastKeepAlive >= keepAliveInterval {
 			lastKeepAlive = now
@@ -342,9 +338,7 @@
 func (s *homeServer) sendKeepAlives() {
 	waiting := map[uint64]bool{}
 	for _, h := range s.serviceHomes() {
-		h.mu.Lock()
-		h.home.AddQueuedStreams(waiting)
-		h.mu.Unlock()
+		h.use(func(home *placement.Home) { home.AddQueuedStreams(waiting) })
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -359,9 +353,7 @@
 func (s *homeServer) queuedByService() map[string]int {
 	counts := map[string]int{}
 	for _, h := range s.serviceHomes() {
-		h.mu.Lock()
-		counts[h.service] = h.home.QueueLength()
-		h.mu.Unlock()
+		h.use(func(home *placement.Home) { counts[h.service] = home.QueueLength() })
 	}
 	return counts
 }
