Tell a new follower that the store has just returned from an outage

What callers saw: after an outage of the store, hosts that began to follow another one then refused requests with 503, because targets whose entries had expired during the outage counted as gone at once; they have 2 s to write them again.

Cause: that the store has returned was sent to followers only at that moment. A host that follows a little later, or catches up with a peer, gets the deletions without it.

Evidence: traces of failing runs show updates with deletions and returned=false on the hosts that refuse. TestFollowerLearnsOfStoreReturn failed each time before.

--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -96,7 +96,9 @@
 	g := p.gateway
 	number, updates := g.followers.add()
 	defer g.followers.remove(number)
-	if err := g.sendUpdate(r, stream, newEncodedUpdate(storeUpdate{Difference: g.roster.Since(r.Revision)})); err != nil {
+	// The follower must not take entries for gone that it finds deleted just after an outage.
+	first := storeUpdate{Difference: g.roster.Since(r.Revision), returned: g.roster.ReturnedLately(g.now())}
+	if err := g.sendUpdate(r, stream, newEncodedUpdate(first)); err != nil {
 		return err
 	}
 	for g.followers.contains(number) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"briarcroft/internal/host"
+	"briarcroft/internal/inner"
 	"briarcroft/platform/standin"
 )
 
@@ -279,6 +281,36 @@
 	})
 }
 
+// TestFollowerLearnsOfStoreReturn guards against dropping entries that expired during an outage of the store too early: a host
+// that begins to follow another one after the outage learns with the deletions that the store has just returned.
+func TestFollowerLearnsOfStoreReturn(t *testing.T) {
+	withFleet(t, 3, 2, func(f *fleet) {
+		client, closeClient := inner.NewClient(inner.ClientConfig{Dial: f.net.Dialer("follower")})
+		defer closeClient()
+		// follow returns the first update that a host sends to a follower with a revision.
+		follow := func(name string, revision int64) *inner.FollowStoreReply {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			stream, err := client.Peer(ctx, f.hosts[name].inner).FollowStore(ctx, &inner.FollowStoreRequest{Revision: revision})
+			f.is.NoErr(err)
+			reply, err := stream.Recv()
+			f.is.NoErr(err)
+			return reply
+		}
+		before := follow("h0", 0).Revision
+		f.store.SetFaults("", storeUnavailable)
+		time.Sleep(3 * time.Second)
+		f.store.Delete("servers/t0")
+		f.store.SetFaults("", storeHealthy)
+		time.Sleep(1500 * time.Millisecond)
+		reply := follow("h1", before)
+		f.is.True(slices.ContainsFunc(reply.Changes, func(c *inner.StoreChange) bool { return c.Key == "servers/t0" && c.Deleted }))
+		f.is.True(reply.Returned)
+		time.Sleep(3 * time.Second)
+		f.is.True(!follow("h1", before).Returned)
+	})
+}
+
 // TestUnreadableEntriesIgnored writes invalid entries of targets and an invalid configuration: the valid ones stay in
 // use.
 func TestUnreadableEntriesIgnored(t *testing.T) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -101,6 +101,14 @@
 	return true
 }
 
+// ReturnedLately reports whether the store has returned from an outage so short a time ago that entries which expired during
+// it stay in use.
+func (r *Roster) ReturnedLately(now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now-r.storeReturnedAt < storeReturnGrace
+}
+
 // Apply applies changes that make the roster complete up to a revision. Changes may come late or twice: for each key the
 // highest revision wins.
 func (r *Roster) Apply(now time.Duration, changes []platform.Change, revision int64) {
