Keep a target in use whose removal after an outage is reported twice

Cause: hosts that read the store at different revisions report the same removal with different revisions. The second report replaced the first, and with it the time for which the entry stays in use.

Why this works: a removal that is known already keeps what the first one decided.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -199,7 +199,12 @@
 // passed.
 func (r *Roster) remove(now time.Duration, old *entryState, c platform.Change) bool {
 	state := &entryState{change: c}
-	if old != nil && !old.change.Deleted && now-r.storeReturnedAt < storeReturnGrace {
+	switch {
+	case old == nil:
+	case old.change.Deleted:
+		// The removal is known already, of an earlier revision.
+		state.decoded, state.usableUntil = old.decoded, old.usableUntil
+	case now-r.storeReturnedAt < storeReturnGrace:
 		state.decoded, state.usableUntil = old.decoded, r.storeReturnedAt+storeReturnGrace
 	}
 	r.entries[c.Key] = state
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -138,6 +138,26 @@
 	is.Equal(r.targets(), 1)
 }
 
+// TestTargetsRemovedTwiceStayInUse reports the same removal after an outage twice, at different revisions, as hosts do that
+// read the store at different times: the target stays in use until storeReturnGrace has passed, and no longer.
+func TestTargetsRemovedTwiceStayInUse(t *testing.T) {
+	is := is.New(t)
+	r := newTestRoster()
+	now := time.Minute
+	r.Apply(now, []platform.Change{put("config", "1", 1), put("t/a", "x", 2)}, 2)
+	is.True(r.StoreReturned(now))
+	r.ApplySnapshot(now, []platform.Entry{{Key: "config", Value: []byte("1"), Revision: 1}}, 6)
+	r.Apply(now+time.Millisecond, []platform.Change{deletion("t/a", 8)}, 8)
+	is.Equal(r.targets(), 1)
+	r.Tick(now + storeReturnGrace - 1)
+	is.Equal(r.targets(), 1)
+	r.Apply(now+storeReturnGrace-1, []platform.Change{deletion("t/a", 9)}, 9)
+	r.Tick(now + storeReturnGrace)
+	is.Equal(r.targets(), 0)
+	r.Apply(now+storeReturnGrace, []platform.Change{deletion("t/a", 10)}, 10)
+	is.Equal(r.targets(), 0)
+}
+
 // TestUndecodableEntry replaces the entry of a target by one that cannot be decoded: the target goes out of use.
 func TestUndecodableEntry(t *testing.T) {
 	is := is.New(t)
