Don't send a request whose caller has left while it waited

Cause: such a request goes on without its caller, since it may have had an effect. That held for the time in the queue too, when nothing has been done for it yet.

The test sends one to a full target and closes the connection: it arrived before, and doesn't now.

Why this works: placement ends with the caller; a run that has begun goes on.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -197,6 +197,8 @@
 // place submits the request to the service's homes, one after the other, until one of them places or refuses it. Both
 // results are nil when the context ended first.
 func (x *exchange) place(ctx context.Context) (*placement.Placed, *placement.Refused) {
+	ctx, cancel := x.placementContext(ctx)
+	defer cancel()
 	for _, p := range x.gateway.homeClient.placers(x.service) {
 		x.placer = p
 		x.homesTried++
@@ -218,6 +220,20 @@
 	return nil, &placement.Refused{Reason: placement.ReasonNoTargets, RetryAfter: refusedRetryAfter}
 }
 
+// placementContext returns the context for the placement of the request. It ends when the caller disconnects, even if a run of
+// the request must go on then.
+func (x *exchange) placementContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if x.repeatable() {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(x.caller.ctx, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 func (x *exchange) placementRequest(p placer) *placement.Request {
 	return &placement.Request{
 		Class: x.rule.Class, Priority: x.rule.Priority, Goal: x.goal, Deadline: x.deadline, Repeatable: x.repeatable(),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -430,6 +430,29 @@
 	})
 }
 
+// TestWaitingRequestOfCallerThatLeftIsNotSent guards against sending a request that must not be repeated to a target after its
+// caller has left: as long as it waits for a slot, nothing has been done for it.
+func TestWaitingRequestOfCallerThatLeftIsNotSent(t *testing.T) {
+	withFleet(t, 2, 1, func(f *fleet) {
+		f.targets["t0"].Update(func(t *standin.Target) { t.RunDuration = 400 * time.Millisecond })
+		var group sync.WaitGroup
+		for i := range 3 {
+			group.Go(func() { f.call("h0", http.MethodPost, "/order/1", fmt.Sprintf("busy-%d", i)) })
+		}
+		time.Sleep(50 * time.Millisecond)
+		conn, err := f.net.Dialer("caller")(context.Background(), "tcp", f.hosts["h1"].listen)
+		f.is.NoErr(err)
+		_, err = fmt.Fprint(conn, "POST /order/1 HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: left\r\nX-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n")
+		f.is.NoErr(err)
+		time.Sleep(50 * time.Millisecond)
+		f.is.NoErr(conn.Close())
+		group.Wait()
+		time.Sleep(time.Second)
+		f.is.Equal(f.arrivalsOf("left"), 0)
+		f.is.Equal(f.call("h1", http.MethodPost, "/order/1", "next").status, http.StatusOK)
+	})
+}
+
 // TestStartWithoutStore starts hosts while the store is unreachable: a host that knows peers gets the configuration from
 // them, and one without peers refuses requests with a Retry-After until the store returns.
 func TestStartWithoutStore(t *testing.T) {
