--- a/internal/placement/crash.go
+++ b/internal/placement/crash.go
@@ -11,6 +11,25 @@
 	return found
 }
 
+// refuseQuarantined refuses the queued requests that were put in quarantine since its last call.
+func (h *Home) refuseQuarantined(now time.Duration) {
+	version := h.config.Quarantine.Version()
+	if version == h.quarantineVersion {
+		return
+	}
+	h.quarantineVersion = version
+	remaining := h.queue[:0]
+	for _, r := range h.queue {
+		if h.quarantined(now, r) {
+			h.refuse(now, r, ReasonQuarantined)
+			continue
+		}
+		remaining = append(remaining, r)
+	}
+	clear(h.queue[len(remaining):])
+	h.queue = remaining
+}
+
 // awaitsOtherRun reports whether a request must wait until another run of the same request has ended: one that may have
 // crashed a target runs on one target at a time.
 func (h *Home) awaitsOtherRun(now time.Duration, r *Request) bool {
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -88,6 +88,8 @@
 	nextProbed int
 	// awaitsProbes is set while a queued request may wait for a probe that was not sent yet.
 	awaitsProbes bool
+	// quarantineVersion is the version of Config.Quarantine for which queued requests were checked.
+	quarantineVersion uint64
 	// running is the number of runs of each request that has any, by its fingerprint.
 	running map[uint64]int
 	// limitShare is this home's share in the rate limits of targets. limitsVersion is the version of Config.RateLimits that
@@ -243,6 +245,7 @@
 // their deadline, or all if no target is available.
 func (h *Home) Dispatch(now time.Duration) {
 	h.applyRateLimits(now)
+	h.refuseQuarantined(now)
 	if len(h.queue) == 0 {
 		return
 	}
@@ -286,10 +289,6 @@
 // placeOrRefuse places or refuses a queued request, unless it is better kept in the queue, and reports whether the
 // request has left the queue. The number of queued requests ahead of it is ahead, of which lateAhead are late.
 func (h *Home) placeOrRefuse(now time.Duration, r *Request, ahead, lateAhead int) bool {
-	if h.quarantined(now, r) {
-		h.refuse(now, r, ReasonQuarantined)
-		return true
-	}
 	t, e := h.pickTarget(now, r, r.Tried)
 	if t != nil && !h.awaitsOtherRun(now, r) && h.shouldPlaceNow(now, r, e.expected) {
 		if h.shouldAwaitProbe(now, r, t) {
@@ -347,7 +346,10 @@
 			continue
 		}
 		factor, nearlyFull := t.slowdown(now, h.averagePace, h.nearlyFullSlowdown)
-		candidate := factor * h.crossDomainFactor(t, r) * (1 + loadPenalty*float64(t.load(now))/float64(t.Slots)) * t.limitCheckFactor(now)
+		candidate := factor * h.crossDomainFactor(t, r) * (1 + loadPenalty*float64(t.load(now))/float64(t.Slots))
+		if h.anyLimited {
+			candidate *= t.limitCheckFactor(now)
+		}
 		if candidate < score {
 			best, chosen, score = t, runEstimate{time.Duration(serviceTime * factor), factor, nearlyFull}, candidate
 		}
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -128,7 +128,7 @@
 
 // mayRunOn reports whether the rate limit of a target allows a run now.
 func (h *Home) mayRunOn(now time.Duration, t *targetState) bool {
-	return t.limiter.allows(now, h.limitShare, h.config.Random.Float64)
+	return !h.anyLimited || t.limiter.allows(now, h.limitShare, h.config.Random.Float64)
 }
 
 // limitWait returns the expected time until the rate limits of targets allow a request to be placed.
@@ -190,6 +190,9 @@
 
 // availableCapacity returns the capacity of all available targets.
 func (h *Home) availableCapacity(now, serviceTime time.Duration) float64 {
+	if !h.anyLimited {
+		return float64(h.availableSlots(now))
+	}
 	sum := 0.0
 	for _, t := range h.targets {
 		if t.available(now) {
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -76,9 +76,10 @@
 // concurrent use.
 type List struct {
 	config Config
-	// size is the number of suspects.
-	size atomic.Int64
-	mu   sync.Mutex
+	// size is the number of suspects. version changes whenever a request is put in quarantine.
+	size    atomic.Int64
+	version atomic.Uint64
+	mu      sync.Mutex
 	// suspects are keyed by the fingerprint of a request.
 	suspects map[uint64]*suspect
 }
@@ -107,6 +108,7 @@
 	}
 	s.times = min(s.times+1, len(durations))
 	s.since, s.until = now, now+s.duration()
+	l.version.Add(1)
 	s.reason = "broke the connections of " + strings.Join(s.targets, " and ")
 	s.targets = nil
 	return true
@@ -172,6 +174,7 @@
 		}
 		if now >= s.until {
 			s.since = now
+			l.version.Add(1)
 		}
 		if until := now + r.Remaining; until > s.until {
 			s.until, s.reason = until, r.Reason
@@ -179,6 +182,9 @@
 	}
 }
 
+// Version returns a number that changes whenever a request is put in quarantine.
+func (l *List) Version() uint64 { return l.version.Load() }
+
 // Lookup returns the quarantined request with the given fingerprint; found is false if there is none.
 func (l *List) Lookup(now time.Duration, fingerprint uint64) (request Request, found bool) {
 	if l.size.Load() == 0 {
