--- a/internal/fakenet/network.go
+++ b/internal/fakenet/network.go
@@ -19,6 +19,9 @@
 	partitioned  map[[2]string]bool // by sending and receiving node
 	conns        map[*pipeConn]bool // ends of connections on which Close was not called yet
 	addressCount int                // number of addresses that were assigned
+	// dialerAddresses are the IP addresses of the nodes that open connections, and dialCount numbers their ports.
+	dialerAddresses map[string]string
+	dialCount       int
 	links        map[string]*link
 }
 
@@ -26,7 +29,7 @@
 
 // New returns a network without nodes.
 func New() *Network {
-	return &Network{listeners: map[string]*pipeListener{}, partitioned: map[[2]string]bool{}, conns: map[*pipeConn]bool{}, links: map[string]*link{}}
+	return &Network{listeners: map[string]*pipeListener{}, partitioned: map[[2]string]bool{}, conns: map[*pipeConn]bool{}, links: map[string]*link{}, dialerAddresses: map[string]string{}}
 }
 
 // pipeListener is a listener of a node; its connections are pairs of pipeConn.
@@ -91,6 +94,7 @@
 	net.Conn
 	network    *Network
 	from, to   string
+	remote     pipeAddress
 	blackholed bool
 }
 
@@ -193,8 +197,20 @@
 	return c.Conn.Close()
 }
 
-// RemoteAddr implements net.Conn; it is the same for all connections.
-func (c *pipeConn) RemoteAddr() net.Addr { return pipeAddress("10.9.9.9:9") }
+// RemoteAddr implements net.Conn. All connections that a node has opened come from the same IP address.
+func (c *pipeConn) RemoteAddr() net.Addr { return c.remote }
+
+// dialerAddress returns the address from which a node opens its next connection; the caller holds n.mu.
+func (n *Network) dialerAddress(node string) pipeAddress {
+	ip := n.dialerAddresses[node]
+	if ip == "" {
+		count := len(n.dialerAddresses) + 1
+		ip = fmt.Sprintf("10.9.%d.%d", count/250, count%250+1)
+		n.dialerAddresses[node] = ip
+	}
+	n.dialCount++
+	return pipeAddress(fmt.Sprintf("%s:%d", ip, 1024+n.dialCount%60000))
+}
 
 // Dialer returns the dial function of a node. Dialing an address without a listener fails at once; dialing a node that
 // is partitioned from this one fails when the context ends.
@@ -212,9 +228,9 @@
 			return nil, ctx.Err()
 		}
 		clientEnd, serverEnd := net.Pipe()
-		client := &pipeConn{Conn: clientEnd, network: n, from: node, to: l.node}
-		server := &pipeConn{Conn: serverEnd, network: n, from: l.node, to: node}
+		client := &pipeConn{Conn: clientEnd, network: n, from: node, to: l.node, remote: l.address}
 		n.mu.Lock()
+		server := &pipeConn{Conn: serverEnd, network: n, from: l.node, to: node, remote: n.dialerAddress(node)}
 		n.conns[client], n.conns[server] = true, true
 		n.mu.Unlock()
 		select {
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,10 @@
 	sendInterval time.Duration
 	// query returns the query of the i-th time; nil means none.
 	query func(i int) string
+	// callers is the number of callers that take turns; zero means one.
+	callers int
+	// soundInterval is the time between other requests if they are not sent together with those that crash targets.
+	soundInterval time.Duration
 	// soundFailed counts the other requests that were not answered with status 200.
 	mu          sync.Mutex
 	soundFailed int
@@ -49,13 +54,19 @@
 // run sends the requests and returns when runs that crashed targets began, in order.
 func (c *crashTest) run() []time.Time {
 	var group sync.WaitGroup
+	if c.soundInterval > 0 {
+		group.Go(func() { c.sendSounds(&group) })
+	}
 	for i := range c.sends {
 		name, path := fmt.Sprintf("h%d", i%len(c.hosts)), crashingPath
 		if c.query != nil {
 			path += "?" + c.query(i)
 		}
-		group.Go(func() { c.call(name, http.MethodGet, path, fmt.Sprintf("crash-%d", i)) })
-		group.Go(func() { c.sendSound(fmt.Sprintf("h%d", (i+1)%len(c.hosts)), i) })
+		caller := fmt.Sprintf("caller-%d", i%max(1, c.callers))
+		group.Go(func() { c.callFrom(caller, name, http.MethodGet, path, fmt.Sprintf("crash-%d", i)) })
+		if c.soundInterval == 0 {
+			group.Go(func() { c.sendSound(fmt.Sprintf("h%d", (i+1)%len(c.hosts)), i) })
+		}
 		time.Sleep(c.sendInterval)
 	}
 	group.Wait()
@@ -67,6 +78,14 @@
 	return crashes
 }
 
+// sendSounds sends other requests, one soundInterval after the other, for as long as those that crash targets are sent.
+func (c *crashTest) sendSounds(group *sync.WaitGroup) {
+	for i := range int(time.Duration(c.sends) * c.sendInterval / c.soundInterval) {
+		group.Go(func() { c.sendSound(fmt.Sprintf("h%d", i%len(c.hosts)), i) })
+		time.Sleep(c.soundInterval)
+	}
+}
+
 func (c *crashTest) sendSound(name string, i int) {
 	if r := c.call(name, http.MethodGet, fmt.Sprintf("/lookup/%d", i), fmt.Sprintf("sound-%d", i)); r.status != http.StatusOK {
 		c.mu.Lock()
@@ -149,6 +168,62 @@
 	})
 }
 
+// TestCrashingRequestOfManyCallersIsStopped guards against taking a request that crashes targets for a new one when another
+// caller sends it. Each caller sends it once.
+func TestCrashingRequestOfManyCallersIsStopped(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		silent time.Duration
+		query  func(i int) string
+	}{
+		{"targets break the connection", 0, nil},
+		{"targets fall silent", 3 * time.Second, nil},
+		{"targets fall silent, queries differ", 3 * time.Second, func(i int) string { return fmt.Sprintf("page=%d", i) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 13, 14, func(f *fleet) {
+				f.crashTargets(c.silent)
+				test := &crashTest{fleet: f, sends: 80, sendInterval: 500 * time.Millisecond, query: c.query, callers: 80, soundInterval: 25 * time.Millisecond}
+				crashes := test.run()
+				t.Logf("%d runs in all, %d late; %d of 1600 other requests failed", len(crashes), lateCrashes(crashes), test.soundFailed)
+				f.is.True(len(crashes) >= crashesBeforeLimit)
+				f.is.True(lateCrashes(crashes) <= maxLateCrashes)
+				// No more than the runs beside the crashing ones, which end with them and may not all be repeated in time.
+				f.is.True(test.soundFailed <= len(crashes)*maxSoundBesideCrash)
+			})
+		})
+	}
+}
+
+// maxSoundBesideCrash is the number of slots of a target besides the one that the crashing request takes.
+const maxSoundBesideCrash = 2
+
+// TestPopularRequestIsServedBesideFailingTargets breaks all connections of 10 of 14 targets for a while. A sound request that
+// many callers send is answered as often as requests that are sent once.
+func TestPopularRequestIsServedBesideFailingTargets(t *testing.T) {
+	const failing, downtime, sends = 10, 6 * time.Second, 240
+	withFleet(t, 13, 14, func(f *fleet) {
+		for i := range failing {
+			f.targets[fmt.Sprintf("t%d", i)].Update(func(t *standin.Target) { t.DropResponses = true })
+		}
+		var popular, single atomic.Int64
+		var group sync.WaitGroup
+		for i := range sends {
+			send := func(path string, answered *atomic.Int64) {
+				if f.callFrom(fmt.Sprintf("caller-%d", i), fmt.Sprintf("h%d", i%13), http.MethodGet, path, fmt.Sprintf("%s-%d", path, i)).status == http.StatusOK {
+					answered.Add(1)
+				}
+			}
+			group.Go(func() { send("/lookup/popular", &popular) })
+			group.Go(func() { send(fmt.Sprintf("/lookup/%d", i), &single) })
+			time.Sleep(downtime / sends)
+		}
+		group.Wait()
+		t.Logf("answered: %d of %d popular requests, %d of %d others", popular.Load(), sends, single.Load(), sends)
+		f.is.True(popular.Load() >= single.Load()-sends/100)
+	})
+}
+
 // TestSoundRequestIsNotQuarantined fails most targets at the same time, again and again, while a request that is not at
 // fault is sent by one caller to all hosts several times at once: it is served again soon after the targets are back, even
 // if it was taken for the cause.
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -193,8 +193,13 @@
 
 // call sends one request on a new connection.
 func (f *fleet) call(host, method, path, id string) reply {
+	return f.callFrom("caller", host, method, path, id)
+}
+
+// callFrom sends one request on a new connection from the address of the given caller.
+func (f *fleet) callFrom(caller, host, method, path, id string) reply {
 	started := time.Now()
-	transport := &http.Transport{DialContext: f.net.Dialer("caller"), DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: f.net.Dialer(caller), DisableKeepAlives: true}
 	defer transport.CloseIdleConnections()
 	r, err := http.NewRequest(method, "http://"+f.hosts[host].listen+path, nil)
 	f.is.NoErr(err)
