Recognize a request that crashes targets whoever sends it

Cause: the quarantine identifies a request by caller, path and body, so each of the many callers that send the same query is a new suspect that crashes three targets of its own.

A request now has shared fingerprints beside its own: path with query and body, and path with body. They are put in quarantine only on evidence that fits what they stand for: at least two different requests, three targets that ended, or broke only their connections while others were answered, one run after the other, without any answer between. Homes hold a broken run until its target is known to have ended.

--- a/internal/fakenet/network.go
+++ b/internal/fakenet/network.go
@@ -22,7 +22,7 @@
 	// dialerAddresses are the IP addresses of the nodes that open connections, and dialCount numbers their ports.
 	dialerAddresses map[string]string
 	dialCount       int
-	links        map[string]*link
+	links           map[string]*link
 }
 
 var errRefused = errors.New("connection refused")
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -56,12 +56,14 @@
 	verdict placement.Verdict
 	// fingerprint recognizes repetitions of the request; see request.fingerprint.
 	fingerprint uint64
+	// sharedFingerprints recognize what the request shares with others; see request.sharedFingerprints.
+	sharedFingerprints []uint64
 	// cancel ends the context of the runs. A response that is still being read from a target needs it until it is sent.
 	cancel context.CancelFunc
 }
 
 func newExchange(c *callerConn, q *request) *exchange {
-	return &exchange{gateway: c.gateway, caller: c, request: q, fingerprint: q.fingerprint(), cancel: func() {}}
+	return &exchange{gateway: c.gateway, caller: c, request: q, fingerprint: q.fingerprint(), sharedFingerprints: q.sharedFingerprints(), cancel: func() {}}
 }
 
 // run handles the request and returns the response for the caller.
@@ -79,7 +81,7 @@
 	}
 	x.ruleFound = true
 	x.applyRule(rule)
-	if q, found := g.quarantine.Lookup(g.now(), x.fingerprint); found {
+	if q, found := g.quarantine.Lookup(g.now(), append([]uint64{x.fingerprint}, x.sharedFingerprints...)...); found {
 		return x.refuse(placement.Refused{Reason: placement.ReasonQuarantined, RetryAfter: q.Remaining})
 	}
 	var ctx context.Context
@@ -237,7 +239,7 @@
 func (x *exchange) placementRequest(p placer) *placement.Request {
 	return &placement.Request{
 		Class: x.rule.Class, Priority: x.rule.Priority, Goal: x.goal, Deadline: x.deadline, Repeatable: x.repeatable(),
-		Tried: x.tried, Fingerprint: x.fingerprint, Domain: x.gateway.settings.Host.Domain,
+		Tried: x.tried, Fingerprint: x.fingerprint, SharedFingerprints: x.sharedFingerprints, Domain: x.gateway.settings.Host.Domain,
 		Probes: x.gateway.homeClient.takeProbes(x.service, p.name()),
 	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -179,14 +179,26 @@
 
 // fingerprint returns a hash of the caller's address, path and body, by which the platform defines repetitions of a request
 // that makes targets crash. A repetition may have another query.
-func (q *request) fingerprint() uint64 {
+func (q *request) fingerprint() uint64 { return hash([]byte(q.callerAddress), []byte(q.path), q.body) }
+
+// sharedFingerprints returns hashes of what the request shares with requests of other callers: the path with the query and the
+// body, and without the query.
+func (q *request) sharedFingerprints() []uint64 {
+	withoutQuery := hash([]byte(q.path), q.body)
+	if !strings.Contains(q.uri, "?") {
+		return []uint64{withoutQuery}
+	}
+	return []uint64{hash([]byte(q.uri), q.body), withoutQuery}
+}
+
+// hash returns a hash of the parts and their order.
+func hash(parts ...[]byte) uint64 {
 	d := xxhash.New()
-	for _, part := range []string{q.callerAddress, q.path} {
+	for _, part := range parts {
 		// A hash never fails to write.
-		_, _ = d.WriteString(part)
+		_, _ = d.Write(part)
 		_, _ = d.Write([]byte{0})
 	}
-	_, _ = d.Write(q.body)
 	return d.Sum64()
 }
 
--- a/internal/inner/verdict.go
+++ b/internal/inner/verdict.go
@@ -61,7 +61,7 @@
 	return &PlaceAsk{
 		Class: r.Class, Priority: uint32(r.Priority), GoalMicroseconds: (r.Goal - now).Microseconds(),
 		DeadlineMicroseconds: (r.Deadline - now).Microseconds(), Repeatable: r.Repeatable, Tried: r.Tried,
-		Fingerprint: r.Fingerprint, Domain: r.Domain, Probes: uint32(r.Probes),
+		Fingerprint: r.Fingerprint, SharedFingerprints: r.SharedFingerprints, Domain: r.Domain, Probes: uint32(r.Probes),
 	}
 }
 
@@ -70,7 +70,7 @@
 	return &placement.Request{
 		ID: id, Class: wire.Class, Priority: int(wire.Priority), Goal: now + microseconds(wire.GoalMicroseconds),
 		Deadline: now + microseconds(wire.DeadlineMicroseconds), Repeatable: wire.Repeatable, Tried: wire.Tried,
-		Fingerprint: wire.Fingerprint, Domain: wire.Domain, Probes: int(wire.Probes),
+		Fingerprint: wire.Fingerprint, SharedFingerprints: wire.SharedFingerprints, Domain: wire.Domain, Probes: int(wire.Probes),
 	}
 }
 
--- a/internal/placement/consistency_test.go
+++ b/internal/placement/consistency_test.go
@@ -20,7 +20,7 @@
 				r := &Request{
 					ID: RequestID{Stream: uint64(rapid.IntRange(0, 1).Draw(t, "stream")), Number: number()}, Class: "c",
 					Goal: f.now + 250*time.Millisecond, Deadline: f.now + time.Second, Repeatable: rapid.Bool().Draw(t, "repeatable"),
-					Fingerprint: uint64(rapid.IntRange(0, 3).Draw(t, "fingerprint")), Probes: ProbesPerRequest,
+					Fingerprint: uint64(rapid.IntRange(0, 3).Draw(t, "fingerprint")), SharedFingerprints: []uint64{uint64(rapid.IntRange(4, 5).Draw(t, "shared fingerprint"))}, Probes: ProbesPerRequest,
 				}
 				if rapid.Bool().Draw(t, "retry") {
 					r.Tried = []string{target()}
@@ -79,7 +79,9 @@
 	byFingerprint := map[uint64]int{}
 	for id, r := range f.home.requests {
 		for _, active := range r.runs {
-			byFingerprint[active.fingerprint]++
+			for _, f := range active.fingerprints {
+				byFingerprint[f]++
+			}
 			if active.request != r {
 				t.Fatalf("a run of request %v refers to another request", id)
 			}
--- a/internal/placement/crash.go
+++ b/internal/placement/crash.go
@@ -3,11 +3,13 @@
 import (
 	"strconv"
 	"time"
+
+	"briarcroft/internal/quarantine"
 )
 
 // quarantined reports whether a request must not be sent to any more targets, because it has crashed several.
 func (h *Home) quarantined(now time.Duration, r *Request) bool {
-	_, found := h.config.Quarantine.Lookup(now, r.Fingerprint)
+	_, found := h.config.Quarantine.Lookup(now, r.fingerprints()...)
 	return found
 }
 
@@ -30,19 +32,33 @@
 	h.queue = remaining
 }
 
-// awaitsOtherRun reports whether a request must wait until another run of the same request has ended: one that may have
-// crashed a target runs on one target at a time.
+// awaitsOtherRun reports whether a request must wait until another run of the same request, or of one with which it shares
+// what may have crashed targets, has ended: such requests run on one target at a time.
 func (h *Home) awaitsOtherRun(now time.Duration, r *Request) bool {
-	return h.running[r.Fingerprint] > 0 && h.config.Quarantine.Suspected(now, r.Fingerprint)
+	for _, f := range h.config.Quarantine.Suspects(now, r.fingerprints()...) {
+		if h.running[f] > 0 {
+			return true
+		}
+	}
+	return false
 }
 
-// maxUnanswered limits the number of unanswered runs that are kept for a target.
+// maxUnanswered limits the number of unanswered runs, and of broken ones, that are kept for a target.
 const maxUnanswered = 16
 
+// breakGap is the time within which a target that ends breaks all its connections.
+const breakGap = 50 * time.Millisecond
+
+// brokenRun is a run during which the connection broke.
+type brokenRun struct {
+	*run
+	endedAt time.Duration
+}
+
 // recordResponse records that the target responds, so that it has not crashed.
 func (t *targetState) recordResponse(now time.Duration) {
 	t.respondedAt = now
-	t.unanswered = nil
+	t.unanswered, t.broken = nil, nil
 }
 
 // recordDown marks a target as down because it does not respond, and the runs that it has left unanswered as the possible
@@ -52,12 +68,19 @@
 	h.recordLost(now, t)
 }
 
-// recordLost records that a target has ended or does not respond any more.
+// recordLost records that a target has ended or does not respond any more. Of the connections that broke before, those that
+// broke together with the last one broke as the target ended.
 func (h *Home) recordLost(now time.Duration, t *targetState) {
-	for _, ended := range t.unanswered {
+	unanswered, broken := t.unanswered, t.broken
+	t.unanswered, t.broken = nil, nil
+	for _, b := range broken {
+		if b.endedAt >= broken[len(broken)-1].endedAt-breakGap {
+			h.recordEnd(now, b)
+		}
+	}
+	for _, ended := range unanswered {
 		h.recordCrash(now, ended)
 	}
-	t.unanswered = nil
 }
 
 // recordUnanswered records that a run has ended without a response. If its target does not respond to probes either, it may
@@ -73,15 +96,50 @@
 	}
 }
 
-// recordCrash records that the target of a run may have crashed because of it.
-func (h *Home) recordCrash(now time.Duration, ended *run) {
-	fingerprint, t := ended.fingerprint, ended.target
-	if fingerprint == 0 {
+// recordBroken records that the connection of a run broke.
+func (h *Home) recordBroken(now time.Duration, ended *run) {
+	b, t := brokenRun{ended, now}, ended.target
+	h.recordBreak(now, b)
+	if t.probe.down {
+		h.recordEnd(now, b)
 		return
 	}
-	// A target that has crashed may return under its old name.
-	incarnation := t.Name + " " + strconv.FormatInt(t.Incarnation, 10)
-	if h.config.Quarantine.RecordBreak(now, ended.startedAt, fingerprint, incarnation) && h.config.OnQuarantine != nil {
-		h.config.OnQuarantine(fingerprint, t.Name)
+	t.broken = append(t.broken[max(0, len(t.broken)+1-maxUnanswered):], b)
+}
+
+// recordCrash records that a run has ended without a response because its target has crashed.
+func (h *Home) recordCrash(now time.Duration, ended *run) {
+	b := brokenRun{ended, now}
+	h.recordBreak(now, b)
+	h.recordEnd(now, b)
+}
+
+// recordBreak records that the target of a run may have crashed because of its request.
+func (h *Home) recordBreak(now time.Duration, b brokenRun) {
+	if b.fingerprints[0] != 0 {
+		h.reportQuarantine(b.target)(h.config.Quarantine.RecordBreak(now, b.evidence()))
+	}
+}
+
+// recordEnd records that the target of a run that recordBreak was told of has ended.
+func (h *Home) recordEnd(now time.Duration, b brokenRun) {
+	if b.fingerprints[0] != 0 {
+		h.reportQuarantine(b.target)(h.config.Quarantine.RecordEnd(now, b.evidence()))
+	}
+}
+
+// reportQuarantine returns a function that calls OnQuarantine if the given target's crash has put a request in quarantine.
+func (h *Home) reportQuarantine(t *targetState) func(fingerprint uint64, quarantined bool) {
+	return func(fingerprint uint64, quarantined bool) {
+		if quarantined && h.config.OnQuarantine != nil {
+			h.config.OnQuarantine(fingerprint, t.Name)
+		}
 	}
 }
+
+// evidence returns what the quarantine learns of the run.
+func (b brokenRun) evidence() quarantine.Break {
+	// A target that has crashed may return under its old name.
+	incarnation := b.target.Name + " " + strconv.FormatInt(b.target.Incarnation, 10)
+	return quarantine.Break{Target: incarnation, Started: b.startedAt, Ended: b.endedAt, Fingerprints: b.fingerprints}
+}
--- a/internal/placement/crash_test.go
+++ b/internal/placement/crash_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"briarcroft/internal/quarantine"
+
 	"github.com/matryer/is"
 )
 
@@ -17,7 +19,7 @@
 	waiting := f.submit(func(r *Request) { r.Fingerprint = 7 })
 	is.Equal(f.lastVerdict(waiting), Queued{})
 	for _, target := range []string{"a", "b", "c"} {
-		f.home.config.Quarantine.RecordBreak(f.now, f.now, 7, target)
+		f.home.config.Quarantine.RecordBreak(f.now, quarantine.Break{Target: target, Started: f.now, Ended: f.now, Fingerprints: []uint64{7}})
 	}
 	f.home.Tick(f.now)
 	refused, isRefused := f.lastVerdict(waiting).(Refused)
--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -64,7 +64,7 @@
 	case OutcomeAnswered:
 		r.answered = true
 		t.recordSuccess(now)
-		h.config.Quarantine.RecordSuccess(now, r.Fingerprint)
+		h.config.Quarantine.RecordSuccess(now, ended.fingerprints...)
 		h.recordDuration(r, ended, end.Duration)
 		h.responseBytes[r.Class] += (float64(end.Bytes) - h.responseBytes[r.Class]) * responseBytesGain
 	case OutcomeFailed:
@@ -74,7 +74,7 @@
 		h.recordUnanswered(now, ended)
 	case OutcomeConnectionBroke:
 		t.recordFailure(now, h.mayEject(now))
-		h.recordCrash(now, ended)
+		h.recordBroken(now, ended)
 	case OutcomeNotRun:
 		// Count the target as full: it has more requests than this home knows of.
 		t.reportedLoad, t.loadAt = max(t.Slots, t.reportedLoad), now
--- a/internal/placement/hedge.go
+++ b/internal/placement/hedge.go
@@ -40,7 +40,7 @@
 	if ageRatio < lastChanceAgeRatio {
 		return
 	}
-	if h.config.Quarantine.Suspected(now, r.Fingerprint) {
+	if h.config.Quarantine.Suspected(now, r.fingerprints()...) {
 		return
 	}
 	// A target in need gets no hedges.
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -90,7 +90,7 @@
 	awaitsProbes bool
 	// quarantineVersion is the version of Config.Quarantine for which queued requests were checked.
 	quarantineVersion uint64
-	// running is the number of runs of each request that has any, by its fingerprint.
+	// running is the number of runs of each request that has any, by each of its fingerprints.
 	running map[uint64]int
 	// limitShare is this home's share in the rate limits of targets. limitsVersion is the version of Config.RateLimits that
 	// the targets' limiters hold, and anyLimited is set if there is a limit.
@@ -409,13 +409,15 @@
 }
 
 func (h *Home) startRun(now time.Duration, r *Request, t *targetState, e runEstimate) {
-	started := &run{request: r, target: t, startedAt: now, fingerprint: r.Fingerprint, expected: e.expected, slowdown: e.slowdown, nearlyFull: e.nearlyFull}
+	started := &run{request: r, target: t, startedAt: now, fingerprints: r.fingerprints(), expected: e.expected, slowdown: e.slowdown, nearlyFull: e.nearlyFull}
 	if t.doubtful(now) {
 		t.probe.startTrial(now)
 	}
 	t.runs = append(t.runs, started)
 	r.runs = append(r.runs, started)
-	h.running[started.fingerprint]++
+	for _, f := range started.fingerprints {
+		h.running[f]++
+	}
 	if t.limiter.limited() {
 		t.limiter.credit--
 		t.limiter.usedAt = now
@@ -427,8 +429,10 @@
 func (h *Home) removeRun(ended *run) {
 	ended.target.removeRun(ended)
 	ended.request.removeRun(ended)
-	if h.running[ended.fingerprint]--; h.running[ended.fingerprint] == 0 {
-		delete(h.running, ended.fingerprint)
+	for _, f := range ended.fingerprints {
+		if h.running[f]--; h.running[f] == 0 {
+			delete(h.running, f)
+		}
 	}
 }
 
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -41,6 +41,9 @@
 	// Fingerprint is a hash of the caller, path and body, by which a request that crashes targets is recognized when it is
 	// sent again; 0 means that there is none.
 	Fingerprint uint64
+	// SharedFingerprints are hashes of what the request shares with others, from few others to many: see
+	// quarantine.List.RecordBreak.
+	SharedFingerprints []uint64
 	// Domain is the failure domain of the host that will send the request.
 	Domain string
 	// Probes is the number of health probes that the home may send in exchange for the request; see ProbeAllowance.
@@ -143,8 +146,8 @@
 	request   *Request
 	target    *targetState
 	startedAt time.Duration
-	// fingerprint is that of the request when the run started.
-	fingerprint uint64
+	// fingerprints are those of the request when the run started, its own first.
+	fingerprints []uint64
 	// expected is the expected duration at the start.
 	expected time.Duration
 	// slowdown is the expected duration relative to the service time of the request's class.
@@ -153,6 +156,11 @@
 	nearlyFull bool
 }
 
+// fingerprints returns the request's own fingerprint and the shared ones.
+func (r *Request) fingerprints() []uint64 {
+	return append([]uint64{r.Fingerprint}, r.SharedFingerprints...)
+}
+
 func (r *Request) removeRun(ended *run) {
 	r.runs = slices.DeleteFunc(r.runs, func(other *run) bool { return other == ended })
 }
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -76,7 +76,9 @@
 	// respondedAt is when the target last responded to anything, probes included.
 	respondedAt time.Duration
 	// unanswered holds runs that ended without a response while the target was not known to be down.
-	unanswered   []*run
+	unanswered []*run
+	// broken holds the last runs whose connection broke since the target responded.
+	broken       []brokenRun
 	ejectedUntil time.Duration
 	// ejections counts the ejections since the last success.
 	ejections int
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -19,6 +19,18 @@
 	// maxSuspects is the maximum number of requests in a list, and maxShared of those that All returns.
 	maxSuspects = 4096
 	maxShared   = 64
+	// minVariants is the number of different requests that must have crashed targets before what they share is put in
+	// quarantine.
+	minVariants = 2
+	// minEndResponses and minBreakResponses are the numbers of responses to others that show that targets serve them
+	// meanwhile: if targets have ended, and if they have only broken connections. In the latter case at most maxOtherBreaks
+	// connections may have broken for each response to others.
+	minEndResponses   = 3
+	minBreakResponses = 20
+	maxOtherBreaks    = 0.1
+	// targetsToRunAlone is the number of targets that requests with something in common must crash before only one of them
+	// runs at a time.
+	targetsToRunAlone = 2
 )
 
 // durations lists how long a request stays in quarantine for the first time, the second time and so on; the last one
@@ -36,20 +48,31 @@
 	Targets int
 }
 
-// Request is a request, identified by its fingerprint, that is in quarantine.
+// Request is a request, or all requests with something in common, that is in quarantine.
 type Request struct {
-	// Fingerprint is a hash of the request, equal for every resend of it.
+	// Fingerprint is a hash of the request, equal for every resend of it, or of what several requests share.
 	Fingerprint uint64
 	// Remaining is the time until the quarantine ends.
 	Remaining time.Duration
 	Reason    string
 }
 
-// suspect is a request that has broken the connection of at least one target, or that a peer has put in quarantine.
+// suspect is a request, or all requests with something in common, that has broken the connection of at least one target, or
+// that a peer has put in quarantine.
 type suspect struct {
 	// targets are those that broke their connection since the last response to the request.
 	targets   []string
 	lastBreak time.Duration
+	// ended are those of the targets that have ended then, and lastEnd is when the last of their connections broke. They are
+	// not kept for a request's own fingerprint.
+	ended   []string
+	lastEnd time.Duration
+	// variants are fingerprints of the different requests that broke the connections, up to minVariants. They are the next
+	// narrower ones, so a request's own fingerprint has none.
+	variants []uint64
+	// breaks is the number of connections that broke since the last response or quarantine. listBreaks and listResponses are
+	// those of the list before.
+	breaks, listBreaks, listResponses int64
 	// until is when the last quarantine of the request ends, and times how often it was put in quarantine, up to the number
 	// of durations; both are zero if it never was.
 	until time.Duration
@@ -79,38 +102,120 @@
 	// size is the number of suspects. version changes whenever a request is put in quarantine.
 	size    atomic.Int64
 	version atomic.Uint64
-	mu      sync.Mutex
+	// responses is the number of responses to all requests, and breaks that of broken connections.
+	responses atomic.Int64
+	mu        sync.Mutex
+	breaks    int64
 	// suspects are keyed by the fingerprint of a request.
 	suspects map[uint64]*suspect
 }
 
 // New returns an empty list.
-func New(c Config) *List { return &List{config: c, suspects: map[uint64]*suspect{}} }
+func New(c Config) *List {
+	return &List{config: c, suspects: map[uint64]*suspect{}}
+}
+
+// Break is the end of a run during which a target broke its connection.
+type Break struct {
+	Target string
+	// Started and Ended are when the run began and when its connection broke.
+	Started, Ended time.Duration
+	// Fingerprints are the request's own fingerprint and those of what it shares with others, from few others to many.
+	Fingerprints []uint64
+}
 
-// RecordBreak records that a target broke its connection during an attempt that started at the given time, and reports
-// whether this break is the one for which the request is put in quarantine. An attempt that started before the request's
-// last recorded break does not count: targets that fail at the same time break the connections of many requests that are
-// not at fault.
-func (l *List) RecordBreak(now, started time.Duration, fingerprint uint64, target string) bool {
+// RecordBreak records a broken connection and returns the fingerprint by which the request is put in quarantine because of it.
+// Requests that share something are put in quarantine together only if several of them have broken connections, and if targets
+// answer others meanwhile.
+//
+// A run that started before the last recorded break does not count: targets that fail at the same time break the connections
+// of many requests that are not at fault.
+func (l *List) RecordBreak(now time.Duration, b Break) (fingerprint uint64, quarantined bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sweep(now)
-	s := l.suspect(fingerprint)
-	if started < s.lastBreak {
+	l.breaks++
+	var variant uint64
+	for i, f := range b.Fingerprints {
+		s := l.suspect(f)
+		counts := l.addBreak(s, b, variant)
+		variant = f
+		if counts && !quarantined && s.crashed(s.targets, l.config.Targets) && (i == 0 || l.othersServed(s)) && l.convict(now, s) {
+			fingerprint, quarantined = f, true
+		}
+	}
+	return fingerprint, quarantined
+}
+
+// RecordEnd records that a target has ended during a run that RecordBreak was told of, which is stronger evidence against what
+// the request shares with others than a broken connection. It returns the fingerprint by which these are put in quarantine.
+func (l *List) RecordEnd(now time.Duration, b Break) (fingerprint uint64, quarantined bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, f := range b.Fingerprints[1:] {
+		s := l.suspects[f]
+		if s == nil || b.Started < s.lastEnd {
+			continue
+		}
+		s.lastEnd = b.Ended
+		if !slices.Contains(s.ended, b.Target) {
+			s.ended = append(s.ended, b.Target)
+		}
+		if !quarantined && s.crashed(s.ended, l.config.Targets) && l.responsesSince(s) >= minEndResponses && l.convict(now, s) {
+			fingerprint, quarantined = f, true
+		}
+	}
+	return fingerprint, quarantined
+}
+
+// addBreak adds a broken connection to the evidence against a suspect and reports whether it counts. The variant is the next
+// narrower fingerprint of the request; 0 means none.
+func (l *List) addBreak(s *suspect, b Break, variant uint64) bool {
+	if len(s.targets) == 0 && s.times == 0 {
+		s.breaks, s.listBreaks, s.listResponses = 0, l.breaks-1, l.responses.Load()
+	}
+	s.breaks++
+	if b.Started < s.lastBreak {
 		return false
 	}
-	s.lastBreak = now
-	if !slices.Contains(s.targets, target) {
-		s.targets = append(s.targets, target)
+	s.lastBreak = b.Ended
+	if !slices.Contains(s.targets, b.Target) {
+		s.targets = append(s.targets, b.Target)
 	}
-	if now < s.until || s.times == 0 && len(s.targets) < l.config.Targets {
+	if variant != 0 && len(s.variants) < minVariants && !slices.Contains(s.variants, variant) {
+		s.variants = append(s.variants, variant)
+	}
+	return true
+}
+
+// crashed reports whether the targets that a suspect has crashed are enough for a quarantine: any after the first one.
+func (s *suspect) crashed(targets []string, needed int) bool {
+	return s.times > 0 || len(targets) >= needed
+}
+
+// responsesSince returns the number of responses since the first break of a suspect, or since its last quarantine began. None
+// of them was to the suspect.
+func (l *List) responsesSince(s *suspect) int64 { return l.responses.Load() - s.listResponses }
+
+// othersServed reports whether targets have answered others, and have hardly broken their connections, in the time of
+// responsesSince.
+func (l *List) othersServed(s *suspect) bool {
+	responses, otherBreaks := l.responsesSince(s), l.breaks-s.listBreaks-s.breaks
+	return responses >= minBreakResponses && float64(otherBreaks) <= maxOtherBreaks*float64(responses)
+}
+
+// convict puts a suspect in quarantine and reports whether it was not there. A suspect that stands for what requests share
+// must have several variants.
+func (l *List) convict(now time.Duration, s *suspect) bool {
+	if now < s.until || len(s.variants) == 1 && s.times == 0 {
 		return false
 	}
 	s.times = min(s.times+1, len(durations))
 	s.since, s.until = now, now+s.duration()
 	l.version.Add(1)
 	s.reason = "broke the connections of " + strings.Join(s.targets, " and ")
-	s.targets = nil
+	s.targets, s.ended, s.variants = nil, nil, nil
+	s.breaks, s.listBreaks, s.listResponses = 0, l.breaks, l.responses.Load()
 	return true
 }
 
@@ -146,16 +251,19 @@
 	l.size.Store(int64(len(l.suspects)))
 }
 
-// RecordSuccess records that a target sent a response to a request, which is therefore no longer a suspect. A quarantine
-// goes on until its end.
-func (l *List) RecordSuccess(now time.Duration, fingerprint uint64) {
+// RecordSuccess records that a target sent a response to a request, which is therefore no longer a suspect, and nor is what
+// it shares with others. A quarantine goes on until its end.
+func (l *List) RecordSuccess(now time.Duration, fingerprints ...uint64) {
+	l.responses.Add(1)
 	if l.size.Load() == 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s := l.suspects[fingerprint]; s != nil && now >= s.until {
-		l.remove(fingerprint)
+	for _, f := range fingerprints {
+		if s := l.suspects[f]; s != nil && now >= s.until {
+			l.remove(f)
+		}
 	}
 }
 
@@ -185,30 +293,46 @@
 // Version returns a number that changes whenever a request is put in quarantine.
 func (l *List) Version() uint64 { return l.version.Load() }
 
-// Lookup returns the quarantined request with the given fingerprint; found is false if there is none.
-func (l *List) Lookup(now time.Duration, fingerprint uint64) (request Request, found bool) {
+// Lookup returns which of a request's fingerprints is in quarantine for the longest time; found is false if none is.
+func (l *List) Lookup(now time.Duration, fingerprints ...uint64) (request Request, found bool) {
 	if l.size.Load() == 0 {
 		return Request{}, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.suspects[fingerprint]
-	if s == nil || now >= s.until {
-		return Request{}, false
+	for _, f := range fingerprints {
+		if s := l.suspects[f]; s != nil && s.until-now > request.Remaining {
+			request, found = Request{f, s.until - now, s.reason}, true
+		}
 	}
-	return Request{fingerprint, s.until - now, s.reason}, true
+	return request, found
 }
 
-// Suspected reports whether a request has broken the connection of a target, or was in quarantine, and was not answered
-// since.
-func (l *List) Suspected(now time.Duration, fingerprint uint64) bool {
+// Suspects returns those of a request's fingerprints by which it must not run beside others: each has broken the connection
+// of a target, or was in quarantine, and was not answered since. What several requests share must have crashed
+// targetsToRunAlone targets, which have ended or serve others.
+func (l *List) Suspects(now time.Duration, fingerprints ...uint64) []uint64 {
 	if l.size.Load() == 0 {
-		return false
+		return nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.suspects[fingerprint]
-	return s != nil && now < s.expires()
+	var suspects []uint64
+	for i, f := range fingerprints {
+		s := l.suspects[f]
+		if s == nil || now >= s.expires() {
+			continue
+		}
+		if i == 0 || s.times > 0 || len(s.ended) >= targetsToRunAlone || len(s.targets) >= targetsToRunAlone && l.othersServed(s) {
+			suspects = append(suspects, f)
+		}
+	}
+	return suspects
+}
+
+// Suspected reports whether a request must not run beside others; see Suspects.
+func (l *List) Suspected(now time.Duration, fingerprints ...uint64) bool {
+	return len(l.Suspects(now, fingerprints...)) > 0
 }
 
 // All returns the requests in quarantine, with the time that remains for each. Of more than maxShared it returns those that
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -16,7 +16,8 @@
 
 // crash records a run of a request that broke the connection of a target.
 func crash(l *List, started, ended time.Duration, target string) bool {
-	return l.RecordBreak(ended, started, 7, target)
+	_, quarantined := l.RecordBreak(ended, Break{Target: target, Started: started, Ended: ended, Fingerprints: []uint64{7}})
+	return quarantined
 }
 
 // TestBreaks lists runs of one request that broke a connection and checks after which of them it is in quarantine.
@@ -137,7 +138,8 @@
 	l := New(Config{Targets: 1})
 	for i := range 2 * maxSuspects {
 		at := time.Duration(i)
-		is.True(l.RecordBreak(at, at, uint64(i), "a"))
+		_, quarantined := l.RecordBreak(at, Break{Target: "a", Started: at, Ended: at, Fingerprints: []uint64{uint64(i)}})
+		is.True(quarantined)
 	}
 	now := time.Duration(2 * maxSuspects)
 	is.Equal(len(l.suspects), maxSuspects)
@@ -168,7 +170,7 @@
 			}
 			if _, found := l.Lookup(now, 7); !found {
 				runs++
-				l.RecordBreak(now, now, 7, fmt.Sprint(runs))
+				crash(l, now, now, fmt.Sprint(runs))
 			}
 		}
 		if runs > (3+1)*len(lists) {
@@ -187,3 +189,96 @@
 		}
 	})
 }
+
+// TestSharedBreaks lists runs of requests with the same path, 7, that broke a connection, with what happened to others, and
+// checks whether all requests with that path are in quarantine afterwards.
+func TestSharedBreaks(t *testing.T) {
+	type run struct {
+		fingerprint uint64
+		target      string
+		// ended is set if the target has ended, answered is the number of responses to others before the run, and otherBreaks
+		// that of their connections that broke.
+		ended                 bool
+		answered, otherBreaks int
+		// success is set if the run was answered instead.
+		success bool
+	}
+	ends := func(fingerprint uint64, target string) run {
+		return run{fingerprint: fingerprint, target: target, ended: true, answered: 2}
+	}
+	breaks := func(fingerprint uint64, target string) run {
+		return run{fingerprint: fingerprint, target: target, answered: 20, otherBreaks: 1}
+	}
+	for _, c := range []struct {
+		name        string
+		runs        []run
+		quarantined bool
+	}{
+		{"three targets end under three callers", []run{ends(1, "a"), ends(2, "b"), ends(3, "c")}, true},
+		{"under two callers", []run{ends(1, "a"), ends(2, "b"), ends(1, "c")}, true},
+		{"under one caller", []run{ends(1, "a"), ends(1, "b"), ends(1, "c"), ends(1, "d")}, false},
+		{"two targets end", []run{ends(1, "a"), ends(2, "b"), ends(3, "b")}, false},
+		{"an answer between", []run{ends(1, "a"), ends(2, "b"), {fingerprint: 4, success: true}, ends(3, "c")}, false},
+		{"others are not answered", []run{{fingerprint: 1, target: "a", ended: true}, {fingerprint: 2, target: "b", ended: true}, {fingerprint: 3, target: "c", ended: true}}, false},
+		{"three targets break connections", []run{breaks(1, "a"), breaks(2, "b"), breaks(3, "c")}, true},
+		{"of one caller", []run{breaks(1, "a"), breaks(1, "b"), breaks(1, "c")}, false},
+		{"those of others too", []run{breaks(1, "a"), {fingerprint: 2, target: "b", answered: 20, otherBreaks: 9}, breaks(3, "c")}, false},
+		{"too few others are answered", []run{breaks(1, "a"), {fingerprint: 2, target: "b", answered: 9}, {fingerprint: 3, target: "c", answered: 9}}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := New(Config{Targets: 3})
+			var now time.Duration
+			other := uint64(100)
+			for _, r := range c.runs {
+				for range r.answered {
+					l.RecordSuccess(now, 99)
+				}
+				for range r.otherBreaks {
+					l.RecordBreak(now, Break{Target: "x", Started: now, Ended: now, Fingerprints: []uint64{other, other + 1}})
+					other += 2
+				}
+				started := now
+				now += time.Second
+				b := Break{Target: r.target, Started: started, Ended: now, Fingerprints: []uint64{r.fingerprint, 7}}
+				if r.success {
+					l.RecordSuccess(now, b.Fingerprints...)
+					continue
+				}
+				l.RecordBreak(now, b)
+				if r.ended {
+					l.RecordEnd(now, b)
+				}
+			}
+			_, found := l.Lookup(now, 50, 7) // of a caller that has not sent it before
+			is.Equal(found, c.quarantined)
+		})
+	}
+}
+
+// TestSharedQuarantineReturnsAtFirstBreak checks that what requests share is tried once when its quarantine has ended, and is
+// answered again if that try succeeds.
+func TestSharedQuarantineReturnsAtFirstBreak(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{Targets: 3})
+	tries := 0
+	try := func(at time.Duration) {
+		tries++
+		b := Break{Target: fmt.Sprint(tries), Started: at, Ended: at + 1, Fingerprints: []uint64{uint64(100 + tries), 7}}
+		l.RecordBreak(at+1, b)
+		l.RecordEnd(at+1, b)
+	}
+	at := time.Duration(0)
+	for ; at < time.Minute; at += time.Second {
+		l.RecordSuccess(at, 99)
+		l.RecordSuccess(at, 99)
+		if _, found := l.Lookup(at, 50, 7); !found {
+			try(at)
+		}
+	}
+	is.Equal(tries, 3+1) // after 10 s
+	at += durations[1]
+	is.True(l.Suspected(at, 50, 7)) // one at a time
+	l.RecordSuccess(at, 51, 7)
+	is.True(!l.Suspected(at, 50, 7))
+}
--- a/internal/steering/attempt.go
+++ b/internal/steering/attempt.go
@@ -12,6 +12,7 @@
 	"briarcroft/internal/admission"
 	"briarcroft/internal/backend"
 	"briarcroft/internal/claim"
+	"briarcroft/internal/quarantine"
 	"briarcroft/internal/record"
 	"briarcroft/internal/route"
 
@@ -138,7 +139,11 @@
 // classifyBreak decides whether a broken connection counts against the target or against the request. A request that
 // has broken the connections of two targets is put in quarantine, and the break does not count against the target.
 func (s *Service) classifyBreak(now, started time.Duration, r *Request, target string) route.Outcome {
-	if r.Fingerprint == 0 || !s.dispatcher.config.Quarantine.RecordBreak(now, started, r.Fingerprint, target) {
+	broken := quarantine.Break{Target: target, Started: started, Ended: now, Fingerprints: []uint64{r.Fingerprint}}
+	if r.Fingerprint == 0 {
+		return route.Failed
+	}
+	if _, quarantined := s.dispatcher.config.Quarantine.RecordBreak(now, broken); !quarantined {
 		return route.Failed
 	}
 	s.dispatcher.config.Records.Add(record.Record{
