A trial after a quarantine is not repeated before its target's fate is known

While targets break other connections, a broken one is too weak to renew the quarantine, so the next requests with the same path ran until a probe showed that the first one's target had ended.

The test fails without the change (Placed instead of Queued).

--- a/internal/placement/crash.go
+++ b/internal/placement/crash.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -33,22 +34,40 @@
 }
 
 // awaitsOtherRun reports whether a request must wait until another run of the same request, or of one with which it shares
-// what may have crashed targets, has ended: such requests run on one target at a time.
+// what may have crashed targets, has ended: such requests run on one target at a time. If the connection of a run of another
+// request broke, its target must have responded since or be known as down.
 func (h *Home) awaitsOtherRun(now time.Duration, r *Request) bool {
 	for _, f := range h.config.Quarantine.Suspects(now, r.fingerprints()...) {
-		if h.running[f] > 0 {
+		if h.running[f] > 0 || f != r.Fingerprint && h.awaitsProbeAfterBreak(now, f) {
 			return true
 		}
 	}
 	return false
 }
 
+// awaitsProbeAfterBreak reports whether a run with the given fingerprint broke a connection a short time ago and its target has
+// not responded since. It requests a probe of the target.
+func (h *Home) awaitsProbeAfterBreak(now time.Duration, fingerprint uint64) bool {
+	awaits := false
+	for _, t := range h.targets {
+		for _, b := range t.broken {
+			if now-b.endedAt < maxFateWait && slices.Contains(b.fingerprints, fingerprint) {
+				t.probe.awaited, h.awaitsProbes, awaits = true, true, true
+			}
+		}
+	}
+	return awaits
+}
+
 // maxUnanswered limits the number of unanswered runs, and of broken ones, that are kept for a target.
 const maxUnanswered = 16
 
 // breakGap is the time within which a target that ends breaks all its connections.
 const breakGap = 50 * time.Millisecond
 
+// maxFateWait is how long a request that may have crashed a target waits for a probe that shows whether it has.
+const maxFateWait = 2 * probeTimeout
+
 // brokenRun is a run during which the connection broke.
 type brokenRun struct {
 	*run
--- a/internal/placement/crash_test.go
+++ b/internal/placement/crash_test.go
@@ -140,3 +140,45 @@
 	f.home.RunEnded(f.now, RunEnd{ID: RequestID{Number: number}, Target: first, Outcome: OutcomeCanceled})
 	is.True(!f.home.config.Quarantine.Suspected(f.now, 7))
 }
+
+// TestTrialAfterQuarantineIsNotRepeatedBeforeItsEndIsKnown replays the end of a shared quarantine while targets break other
+// connections too, which makes a broken connection weak evidence: the next request with the same path waits until a probe has
+// shown whether the target of the first one has ended, and is then refused.
+func TestTrialAfterQuarantineIsNotRepeatedBeforeItsEndIsKnown(t *testing.T) {
+	const path = 9
+	is := is.New(t)
+	f := newTestHome(4, ampleBudget)
+	list := f.home.config.Quarantine
+	list.Merge(f.now, []quarantine.Request{{Fingerprint: path, Remaining: time.Second}})
+	for i := range 4 {
+		// Targets answer some requests and break the connections of others.
+		list.RecordSuccess(f.now, 50)
+		list.RecordBreak(f.now, quarantine.Break{Target: "other", Started: f.now, Ended: f.now, Fingerprints: []uint64{uint64(60 + i)}})
+	}
+	f.now += 2 * time.Second
+	f.reportPace(1)
+	caller := uint64(0)
+	submit := func() uint64 {
+		caller++
+		return f.submit(func(r *Request) {
+			r.Fingerprint, r.SharedFingerprints, r.Repeatable = caller, []uint64{path}, true
+		})
+	}
+	trial := submit()
+	target := f.placedOn(trial)
+	is.True(target != "")
+	f.now += 50 * time.Millisecond
+	f.endRun(trial, OutcomeConnectionBroke)
+	for _, t := range f.home.targets {
+		if t.Name != target {
+			f.home.RecordProbe(f.now, t.Name, ProbeHealthy, &LoadReport{Pace: 1})
+		}
+	}
+	waiting := submit()
+	f.now += 5 * time.Millisecond
+	f.home.Tick(f.now)
+	is.Equal(f.lastVerdict(waiting), Queued{})
+	f.home.RecordProbe(f.now, target, ProbeNoResponse, nil)
+	f.home.Tick(f.now)
+	is.Equal(f.lastVerdict(waiting).(Refused).Reason, ReasonQuarantined)
+}
