Only the primary home tries a request whose quarantine has ended

A fallback home now keeps requests in quarantine for three seconds longer, in which all hosts learn of the primary home's try.

--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -237,6 +237,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.primary = primary
+	h.home.SetPrimary(primary)
 	h.home.SetRetrySlack(s.retrySlack(primary, len(ranked)))
 	h.home.SetLimitShare(s.limitShare(primary, len(ranked)))
 	h.home.Submit(s.gateway.now(), r)
--- a/internal/placement/crash.go
+++ b/internal/placement/crash.go
@@ -8,10 +8,19 @@
 	"briarcroft/internal/quarantine"
 )
 
-// quarantined reports whether a request must not be sent to any more targets, because it has crashed several.
-func (h *Home) quarantined(now time.Duration, r *Request) bool {
-	_, found := h.config.Quarantine.Lookup(now, r.fingerprints()...)
-	return found
+// fallbackTrialDelay is how much longer a fallback home keeps requests in quarantine. Meanwhile the primary home tries one of
+// them, and all hosts learn whether that has crashed a target.
+const fallbackTrialDelay = 3 * time.Second
+
+// SetPrimary sets whether this home is the service's primary home, which it is at first.
+func (h *Home) SetPrimary(primary bool) { h.fallback = !primary }
+
+// quarantined returns the quarantine of a request that must not be sent to any more targets, because it has crashed several.
+func (h *Home) quarantined(now time.Duration, r *Request) (quarantine.Request, bool) {
+	if h.fallback {
+		now -= fallbackTrialDelay
+	}
+	return h.config.Quarantine.Lookup(now, r.fingerprints()...)
 }
 
 // refuseQuarantined refuses the queued requests that were put in quarantine since its last call.
@@ -23,7 +32,7 @@
 	h.quarantineVersion = version
 	remaining := h.queue[:0]
 	for _, r := range h.queue {
-		if h.quarantined(now, r) {
+		if _, found := h.quarantined(now, r); found {
 			h.refuse(now, r, ReasonQuarantined)
 			continue
 		}
--- a/internal/placement/crash_test.go
+++ b/internal/placement/crash_test.go
@@ -182,3 +182,33 @@
 	f.home.Tick(f.now)
 	is.Equal(f.lastVerdict(waiting).(Refused).Reason, ReasonQuarantined)
 }
+
+// TestFallbackHomeLeavesTrialToPrimaryHome checks that a fallback home does not send a request out of quarantine while the
+// primary home tries it.
+func TestFallbackHomeLeavesTrialToPrimaryHome(t *testing.T) {
+	is := is.New(t)
+	primary, fallback := newTestHome(4, ampleBudget), newTestHome(4, ampleBudget)
+	fallback.home.SetPrimary(false)
+	for _, c := range []struct {
+		at              time.Duration
+		tried, fallback bool
+	}{{500 * time.Millisecond, false, false}, {time.Second, true, false}, {3 * time.Second, true, false}, {4 * time.Second, true, true}} {
+		for _, f := range []*testHome{primary, fallback} {
+			f.home.config.Quarantine = quarantine.New(quarantine.Config{Targets: crashesToQuarantine})
+			f.home.config.Quarantine.Merge(0, []quarantine.Request{{Fingerprint: 7, Remaining: time.Second}})
+			f.now = c.at
+			f.reportPace(1)
+			number := f.submit(func(r *Request) { r.Fingerprint, r.SharedFingerprints = 6, []uint64{7} })
+			tried := c.tried
+			if f == fallback {
+				tried = c.fallback
+			}
+			is.Equal(f.placedOn(number) != "", tried)
+			if r, refused := f.lastVerdict(number).(Refused); refused {
+				is.Equal(r.Reason, ReasonQuarantined)
+				is.True(r.RetryAfter > 0)
+			}
+			f.endRun(number, OutcomeAnswered)
+		}
+	}
+}
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -90,6 +90,8 @@
 	awaitsProbes bool
 	// quarantineVersion is the version of Config.Quarantine for which queued requests were checked.
 	quarantineVersion uint64
+	// fallback is set if this is not the service's primary home.
+	fallback bool
 	// running is the number of runs of each request that has any, by each of its fingerprints.
 	running map[uint64]int
 	// limitShare is this home's share in the rate limits of targets. limitsVersion is the version of Config.RateLimits that
@@ -150,7 +152,7 @@
 	if previous := h.requests[r.ID]; previous != nil {
 		h.takeOverRuns(previous, r)
 	}
-	if h.quarantined(now, r) {
+	if _, found := h.quarantined(now, r); found {
 		h.refuse(now, r, ReasonQuarantined)
 		return
 	}
--- a/internal/placement/returns.go
+++ b/internal/placement/returns.go
@@ -28,7 +28,7 @@
 	delay := minRetryDelay
 	switch reason {
 	case ReasonQuarantined:
-		quarantined, _ := h.config.Quarantine.Lookup(now, r.fingerprints()...)
+		quarantined, _ := h.quarantined(now, r)
 		return quarantined.Remaining
 	case ReasonNoTargets:
 		delay = noTargetsRetryDelay
