--- a/internal/fakenet/network.go
+++ b/internal/fakenet/network.go
@@ -17,6 +17,7 @@
 	mu           sync.Mutex
 	listeners    map[string]*pipeListener
 	partitioned  map[[2]string]bool // by sending and receiving node
+	refused      map[[2]string]bool // by dialing and listening node
 	conns        map[*pipeConn]bool // ends of connections on which Close was not called yet
 	addressCount int                // number of addresses that were assigned
 	// dialerAddresses are the IP addresses of the nodes that open connections, and dialCount numbers their ports.
@@ -29,7 +30,7 @@
 
 // New returns a network without nodes.
 func New() *Network {
-	return &Network{listeners: map[string]*pipeListener{}, partitioned: map[[2]string]bool{}, conns: map[*pipeConn]bool{}, links: map[string]*link{}, dialerAddresses: map[string]string{}}
+	return &Network{listeners: map[string]*pipeListener{}, partitioned: map[[2]string]bool{}, refused: map[[2]string]bool{}, conns: map[*pipeConn]bool{}, links: map[string]*link{}, dialerAddresses: map[string]string{}}
 }
 
 // pipeListener is a listener of a node; its connections are pairs of pipeConn.
@@ -218,9 +219,10 @@
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		n.mu.Lock()
 		l := n.listeners[address]
+		refused := n.refused[[2]string{node, nodeOf(l)}]
 		partitioned := l != nil && (n.partitioned[[2]string{node, l.node}] || n.partitioned[[2]string{l.node, node}])
 		n.mu.Unlock()
-		if l == nil {
+		if l == nil || refused {
 			return nil, errRefused
 		}
 		if partitioned {
@@ -244,6 +246,36 @@
 	}
 }
 
+// nodeOf returns the node of a listener, or an empty name if there is no listener.
+func nodeOf(l *pipeListener) string {
+	if l == nil {
+		return ""
+	}
+	return l.node
+}
+
+// Refuse sets whether connections that one node opens to another are refused. Open connections go on.
+func (n *Network) Refuse(from, to string, refused bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refused[[2]string{from, to}] = refused
+}
+
+// Reset closes the open connections between two nodes; both ends notice it, and new connections work.
+func (n *Network) Reset(a, b string) {
+	n.mu.Lock()
+	var conns []*pipeConn
+	for c := range n.conns {
+		if c.from == a && c.to == b || c.from == b && c.to == a {
+			conns = append(conns, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Conn.Close()
+	}
+}
+
 // Partition drops all traffic between two nodes, in both directions, until Heal.
 func (n *Network) Partition(a, b string) { n.setPartitioned(a, b, true) }
 
