Serve callers of hosts that reach no target through peers

Cause: what one host cannot reach counted as gone for all. A home probes over its own links only, so one without links refuses for the whole fleet; and a host could use a target only over its own link.

- A host that does not reach a target sends the run through a peer (RPC Relay, one hop, response streamed in parts, never a second try of an unsafe run that may have begun).
The home's placement, budgets and counts stay as they are.
- A host that has lost all targets says so in heartbeats: it ranks last as a home, the directory leaves it out, and no peer relays through it.
A home without targets is passed over for the next one.
- A repeatable run that hangs on a link whose target does not answer a check goes on through a peer.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,8 +67,7 @@
 func (x *exchange) roundTrip(ctx context.Context, p placement.Placed) *runResult {
 	g := x.gateway
 	started := g.now()
-	pool := g.pools.get(p.Target, p.Address)
-	response, err := pool.Do(x.targetRequest(ctx, p), backend.Options{RecentlyUsed: !x.repeatable()})
+	response, err := x.send(ctx, p)
 	if err != nil {
 		if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
 			g.recordTooLarge(p)
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -69,10 +69,10 @@
 
 // addresses returns the addresses of ready hosts for a caller of a failure domain and region. Callers choose among them
 // at random, so hosts of other domains are included only when the caller's domain has fewer than minNearHosts, and
-// hosts of other regions only when its region has too few as well. If there are more than maxAddresses, each response names
+// hosts of other regions only when its region has too few as well. Hosts that reach no target are left out unless none does. If there are more than maxAddresses, each response names
 // the next ones, so that all get about as many callers.
 func (g *Gateway) addresses(domain, region string) []string {
-	live := g.members.Live(g.now())
+	live := host.WithTargets(g.members.Live(g.now()))
 	for _, isNear := range []func(host.Member) bool{
 		func(m host.Member) bool { return m.Domain == domain },
 		func(m host.Member) bool { return m.Region == region },
@@ -165,6 +165,10 @@
 		{"StoreLost", func() any { return g.storeWatch.unreachable.Load() }},
 		{"SilentHomes", func() any { return s.unresponsiveHomes.Load() }},
 		{"ResponsesTooLarge", func() any { return s.tooLarge.Load() }},
+		{"TargetsLost", func() any { return g.reach.Lost() }},
+		{"RelayedRequests", func() any { return s.relayed.Load() }},
+		{"RequestsForPeers", func() any { return s.relayedForPeers.Load() }},
+		{"ReachChecks", func() any { return s.reachChecks.Load() }},
 		{"SlowReaders", func() any { return s.slowReaders.Load() }},
 		{"OpenConnections", func() any { return g.openConns.Load() }},
 		{"Note", func() any { return g.chain.Number() }},
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -196,11 +196,13 @@
 	return refusalResponse(placement.Refused{Reason: placement.ReasonDeadlineCannotBeMet, RetryAfter: refusedRetryAfter})
 }
 
-// place submits the request to the service's homes, one after the other, until one of them places or refuses it. Both
-// results are nil when the context ended first.
+// place submits the request to the service's homes, one after the other, until one of them places or refuses it. A home that
+// has no target is no reason to refuse it while there are others: it may be the home that reaches none. Both results are nil
+// when the context ended first.
 func (x *exchange) place(ctx context.Context) (*placement.Placed, *placement.Refused) {
 	ctx, cancel := x.placementContext(ctx)
 	defer cancel()
+	refused := &placement.Refused{Reason: placement.ReasonNoTargets, RetryAfter: refusedRetryAfter}
 	for _, p := range x.gateway.homeClient.placers(x.service) {
 		x.placer = p
 		x.homesTried++
@@ -212,14 +214,18 @@
 			return &v, nil
 		case placement.Refused:
 			p.verdictReceived()
-			return nil, &v
+			refused = &v
+			if v.Reason == placement.ReasonNoTargets {
+				continue
+			}
+			return nil, refused
 		}
 		p.withdraw(x.pending)
 		if timedOut {
 			return nil, nil
 		}
 	}
-	return nil, &placement.Refused{Reason: placement.ReasonNoTargets, RetryAfter: refusedRetryAfter}
+	return nil, refused
 }
 
 // placementContext returns the context for the placement of the request. It ends when the caller disconnects, even if a run of
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"briarcroft/internal/platform"
 	"briarcroft/internal/quarantine"
 	"briarcroft/internal/ratelimit"
+	"briarcroft/internal/reach"
 	"briarcroft/internal/record"
 	"briarcroft/internal/ring"
 	"briarcroft/internal/roster"
@@ -138,13 +139,17 @@
 	// rateLimits holds the rate limits that targets name.
 	rateLimits *ratelimit.Table
 	pools      *pools
-	homeClient *homeClient
-	rules      atomic.Pointer[ruleIndex]
-	split      trafficSplit
-	histograms *meter.Histograms
-	stats      stats
-	followers  followers
-	storeWatch watchState
+	// reach holds which targets this host reaches over its own link.
+	reach *reach.Table
+	// relaysForPeers is the number of requests that this host relays for peers at present.
+	relaysForPeers atomic.Int64
+	homeClient     *homeClient
+	rules          atomic.Pointer[ruleIndex]
+	split          trafficSplit
+	histograms     *meter.Histograms
+	stats          stats
+	followers      followers
+	storeWatch     watchState
 	// receiving is the number of streams on which an update of the store has arrived in part.
 	receiving atomic.Int32
 	// bodies bounds the memory for request bodies, and responses that for responses of unknown length.
@@ -204,6 +209,7 @@
 	g.rateLimits = ratelimit.New()
 	g.homeServer = newHomeServer(g)
 	g.pools = newPools(g)
+	g.reach = reach.New()
 	g.homeClient = newHomeClient(g)
 	g.followers.queues = map[uint64]*ring.Queue[*encodedUpdate]{}
 	g.roster = roster.New(roster.Config{
@@ -252,6 +258,7 @@
 	g.rules.Store(newRuleIndex(v.Configuration))
 	g.homeServer.applyView(v)
 	g.pools.applyView(v)
+	g.reach.SetTargets(targetNames(v))
 	g.updateReady()
 }
 
@@ -318,7 +325,7 @@
 	}
 	tasks := duty.NewGroup()
 	defer tasks.Stop()
-	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog} {
+	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks} {
 		tasks.Go(task)
 	}
 	failed := make(chan error, len(listeners))
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -151,7 +151,7 @@
 	defer c.mu.Unlock()
 	r := c.ranks[service]
 	if !sameSlice(r.live, live) {
-		r = cachedRank{live, host.RankHomes(service, live)}
+		r = cachedRank{live, host.RankPlacers(service, live)}
 		c.ranks[service] = r
 	}
 	return r.members
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -54,39 +54,41 @@
 	g := h.server.gateway
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	health, load := g.checkHealth(ctx, p, h.healthPath)
+	health, load, reached := g.checkHealth(ctx, p, h.healthPath, backend.Options{})
+	g.recordReach(p.Target, reached)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.home.RecordProbe(g.now(), p.Target, health, load)
 	h.sendProbes()
 }
 
-// checkHealth sends one health request. A target that refuses it without running it is healthy but busy.
-func (g *Gateway) checkHealth(ctx context.Context, p placement.Placed, path string) (placement.ProbeResult, *placement.LoadReport) {
+// checkHealth sends one health request on a connection that the options allow. A target that refuses it without running it is
+// healthy but busy. One that breaks the connection does not respond but was reached.
+func (g *Gateway) checkHealth(ctx context.Context, p placement.Placed, path string, o backend.Options) (result placement.ProbeResult, load *placement.LoadReport, reached bool) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+path, nil)
 	if err != nil {
-		return placement.ProbeNoResponse, nil
+		return placement.ProbeNoResponse, nil, true
 	}
-	response, err := g.pools.get(p.Target, p.Address).Do(r, backend.Options{})
+	response, err := g.pools.get(p.Target, p.Address).Do(r, o)
 	if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
 		g.recordTooLarge(p)
 	}
 	if err != nil {
-		return placement.ProbeNoResponse, nil
+		return placement.ProbeNoResponse, nil, ctx.Err() == nil && !errorx.IsOfType(err, backend.ErrNotSent)
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxHealthBytes)); err != nil {
-		return placement.ProbeNoResponse, nil
+		return placement.ProbeNoResponse, nil, true
 	}
 	if name := response.Header.Get(g.dialect.InstanceHeader); name != "" && name != p.Target {
-		return placement.ProbeOtherServer, nil
+		return placement.ProbeOtherServer, nil, true
 	}
-	load := g.parseLoad(response.Header)
+	load = g.parseLoad(response.Header)
 	switch {
 	case response.StatusCode == http.StatusOK, response.Header.Get(g.dialect.NotRunHeader) != "":
-		return placement.ProbeHealthy, load
+		return placement.ProbeHealthy, load, true
 	default:
-		return placement.ProbeUnhealthy, load
+		return placement.ProbeUnhealthy, load, true
 	}
 }
 
--- a/internal/gateway/stranded_test.go
+++ b/internal/gateway/stranded_test.go
@@ -1,11 +1,14 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
+
+	"briarcroft/platform/standin"
 )
 
 // Limits for hosts that are cut off from all targets, from the requirements of the platform.
@@ -133,3 +136,148 @@
 		}
 	}
 }
+
+// cutOff cuts off the given hosts from all targets, and returns after they have noticed it.
+func (f *fleet) cutOff(hosts ...string) {
+	for _, h := range hosts {
+		for name := range f.targets {
+			f.net.Reset(h, name)
+			f.net.Refuse(h, name, true)
+		}
+	}
+	for i := range 100 {
+		f.call(hosts[i%len(hosts)], http.MethodGet, "/lookup/before", fmt.Sprintf("before-%d", i))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestRelayedRunEndsWithItsCaller checks that a repeatable run that a peer relays ends at the target soon after its caller has
+// left, and that an unsafe one goes on.
+func TestRelayedRunEndsWithItsCaller(t *testing.T) {
+	for _, c := range []struct {
+		method, path string
+		ends         bool
+	}{{http.MethodGet, "/lookup/slow", true}, {http.MethodPost, "/order/slow", false}} {
+		t.Run(c.method, func(t *testing.T) {
+			withFleet(t, 5, 6, func(f *fleet) {
+				f.cutOff("h0")
+				f.slowTargets(800 * time.Millisecond)
+				ctx, cancel := context.WithCancel(context.Background())
+				go func() {
+					time.Sleep(200 * time.Millisecond)
+					cancel()
+				}()
+				f.callUntil(ctx, "h0", c.method, c.path, "left")
+				time.Sleep(300 * time.Millisecond)
+				canceled := 0
+				for _, x := range f.targets {
+					x.Update(func(t *standin.Target) { canceled += t.CanceledRuns })
+				}
+				runs := f.runsOf("left")
+				f.is.True(runs >= 1) // a repeatable request may be hedged
+				if c.ends {
+					f.is.Equal(canceled, runs)
+				} else {
+					f.is.Equal(canceled, 0)
+				}
+			})
+		})
+	}
+}
+
+// slowTargets makes all targets take the given time for a run.
+func (f *fleet) slowTargets(duration time.Duration) {
+	for _, x := range f.targets {
+		x.Update(func(t *standin.Target) { t.RunDuration = duration })
+	}
+}
+
+// callUntil sends one request and gives up when the context ends.
+func (f *fleet) callUntil(ctx context.Context, host, method, path, id string) {
+	transport := &http.Transport{DialContext: f.net.Dialer("caller"), DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+f.hosts[host].listen+path, nil)
+	f.is.NoErr(err)
+	r.Host = "www.example"
+	r.Header.Set("X-Attempt-Id", id)
+	r.Header.Set("X-Deadline-Ms", "1000")
+	if response, err := transport.RoundTrip(r); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// TestLostRelayIsNoRefusal ends or silences all peers while they relay unsafe requests: the caller is not told that its request
+// has not run, and it does not run again.
+func TestLostRelayIsNoRefusal(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(f *fleet, peer string)
+	}{
+		{"peers end", func(f *fleet, peer string) { f.crash(peer) }},
+		{"peers fall silent", func(f *fleet, peer string) { f.net.Partition("h0", peer) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 5, 6, func(f *fleet) {
+				f.cutOff("h0")
+				f.slowTargets(400 * time.Millisecond)
+				var group sync.WaitGroup
+				replies := make([]reply, 5)
+				for i := range replies {
+					group.Go(func() { replies[i] = f.call("h0", http.MethodPost, "/order/x", fmt.Sprintf("lost-%d", i)) })
+				}
+				time.Sleep(200 * time.Millisecond)
+				for _, peer := range []string{"h1", "h2", "h3", "h4"} {
+					c.lose(f, peer)
+				}
+				group.Wait()
+				ran := 0
+				for i, r := range replies {
+					runs := f.runsOf(fmt.Sprintf("lost-%d", i))
+					ran += runs
+					f.is.True(runs <= 1)
+					f.is.True(r.status != http.StatusOK)
+					f.is.True(runs == 0 || r.status != http.StatusServiceUnavailable)
+				}
+				f.is.True(ran > 0)
+			})
+		})
+	}
+}
+
+// TestTruncatedRelayedResponseIsNotPassedOn checks that a response that breaks off at the target does not look complete.
+func TestTruncatedRelayedResponseIsNotPassedOn(t *testing.T) {
+	withFleet(t, 5, 6, func(f *fleet) {
+		f.cutOff("h0")
+		for _, x := range f.targets {
+			x.Update(func(t *standin.Target) { t.TruncateResponses = true })
+		}
+		r := f.call("h0", http.MethodPost, "/order/cut", "cut")
+		f.is.Equal(f.runsOf("cut"), 1)
+		f.is.True(r.status != http.StatusOK)
+	})
+}
+
+// TestAllHostsCutOffRefuseAtOnce checks that requests are refused at once when no host reaches a target, so that callers can come
+// back, and served again soon after the links are back.
+func TestAllHostsCutOffRefuseAtOnce(t *testing.T) {
+	withFleet(t, 5, 6, func(f *fleet) {
+		hosts := []string{"h0", "h1", "h2", "h3", "h4"}
+		f.cutOff(hosts...)
+		for i := range 20 {
+			r := f.call(hosts[i%5], http.MethodPost, "/order/x", fmt.Sprintf("refused-%d", i))
+			f.is.Equal(r.status, http.StatusServiceUnavailable)
+			f.is.True(r.duration < 100*time.Millisecond)
+			time.Sleep(20 * time.Millisecond)
+		}
+		for _, h := range hosts {
+			for name := range f.targets {
+				f.net.Refuse(h, name, false)
+			}
+		}
+		time.Sleep(strandedReaction)
+		for i := range 50 {
+			f.is.Equal(f.call(hosts[i%5], http.MethodPost, "/order/x", fmt.Sprintf("again-%d", i)).status, http.StatusOK)
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -115,6 +115,10 @@
 	unresponsiveHomes, slowReaders, rejected atomic.Int64
 	// tooLarge counts connections that were closed because a target sent more than a response may have.
 	tooLarge atomic.Int64
+	// relayed counts the runs that peers relayed for this host, and relayedForPeers those that it relayed for peers.
+	relayed, relayedForPeers atomic.Int64
+	// reachChecks counts the checks whether this host reaches a target.
+	reachChecks atomic.Int64
 	// quarantined counts the requests that this host, as a home, has put in quarantine.
 	quarantined atomic.Int64
 	// primaryProbes and fallbackProbes count health probes by the role in which they were sent.
@@ -136,6 +140,7 @@
 	for duty.Sleep(ctx, countersInterval) {
 		g.logger.Info().
 			Int64("Requests", s.requests.Load()).Int64("Quarantined", s.quarantined.Load()).
+			Bool("TargetsLost", g.reach.Lost()).Int64("RelayedRequests", s.relayed.Load()).Int64("RequestsForPeers", s.relayedForPeers.Load()).
 			Int64("PrimaryProbes", s.primaryProbes.Load()).Int64("FallbackProbes", s.fallbackProbes.Load()).
 			Int64("PrimaryLimitedRuns", s.primaryLimitedRuns.Load()).Int64("FallbackLimitedRuns", s.fallbackLimitedRuns.Load()).
 			Int64("StoreCalls", s.storeCalls.Load()).Int64("StoreBytesSent", s.storeBytesSent.Load()).
--- a/internal/host/home.go
+++ b/internal/host/home.go
@@ -41,6 +41,27 @@
 	return ranked
 }
 
+// RankPlacers orders members as homes of a service that reach its backend servers: like RankHomes, but hosts that reach none
+// last.
+func RankPlacers(service string, members []Member) []Member {
+	ranked := RankHomes(service, members)
+	slices.SortStableFunc(ranked, func(a, b Member) int { return cmp.Compare(boolByte(a.TargetsLost), boolByte(b.TargetsLost)) })
+	return ranked
+}
+
+// WithTargets returns the members that reach backend servers, or all of them if none does. It returns the given slice if that
+// makes no difference.
+func WithTargets(members []Member) []Member {
+	lost := func(m Member) bool { return m.TargetsLost }
+	if !slices.ContainsFunc(members, lost) {
+		return members
+	}
+	if with := slices.DeleteFunc(slices.Clone(members), lost); len(with) > 0 {
+		return with
+	}
+	return members
+}
+
 // strongHosts returns a function that reports whether one of the members is strong, see RankHomes.
 func strongHosts(members []Member) func(Member) bool {
 	cores := halfOfReference(members, func(m Member) uint32 { return m.MilliCores })
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -33,6 +33,8 @@
 	Wants []HomeDemand
 	// StoreLost is set while the host cannot reach the platform's store.
 	StoreLost bool
+	// TargetsLost is set while the host reaches no backend server.
+	TargetsLost bool
 	// MilliCores is the processor power that the host may use, in thousandths of a core, and LinkMbps the bandwidth of its
 	// network link in Mbit/s; zero means not known.
 	MilliCores uint32
--- a/internal/host/news.go
+++ b/internal/host/news.go
@@ -67,6 +67,10 @@
 		binary.LittleEndian.PutUint32(strength[4:], m.LinkMbps)
 		_, _ = d.Write(strength[:])
 	}
+	if m.TargetsLost {
+		// Hosts of older versions do not know this field.
+		_, _ = d.WriteString("targets lost")
+	}
 	var fixedFields [19]byte
 	binary.LittleEndian.PutUint64(fixedFields[:], m.Incarnation)
 	binary.LittleEndian.PutUint64(fixedFields[8:], uint64(m.Note))
--- a/internal/host/table.go
+++ b/internal/host/table.go
@@ -113,6 +113,11 @@
 // SetStoreLost sets whether the platform's store is unreachable from this host.
 func (t *MemberTable) SetStoreLost(lost bool) { t.update(func(m *Member) { m.StoreLost = lost }) }
 
+// SetTargetsLost sets whether this host reaches no backend server.
+func (t *MemberTable) SetTargetsLost(lost bool) {
+	t.update(func(m *Member) { m.TargetsLost = lost })
+}
+
 // Leave marks this host as leaving.
 func (t *MemberTable) Leave() { t.update(func(m *Member) { m.Leaving = true }) }
 
--- a/internal/inner/members.go
+++ b/internal/inner/members.go
@@ -14,7 +14,7 @@
 		encoded = append(encoded, &Member{
 			Name: m.Name, Listen: m.Listen, Inner: m.Inner, Domain: m.Domain, Region: m.Region, Incarnation: m.Incarnation,
 			Beat: m.Beat, Leaving: m.Leaving, Note: int64(m.Note), Ready: m.Ready, Wants: encodeWants(m.Wants), StoreLost: m.StoreLost,
-			AgeMilliseconds: encodeAge(m.Age, m.KnowsAge), MilliCores: m.MilliCores, LinkMbps: m.LinkMbps,
+			AgeMilliseconds: encodeAge(m.Age, m.KnowsAge), MilliCores: m.MilliCores, LinkMbps: m.LinkMbps, TargetsLost: m.TargetsLost,
 		})
 	}
 	return encoded
@@ -28,7 +28,7 @@
 		decoded = append(decoded, host.Member{
 			Name: m.Name, Listen: m.Listen, Inner: m.Inner, Domain: m.Domain, Region: m.Region, Incarnation: m.Incarnation,
 			Beat: m.Beat, Leaving: m.Leaving, Note: int(m.Note), Ready: m.Ready, Wants: decodeWants(m.Wants), StoreLost: m.StoreLost,
-			Age: age, KnowsAge: knowsAge, MilliCores: m.MilliCores, LinkMbps: m.LinkMbps,
+			Age: age, KnowsAge: knowsAge, MilliCores: m.MilliCores, LinkMbps: m.LinkMbps, TargetsLost: m.TargetsLost,
 		})
 	}
 	return decoded
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -49,6 +49,10 @@
 	// StoreLost means that calls to the platform's store fail, and StoreReturned that they succeed again.
 	StoreLost     Kind = "StoreLost"
 	StoreReturned Kind = "StoreReturned"
+	// TargetsLost means that this host reaches no target over its own link, so that other hosts relay its requests, and
+	// TargetsReturned that it reaches targets again.
+	TargetsLost     Kind = "TargetsLost"
+	TargetsReturned Kind = "TargetsReturned"
 )
 
 // Evidence is the data that a change is based on; fields that do not apply are zero.
