--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"briarcroft/internal/note"
@@ -58,6 +59,8 @@
 	fingerprint uint64
 	// sharedFingerprints recognize what the request shares with others; see request.sharedFingerprints.
 	sharedFingerprints []uint64
+	// relayedBy is the name of the peer that relayed a run last; nil means that none did.
+	relayedBy atomic.Pointer[string]
 	// cancel ends the context of the runs. A response that is still being read from a target needs it until it is sent.
 	cancel context.CancelFunc
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -126,6 +126,7 @@
 		var response *http.Response
 		if response, err = g.relayThrough(ctx, peer, x.relayRequest(ctx, p)); !errorx.IsOfType(err, backend.ErrNotSent) || ctx.Err() != nil {
 			g.stats.relayed.Add(1)
+			x.relayedBy.Store(&peer.Name)
 			return response, err
 		}
 	}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -38,10 +38,14 @@
 	duration, remaining      time.Duration
 	// verdict is the last verdict about the request, with the estimates that it was based on.
 	verdict placement.Verdict
+	// relayedBy is the peer that relayed a run; it is empty if none did.
+	relayedBy string
 	// caller, path and fingerprint tell which requests repeat one another. They are set for requests that a target may have
 	// run without a response, and for those that were refused because of that.
 	caller, path string
 	fingerprint  uint64
+	// sharedFingerprints are those of request.sharedFingerprints.
+	sharedFingerprints []uint64
 }
 
 // requestLog writes entries in the background. It drops and counts entries rather than delay a request.
@@ -97,6 +101,14 @@
 	}
 	if entry.fingerprint != 0 {
 		e.Str("Caller", entry.caller).Str("Path", entry.path).Str("Fingerprint", strconv.FormatUint(entry.fingerprint, 16))
+		shared := make([]string, 0, len(entry.sharedFingerprints))
+		for _, f := range entry.sharedFingerprints {
+			shared = append(shared, strconv.FormatUint(f, 16))
+		}
+		e.Strs("SharedFingerprints", shared)
+	}
+	if entry.relayedBy != "" {
+		e.Str("RelayedBy", entry.relayedBy)
 	}
 	e.
 		Time("At", entry.at).Str("Request", entry.id).Str("Rule", entry.rule).Str("Service", entry.service).Str("Home", entry.home).
@@ -176,6 +188,10 @@
 	}
 	if x.mayHaveRun || x.lastOutcome == string(placement.ReasonQuarantined) {
 		entry.caller, entry.path, entry.fingerprint = x.request.callerAddress, x.request.path[:min(len(x.request.path), maxLoggedPath)], x.fingerprint
+		entry.sharedFingerprints = x.sharedFingerprints
+	}
+	if peer := x.relayedBy.Load(); peer != nil {
+		entry.relayedBy = *peer
 	}
 	for i, target := range x.tried {
 		if i > 0 {
