--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -36,6 +36,8 @@
 	// cleanups close the connections of gateways and of their stores.
 	cleanups    []func()
 	lastAddress int
+	// lastPhase numbers the calls of sendToHosts.
+	lastPhase int
 }
 
 // node is one gateway with its addresses. Calling stop stops it gracefully, and force at once.
--- /dev/null
+++ b/internal/gateway/notices_test.go
@@ -0,0 +1,179 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"briarcroft/platform/standin"
+)
+
+// Limits for targets that say in their responses that they leave or want no requests for a time, from the requirements of the
+// platform.
+const (
+	// leavingReaction is the time after a host has passed on that a target leaves from which it sends it nothing.
+	leavingReaction = 2 * time.Second
+	// pauseReaction is the time after a host got a refusal with a time from which it sends the target at most maxInPause
+	// requests until that time has passed.
+	pauseReaction = 500 * time.Millisecond
+	maxInPause    = 2
+)
+
+// sendToHosts sends requests at a steady rate to the running hosts in turn, with attempt IDs that begin with the host's name,
+// and returns the replies by ID.
+func (f *fleet) sendToHosts(requestsPerSecond int, duration time.Duration) map[string]reply {
+	var hosts []string
+	for i := range len(f.hosts) {
+		hosts = append(hosts, fmt.Sprintf("h%d", i))
+	}
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	replies := map[string]reply{}
+	f.lastPhase++
+	for i := range int(duration.Seconds() * float64(requestsPerSecond)) {
+		group.Go(func() {
+			name := hosts[i%len(hosts)]
+			id := fmt.Sprintf("%s-%d-%d", name, f.lastPhase, i)
+			method, path := http.MethodGet, "/lookup/"+id
+			if i%3 == 0 {
+				method, path = http.MethodPost, "/order/"+id
+			}
+			r := f.call(name, method, path, id)
+			mu.Lock()
+			defer mu.Unlock()
+			replies[id] = r
+		})
+		time.Sleep(time.Second / time.Duration(requestsPerSecond))
+	}
+	group.Wait()
+	return replies
+}
+
+// answered returns the number of replies with status 200.
+func answered(replies map[string]reply) int {
+	sum := 0
+	for _, r := range replies {
+		if r.status == http.StatusOK {
+			sum++
+		}
+	}
+	return sum
+}
+
+// arrivalsBetween returns the arrivals at a target from each host, from a time after the host's first one until another time
+// after that.
+func arrivalsBetween(x *standin.Target, since time.Time, from, until time.Duration) map[string]int {
+	counts, first := map[string]int{}, map[string]time.Time{}
+	x.Update(func(t *standin.Target) {
+		for _, a := range t.ArrivalLog {
+			name, _, _ := strings.Cut(a.AttemptID, "-")
+			if a.At.Before(since) {
+				continue
+			}
+			if first[name].IsZero() {
+				first[name] = a.At
+			}
+			if age := a.At.Sub(first[name]); age >= from && age < until {
+				counts[name]++
+			}
+		}
+	})
+	return counts
+}
+
+// noticeCases are the fleets that must keep what targets say: with one home, with every host apart, with homes that end.
+var noticeCases = []struct {
+	name    string
+	hosts   int
+	disrupt func(*fleet)
+}{
+	{"13 hosts", 13, nil},
+	{"13 hosts, each apart", 13, func(f *fleet) { f.cutInto(13) }},
+	{"13 hosts, homes end", 13, func(f *fleet) { go f.killHomes(3, 1500*time.Millisecond) }},
+	{"106 hosts", 106, nil},
+}
+
+// TestTargetThatSaysItLeavesGetsNoRequests guards against sending requests to a target that says in its responses that it leaves,
+// although the store says that it is ready.
+func TestTargetThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	for _, c := range noticeCases {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, c.hosts, 6, func(f *fleet) {
+				if c.disrupt != nil {
+					c.disrupt(f)
+				}
+				f.sendToHosts(200, time.Second)
+				said := time.Now()
+				leaving := f.targets["t0"]
+				leaving.Update(func(t *standin.Target) { t.Leaving = true })
+				replies := f.sendToHosts(200, 6*time.Second)
+				late := arrivalsBetween(leaving, said, leavingReaction, time.Hour)
+				t.Logf("arrivals later than %v by host: %v; %d of %d answered", leavingReaction, late, answered(replies), len(replies))
+				f.is.Equal(len(late), 0)
+				if c.disrupt == nil {
+					f.is.Equal(answered(replies), len(replies)) // five targets are left
+				}
+			})
+		})
+	}
+}
+
+// TestTargetThatWantsNoRequestsGetsNone guards against sending requests to a target for as long as it has said that it wants
+// none, and against a crowd when that time has passed.
+func TestTargetThatWantsNoRequestsGetsNone(t *testing.T) {
+	const pause = 4 * time.Second
+	for _, c := range noticeCases {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, c.hosts, 6, func(f *fleet) {
+				if c.disrupt != nil {
+					c.disrupt(f)
+				}
+				f.sendToHosts(200, time.Second)
+				said := time.Now()
+				paused := f.targets["t0"]
+				paused.Update(func(t *standin.Target) { t.RefuseRuns, t.RetryAfter = true, fmt.Sprint(pause.Seconds()) })
+				var replies map[string]reply
+				replies = f.sendToHosts(200, pause-500*time.Millisecond)
+				during := arrivalsBetween(paused, said, pauseReaction, pause)
+				t.Logf("arrivals by host after %v: %v; %d of %d answered", pauseReaction, during, answered(replies), len(replies))
+				for _, count := range during {
+					f.is.True(count <= maxInPause)
+				}
+				if c.disrupt == nil {
+					f.is.Equal(answered(replies), len(replies))
+				}
+				paused.Update(func(t *standin.Target) { t.RefuseRuns, t.RetryAfter, t.ArrivalLog = false, "", nil })
+				f.sendToHosts(200, pause)
+				back := 0
+				paused.Update(func(t *standin.Target) { back = len(t.ArrivalLog) })
+				f.is.True(back > 0) // it is used again
+			})
+		})
+	}
+}
+
+// TestAllTargetsWantNoRequests checks that requests are refused at once while all targets have said that they want none, with the
+// time at which one takes requests again, and that they are served then.
+func TestAllTargetsWantNoRequests(t *testing.T) {
+	const pause = 3 * time.Second
+	withFleet(t, 5, 4, func(f *fleet) {
+		for _, x := range f.targets {
+			x.Update(func(t *standin.Target) { t.RefuseRuns, t.RetryAfter = true, fmt.Sprint(pause.Seconds()) })
+		}
+		f.sendToHosts(100, 500*time.Millisecond)
+		for _, x := range f.targets {
+			x.Update(func(t *standin.Target) { t.RefuseRuns, t.RetryAfter = false, "" })
+		}
+		r := f.call("h1", http.MethodPost, "/order/refused", "h1-refused")
+		f.is.Equal(r.status, http.StatusServiceUnavailable)
+		f.is.True(r.duration < 100*time.Millisecond)
+		wait, err := time.ParseDuration(r.header.Get("Retry-After") + "s")
+		f.is.NoErr(err)
+		f.is.True(wait > time.Second && wait < pause+time.Second)
+		time.Sleep(wait)
+		f.is.Equal(f.call("h1", http.MethodPost, "/order/returned", "h1-returned").status, http.StatusOK)
+	})
+}
