Keep to what targets say in their responses: leaving, and not now

Callers saw: requests went to targets that were ending or had asked not to be sent any, and came back refused or late. Neither header field was read.

notice.Table holds, for one incarnation of a target, that it leaves and until when it wants no requests. A host keeps to it by itself before each send, relay, probe and check; the home learns it with the end of the run and places nothing there; heartbeats tell all hosts. A pausing target is missing and not ill: its refusals leave no trace of failure, and while none has room callers are refused at once with the time at which the first pause ends, after which slots open over a second.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -34,6 +34,8 @@
 	rateLimit *float64
 	// duration is the time until the response header arrived, or until the run ended without one.
 	duration time.Duration
+	// blocked is set if nothing was sent because the target has said that it wants no requests.
+	blocked bool
 	// index is the position of the run among its hedgedRuns.
 	index int
 }
@@ -55,7 +57,7 @@
 		r.duration = x.gateway.now() - started
 	}
 	x.gateway.stats.attempts.Add(1)
-	end := placement.RunEnd{Target: p.Target, Outcome: r.outcome, Duration: r.duration, Load: r.load, RateLimit: r.rateLimit}
+	end := placement.RunEnd{Target: p.Target, Outcome: r.outcome, Duration: r.duration, Load: r.load, RateLimit: r.rateLimit, Notice: x.gateway.noticeOf(p.Target)}
 	if r.response != nil {
 		end.Bytes = len(r.response.body)
 	}
@@ -72,7 +74,10 @@
 		if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
 			g.recordTooLarge(p)
 		}
-		return &runResult{outcome: x.outcomeOfError(ctx, err)}
+		return &runResult{outcome: x.outcomeOfError(ctx, err), blocked: errorx.IsOfType(err, errBlocked)}
+	}
+	if response.StatusCode != http.StatusMisdirectedRequest {
+		g.readNotice(p.Target, response.StatusCode, response.Header)
 	}
 	r := &runResult{load: g.parseLoad(response.Header), rateLimit: g.parseRateLimit(response.Header), duration: g.now() - started}
 	if response.Header.Get(g.dialect.NotRunHeader) != "" || response.StatusCode == http.StatusMisdirectedRequest {
@@ -93,7 +98,7 @@
 	switch {
 	case errorx.IsOfType(err, backend.ErrNotSent) && ctxErr == nil:
 		return placement.OutcomeUnreachable
-	case errorx.IsOfType(err, backend.ErrPoolExhausted):
+	case errorx.IsOfType(err, backend.ErrPoolExhausted), errorx.IsOfType(err, errBlocked):
 		return placement.OutcomeNotRun
 	case errorx.IsOfType(err, backend.ErrNotSent):
 		return placement.OutcomeNotRun
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -40,6 +40,8 @@
 	placer placer
 	// tried names the targets that the request was placed on, including those that could not be reached.
 	tried []string
+	// blocked is the number of these to which nothing was sent because they had said that they want no requests.
+	blocked int
 	// mayHaveRun is set once a target may have begun to run the request.
 	mayHaveRun bool
 	// targetFailure is the last 5xx response of a target; the caller gets it when no other attempt succeeds.
@@ -139,6 +141,9 @@
 	case placement.OutcomeAnswered:
 		return r.response
 	case placement.OutcomeNotRun, placement.OutcomeUnreachable, placement.OutcomeOtherServer:
+		if r.blocked {
+			x.blocked++
+		}
 		if x.mayRetry(ctx) {
 			return nil
 		}
@@ -162,7 +167,7 @@
 	if ctx.Err() != nil || x.deadline-x.gateway.now() < minAttemptTime {
 		return false
 	}
-	return x.rule.Attempts == 0 || len(x.tried) < x.rule.Attempts
+	return x.rule.Attempts == 0 || len(x.tried)-x.blocked < x.rule.Attempts
 }
 
 // refuse returns the response when the request will not be sent to a target again: a refusal, which states that the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"briarcroft/internal/inner"
 	"briarcroft/internal/meter"
 	"briarcroft/internal/note"
+	"briarcroft/internal/notice"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/platform"
 	"briarcroft/internal/quarantine"
@@ -40,6 +41,7 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 )
 
 var namespace = errorx.NewNamespace("gateway").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
@@ -80,6 +82,11 @@
 	// RateLimitHeader is the response header field with the number of requests per second that the backend server takes from
 	// all hosts together; one that names no limit omits it.
 	RateLimitHeader string
+	// LeavingHeader is the response header field, with the value LeavingValue, by which a backend server says that it leaves.
+	LeavingHeader, LeavingValue string
+	// PauseHeader is the response header field of a refusal by which a backend server says for how many seconds it wants no
+	// requests from the host that it refuses.
+	PauseHeader string
 	// Decode decodes entries of the store.
 	Decode roster.DecodeFunc
 	// PeerKey returns the store key under which a host registers its inner address.
@@ -138,6 +145,12 @@
 	quarantine *quarantine.List
 	// rateLimits holds the rate limits that targets name.
 	rateLimits *ratelimit.Table
+	// notices holds what targets say of themselves in their responses.
+	notices *notice.Table
+	// malformedNotices limits the records about header fields of targets that cannot be read.
+	malformedNotices *rate.Limiter
+	// registered holds the registered targets by name.
+	registered atomic.Pointer[map[string]registeredTarget]
 	pools      *pools
 	// reach holds which targets this host reaches over its own link.
 	reach *reach.Table
@@ -200,13 +213,16 @@
 		request := inner.NewHeartbeatRequest(c.Settings.Host.Name, n)
 		request.Quarantines = inner.EncodeQuarantines(g.quarantine.All(g.now()))
 		request.RateLimits = inner.EncodeRateLimits(g.rateLimits.Share(g.now()))
+		request.Notices = inner.EncodeNotices(g.notices.Share(g.now()))
 		return request
-	}, OnReply: func(r *inner.HeartbeatReply) { g.handlePeerState(r.Sender, r.Quarantines, r.RateLimits) }}
+	}, OnReply: func(r *inner.HeartbeatReply) { g.handlePeerState(r.Sender, r) }}
 	var cancelBackground context.CancelFunc
 	g.background, cancelBackground = context.WithCancel(context.Background())
 	g.rules.Store(&ruleIndex{})
 	g.quarantine = quarantine.New(quarantine.Config{Targets: crashesToQuarantine})
 	g.rateLimits = ratelimit.New()
+	g.notices, g.malformedNotices = notice.New(), rate.NewLimiter(malformedNoticesPerSecond, 1)
+	g.registered.Store(&map[string]registeredTarget{})
 	g.homeServer = newHomeServer(g)
 	g.pools = newPools(g)
 	g.reach = reach.New()
@@ -254,11 +270,11 @@
 	defer g.applyMu.Unlock()
 	v := g.roster.View()
 	g.applyConfiguration(v.Configuration)
+	g.applyRegistered(v)
 	g.recordTargetChanges(v)
 	g.rules.Store(newRuleIndex(v.Configuration))
 	g.homeServer.applyView(v)
 	g.pools.applyView(v)
-	g.reach.SetTargets(targetNames(v))
 	g.updateReady()
 }
 
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -135,8 +135,7 @@
 				said := time.Now()
 				paused := f.targets["t0"]
 				paused.Update(func(t *standin.Target) { t.RefuseRuns, t.RetryAfter = true, fmt.Sprint(pause.Seconds()) })
-				var replies map[string]reply
-				replies = f.sendToHosts(200, pause-500*time.Millisecond)
+				replies := f.sendToHosts(200, pause-500*time.Millisecond)
 				during := arrivalsBetween(paused, said, pauseReaction, pause)
 				t.Logf("arrivals by host after %v: %v; %d of %d answered", pauseReaction, during, answered(replies), len(replies))
 				for _, count := range during {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -29,17 +29,28 @@
 func (p *peerServer) Heartbeat(_ context.Context, r *inner.HeartbeatRequest) (*inner.HeartbeatReply, error) {
 	g := p.gateway
 	reply := inner.HandleHeartbeat(g.members, g.now(), r)
-	g.handlePeerState(r.Sender, r.Quarantines, r.RateLimits)
+	g.handlePeerState(r.Sender, r)
 	reply.Quarantines = inner.EncodeQuarantines(g.quarantine.All(g.now()))
 	reply.RateLimits = inner.EncodeRateLimits(g.rateLimits.Share(g.now()))
+	reply.Notices = inner.EncodeNotices(g.notices.Share(g.now()))
 	return reply, nil
 }
 
+// peerState is a heartbeat or its reply.
+type peerState interface {
+	GetQuarantines() []*inner.Quarantine
+	GetRateLimits() []*inner.RateLimit
+	GetNotices() []*inner.TargetNotice
+}
+
 // handlePeerState processes the parts of a heartbeat or its reply that the membership table does not handle, after it has
 // handled the others.
-func (g *Gateway) handlePeerState(sender string, quarantines []*inner.Quarantine, limits []*inner.RateLimit) {
-	g.quarantine.Merge(g.now(), inner.DecodeQuarantines(quarantines))
-	g.rateLimits.Merge(g.now(), inner.DecodeRateLimits(limits))
+func (g *Gateway) handlePeerState(sender string, state peerState) {
+	g.quarantine.Merge(g.now(), inner.DecodeQuarantines(state.GetQuarantines()))
+	g.rateLimits.Merge(g.now(), inner.DecodeRateLimits(state.GetRateLimits()))
+	for _, news := range g.notices.Merge(g.now(), inner.DecodeNotices(state.GetNotices())) {
+		g.recordNotice(news.Target, news.Notice, sender)
+	}
 	g.queueIfNewer(sender)
 }
 
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -83,6 +83,7 @@
 	if name := response.Header.Get(g.dialect.InstanceHeader); name != "" && name != p.Target {
 		return placement.ProbeOtherServer, nil, true
 	}
+	g.readNotice(p.Target, response.StatusCode, response.Header)
 	load = g.parseLoad(response.Header)
 	switch {
 	case response.StatusCode == http.StatusOK, response.Header.Get(g.dialect.NotRunHeader) != "":
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -20,15 +20,29 @@
 	lostCheckInterval = 250 * time.Millisecond
 )
 
-// targetNames returns the names of all targets in a view.
-func targetNames(v *roster.View) map[string]bool {
-	names := map[string]bool{}
-	for _, targets := range v.Targets {
+// registeredTarget is a target in the store, with the health path of its service.
+type registeredTarget struct {
+	roster.Target
+	healthPath string
+}
+
+// applyRegistered replaces the registered targets by those of a view.
+func (g *Gateway) applyRegistered(v *roster.View) {
+	registered, names := map[string]registeredTarget{}, map[string]bool{}
+	for service, targets := range v.Targets {
+		s, _ := v.Configuration.Service(service)
 		for _, t := range targets {
-			names[t.Name] = true
+			registered[t.Name], names[t.Name] = registeredTarget{t, s.ReportPath}, true
 		}
 	}
-	return names
+	g.registered.Store(&registered)
+	g.reach.SetTargets(names)
+}
+
+// findTarget returns a registered target.
+func (g *Gateway) findTarget(name string) (registeredTarget, bool) {
+	t, found := (*g.registered.Load())[name]
+	return t, found
 }
 
 // recordReach records whether a probe of this host has reached a target.
@@ -78,14 +92,14 @@
 
 // reaches reports whether a check reaches a target, and records the result.
 func (g *Gateway) reaches(ctx context.Context, target string) bool {
-	t, healthPath, found := g.findTarget(target)
-	if !found {
+	t, found := g.findTarget(target)
+	if !found || g.said(target).Blocked(g.now()) {
 		return true
 	}
 	checkCtx, cancel := context.WithTimeout(ctx, reachCheckTimeout)
 	defer cancel()
 	g.stats.reachChecks.Add(1)
-	_, _, reached := g.checkHealth(checkCtx, placement.Placed{Target: t.Name, Address: t.Address}, healthPath, backend.Options{NewConnection: true})
+	_, _, reached := g.checkHealth(checkCtx, placement.Placed{Target: t.Name, Address: t.Address}, t.healthPath, backend.Options{NewConnection: true})
 	if ctx.Err() != nil {
 		// The check was ended and shows nothing.
 		return true
@@ -94,20 +108,6 @@
 	return reached
 }
 
-// findTarget returns a registered target and the health path of its service.
-func (g *Gateway) findTarget(name string) (target roster.Target, healthPath string, found bool) {
-	v := g.roster.View()
-	for service, targets := range v.Targets {
-		for _, t := range targets {
-			if t.Name == name {
-				s, _ := v.Configuration.Service(service)
-				return t, s.ReportPath, true
-			}
-		}
-	}
-	return roster.Target{}, "", false
-}
-
 // runReachChecks is the background task that checks one target after the other while this host reaches none.
 func (g *Gateway) runReachChecks(ctx context.Context) {
 	for duty.Sleep(ctx, lostCheckInterval) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -40,6 +40,9 @@
 // link, or through a peer if this host does not reach the target. Errors are those of backend.Pool.Do.
 func (x *exchange) send(ctx context.Context, p placement.Placed) (*http.Response, error) {
 	g := x.gateway
+	if g.said(p.Target).Blocked(g.now()) {
+		return nil, errBlocked.New("target %s has said that it wants no requests", p.Target)
+	}
 	if !g.reach.Direct(p.Target) {
 		if !g.reach.Lost() {
 			go g.checkReach(g.background, p.Target)
@@ -137,7 +140,7 @@
 // home that has placed the request, which knows best whether the target is up. If this host reaches none, the load is spread:
 // first come peers of the target's failure domain, then those of this host's one, and the home is the last.
 func (g *Gateway) relayPeers(home placer, p placement.Placed) []host.Member {
-	target, _, _ := g.findTarget(p.Target)
+	target, _ := g.findTarget(p.Target)
 	self := g.settings.Host
 	var near, own, others []host.Member
 	var last *host.Member
@@ -331,8 +334,8 @@
 		send(&inner.RelayReply{Kind: inner.RelayKind_RelayExhausted})
 		return
 	}
-	target, _, found := g.findTarget(r.Target)
-	if !found || target.Draining || target.Address != r.Address || !g.reach.Direct(r.Target) {
+	target, found := g.findTarget(r.Target)
+	if !found || target.Draining || target.Address != r.Address || !g.reach.Direct(r.Target) || g.said(r.Target).Blocked(g.now()) {
 		if found {
 			go g.checkReach(g.background, r.Target)
 		}
@@ -355,6 +358,7 @@
 		return
 	}
 	g.recordInReach(r.Target)
+	g.readNotice(r.Target, response.StatusCode, response.Header)
 	defer response.Body.Close()
 	if send(&inner.RelayReply{Kind: inner.RelayKind_RelayHead, Status: int32(response.StatusCode), Headers: encodeHeader(response.Header), Length: response.ContentLength}) {
 		relayBody(response.Body, send)
--- a/internal/inner/verdict.go
+++ b/internal/inner/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"briarcroft/internal/notice"
 	"briarcroft/internal/placement"
 )
 
@@ -76,7 +77,7 @@
 
 // EncodeRunEnd converts the end of a run, which is one attempt of a request on a target, to its wire message.
 func EncodeRunEnd(end placement.RunEnd) *RunEnd {
-	wire := &RunEnd{Target: end.Target, Outcome: uint32(end.Outcome), TookMicroseconds: end.Duration.Microseconds(), Bytes: uint32(end.Bytes), RateLimit: end.RateLimit}
+	wire := &RunEnd{Target: end.Target, Outcome: uint32(end.Outcome), TookMicroseconds: end.Duration.Microseconds(), Bytes: uint32(end.Bytes), RateLimit: end.RateLimit, Leaving: end.Notice.Leaving, PauseMilliseconds: milliseconds(end.Notice.Pause)}
 	if l := end.Load; l != nil {
 		wire.Load = &TargetLoad{Running: uint32(l.Running), Waiting: uint32(l.Waiting), Slots: uint32(l.Slots), Pace: l.Pace}
 	}
@@ -86,6 +87,7 @@
 // DecodeRunEnd converts a wire message to the end of a run of the request with the given ID.
 func DecodeRunEnd(id placement.RequestID, wire *RunEnd) placement.RunEnd {
 	end := placement.RunEnd{ID: id, Target: wire.Target, Outcome: placement.Outcome(wire.Outcome), Duration: microseconds(wire.TookMicroseconds), Bytes: int(wire.Bytes), RateLimit: wire.RateLimit}
+	end.Notice = notice.Notice{Leaving: wire.Leaving, Pause: time.Duration(wire.PauseMilliseconds) * time.Millisecond}
 	if l := wire.Load; l != nil {
 		end.Load = &placement.LoadReport{Running: int(l.Running), Waiting: int(l.Waiting), Slots: int(l.Slots), Pace: l.Pace}
 	}
--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"briarcroft/internal/notice"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/quarantine"
 	"briarcroft/internal/ratelimit"
@@ -236,7 +237,7 @@
 	}
 	b.home = placement.New(placement.Config{
 		Random: rand.New(rand.NewPCG(sim.workload.Seed, 9)), Budget: budget, Quarantine: quarantine.New(quarantine.Config{Targets: len(sim.servers)}),
-		RateLimits: ratelimit.New(), OnVerdict: b.onVerdict,
+		RateLimits: ratelimit.New(), Notices: notice.New(), OnVerdict: b.onVerdict,
 	})
 	var targets []placement.Target
 	for _, t := range sim.servers {
--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"briarcroft/internal/notice"
 )
 
 // RunEnd reports the end of one run.
@@ -19,6 +21,8 @@
 	// RateLimit is the rate limit that the target named in its response, in requests per second from all hosts together. It
 	// is infinite if the target named none, and nil if there was no response from which to tell.
 	RateLimit *float64
+	// Notice is what the target said of itself, in this response or in an earlier one to the same host.
+	Notice notice.Notice
 }
 
 // RunEnded records the end of a run, frees its slot and dispatches queued requests.
@@ -36,6 +40,9 @@
 	if t != nil && end.RateLimit != nil && end.Outcome != OutcomeOtherServer {
 		h.recordRateLimit(now, t, *end.RateLimit)
 	}
+	if t != nil && end.Outcome != OutcomeOtherServer {
+		h.recordNotice(now, t, end.Notice)
+	}
 	var ended *run
 	if r != nil {
 		for _, candidate := range r.runs {
@@ -76,6 +83,10 @@
 		t.recordFailure(now, h.mayEject(now))
 		h.recordBroken(now, ended)
 	case OutcomeNotRun:
+		if end.Notice != (notice.Notice{}) {
+			// The target is missing for a time, and not ill.
+			break
+		}
 		// Count the target as full: it has more requests than this home knows of.
 		t.reportedLoad, t.loadAt = max(t.Slots, t.reportedLoad), now
 		t.failureRate = max(t.failureRate, failureGain)
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"briarcroft/internal/notice"
 	"briarcroft/internal/quarantine"
 	"briarcroft/internal/ratelimit"
 )
@@ -42,6 +43,11 @@
 	Quarantine *quarantine.List
 	// RateLimits holds the rate limits that targets name. All homes of a host share one.
 	RateLimits *ratelimit.Table
+	// Notices holds what targets say of themselves. All homes of a host share one.
+	Notices *notice.Table
+	// OnNotice is called when a target first says that it leaves, or wants no requests for a time. It must not call the home. It
+	// may be nil.
+	OnNotice func(TargetNotice)
 	// OnVerdict is called with each verdict. It must not call the home.
 	OnVerdict func(*Request, Verdict)
 	// OnEjection is called when a target is ejected and when its ejection ends. It must not call the home. It may be nil.
@@ -90,6 +96,8 @@
 	awaitsProbes bool
 	// quarantineVersion is the version of Config.Quarantine for which queued requests were checked.
 	quarantineVersion uint64
+	// noticesVersion is the version of Config.Notices that the targets hold.
+	noticesVersion uint64
 	// fallback is set if this is not the service's primary home.
 	fallback bool
 	// running is the number of runs of each request that has any, by each of its fingerprints.
@@ -134,12 +142,12 @@
 		byName[registered.Name] = t
 	}
 	for _, t := range h.targets {
-		if byName[t.Name] != t && !t.Draining {
+		if byName[t.Name] != t && !t.Draining && !t.said.Leaving {
 			h.recordLost(now, t)
 		}
 	}
 	h.targets, h.byName = next, byName
-	h.limitsVersion = 0
+	h.limitsVersion, h.noticesVersion = 0, 0
 	h.Dispatch(now)
 }
 
@@ -189,9 +197,10 @@
 // cannotServe reports whether a new request must be refused, because no target is available or the request is not
 // expected to end before its deadline, and returns the reason.
 func (h *Home) cannotServe(now time.Duration, r *Request) (Reason, bool) {
+	h.applyNotices()
 	slots := h.availableSlots(now)
 	if slots == 0 {
-		return ReasonNoTargets, true
+		return h.noTargetsReason(now), true
 	}
 	if now+h.queueWait(now, r)+h.serviceTime(r) > r.Deadline {
 		return h.lateReason(now), true
@@ -247,6 +256,7 @@
 // their deadline, or all if no target is available.
 func (h *Home) Dispatch(now time.Duration) {
 	h.applyRateLimits(now)
+	h.applyNotices()
 	h.refuseQuarantined(now)
 	if len(h.queue) == 0 {
 		return
@@ -306,7 +316,7 @@
 	slots := h.availableCapacity(now, h.serviceTime(r))
 	switch {
 	case slots == 0:
-		h.refuse(now, r, ReasonNoTargets)
+		h.refuse(now, r, h.noTargetsReason(now))
 		return true
 	case now+h.limitWait(now)+time.Duration(float64(ahead)/slots*h.averagePace*float64(h.serviceTime(r)))+h.serviceTime(r) > r.Deadline,
 		h.lateRank(now, r) == 1 && now+h.lateWait.estimate(now, lateAhead)+h.serviceTime(r) > r.Deadline:
@@ -344,7 +354,7 @@
 	serviceTime := float64(h.serviceTime(r))
 	for i := range h.targets {
 		t := h.targets[(start+i)%len(h.targets)]
-		if !t.available(now) || t.load(now) >= t.Slots || slices.Contains(excluded, t.Name) || !h.mayRunOn(now, t) || !r.Repeatable && t.doubtful(now) {
+		if !t.available(now) || t.load(now) >= t.openSlots(now) || slices.Contains(excluded, t.Name) || !h.mayRunOn(now, t) || !r.Repeatable && t.doubtful(now) {
 			continue
 		}
 		factor, nearlyFull := t.slowdown(now, h.averagePace, h.nearlyFullSlowdown)
--- a/internal/placement/home_test.go
+++ b/internal/placement/home_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"briarcroft/internal/fixedseed"
+	"briarcroft/internal/notice"
 	"briarcroft/internal/quarantine"
 	"briarcroft/internal/ratelimit"
 
@@ -31,7 +32,7 @@
 // newTestHome returns a home with the given number of targets. Each has three slots and has just reported a pace of 1.
 func newTestHome(targets int, budget RetryBudget) *testHome {
 	f := &testHome{verdicts: map[uint64][]Verdict{}, now: time.Minute}
-	f.home = New(Config{Random: rand.New(rand.NewPCG(1, 1)), Budget: budget, Quarantine: quarantine.New(quarantine.Config{Targets: crashesToQuarantine}), RateLimits: ratelimit.New(), OnVerdict: func(r *Request, v Verdict) {
+	f.home = New(Config{Random: rand.New(rand.NewPCG(1, 1)), Budget: budget, Quarantine: quarantine.New(quarantine.Config{Targets: crashesToQuarantine}), RateLimits: ratelimit.New(), Notices: notice.New(), OnVerdict: func(r *Request, v Verdict) {
 		f.verdicts[r.ID.Number] = append(f.verdicts[r.ID.Number], v)
 	}})
 	var list []Target
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -129,7 +129,7 @@
 // probeAllowed reports whether to probe a target now: if a request waits for it or, unless onlyAwaited is set, its probe
 // interval has passed. The probe then counts against the target's rate limit.
 func (h *Home) probeAllowed(now time.Duration, t *targetState, onlyAwaited bool) bool {
-	if t.probe.pending || t.Draining {
+	if t.probe.pending || t.Draining || t.said.Blocked(now) {
 		return false
 	}
 	rate := probeRate
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -103,6 +103,9 @@
 	ReasonRateLimited      Reason = "RateLimited"
 	ReasonRetryBudgetSpent Reason = "RetryBudgetSpent"
 	ReasonQuarantined      Reason = "Quarantined"
+	// ReasonTargetsPausing means that no target is available, and that some will be when the time has passed for which they
+	// want no requests.
+	ReasonTargetsPausing Reason = "TargetsPausing"
 )
 
 // Outcome is the way in which a run on a target ended.
--- a/internal/placement/returns.go
+++ b/internal/placement/returns.go
@@ -30,6 +30,9 @@
 	case ReasonQuarantined:
 		quarantined, _ := h.quarantined(now, r)
 		return quarantined.Remaining
+	case ReasonTargetsPausing:
+		left, _ := h.pauseLeft(now)
+		delay = max(minRetryDelay, left)
 	case ReasonNoTargets:
 		delay = noTargetsRetryDelay
 	case ReasonDeadlineCannotBeMet, ReasonRateLimited, ReasonRetryBudgetSpent:
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"briarcroft/internal/notice"
 )
 
 // Parameters of the state of a target. A decay time is the time constant of an exponential decay.
@@ -86,6 +88,8 @@
 	ejectionReported bool
 	probe            probeState
 	limiter          rateLimiter
+	// said is what the target has said of itself.
+	said notice.State
 	// otherServer is set while another server answers at the target's address.
 	otherServer bool
 }
@@ -126,12 +130,12 @@
 	return load
 }
 
-// inService reports whether the target accepts new requests and its address is still its own.
-func (t *targetState) inService() bool { return !t.Draining && !t.otherServer }
+// inService reports whether the target accepts new requests, or will when it has paused, and its address is still its own.
+func (t *targetState) inService() bool { return !t.Draining && !t.said.Leaving && !t.otherServer }
 
-// available reports whether the target is in service, not ejected, not down and not doubtful, or due for a trial.
+// available reports whether the target is in service, not pausing, not ejected, not down and not doubtful, or due for a trial.
 func (t *targetState) available(now time.Duration) bool {
-	return t.inService() && now >= t.ejectedUntil && !t.probe.down && (!t.doubtful(now) || t.trialDue(now))
+	return t.inService() && now >= t.said.PausedUntil && now >= t.ejectedUntil && !t.probe.down && (!t.doubtful(now) || t.trialDue(now))
 }
 
 // doubtful reports whether probes say that the target is unhealthy and no request has shown the opposite lately.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -39,6 +39,10 @@
 	// TargetLimited means that a target has named a limit of requests per second, which Evidence.Detail holds, or has stopped
 	// to name one.
 	TargetLimited Kind = "TargetLimited"
+	// TargetNotice means that a target says that it leaves (Cause Leaving) or wants no requests for a time (Pause), which
+	// Evidence.Detail holds; Evidence.Peer is the host from which this one has learned it. Cause Malformed: it said something
+	// that cannot be read.
+	TargetNotice Kind = "TargetNotice"
 	// ResponseTooLarge means that a target sent more bytes than a response may have and its connection was closed.
 	ResponseTooLarge Kind = "ResponseTooLarge"
 	// BudgetExhausted means that probes of targets are skipped because the budget for measuring is spent.
