Order the store's history by era and revision

Callers saw (in the test): after the store came back from an older copy, routes of newer configurations were answered 404, and a target that had left could be in use again.

Revisions go back and are given out again, while replicas, streams between hosts, tombstones and registrations of hosts were ordered by revision alone. The configuration in force and each target's registration are kept by what they say themselves (number; start and sequence), so an older copy changes nothing that a host has acted on. Watchers register again.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -168,6 +168,7 @@
 		{"TargetsLost", func() any { return g.reach.Lost() }},
 		{"RelayedRequests", func() any { return s.relayed.Load() }},
 		{"RequestsForPeers", func() any { return s.relayedForPeers.Load() }},
+		{"StoreRestores", func() any { return s.restores.Load() }},
 		{"TargetNotices", func() any { return s.notices.Load() }},
 		{"ReachChecks", func() any { return s.reachChecks.Load() }},
 		{"SlowReaders", func() any { return s.slowReaders.Load() }},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -230,6 +231,7 @@
 	g.followers.queues = map[uint64]*ring.Queue[*encodedUpdate]{}
 	g.roster = roster.New(roster.Config{
 		Decode: c.Dialect.Decode, OnRejectedEntry: g.recordRejectedEntry, OnUpdate: g.followers.broadcastChanges, OnChange: g.applyView,
+		OnRestore: g.recordRestore,
 	})
 	return g, func() {
 		cancelBackground()
@@ -264,6 +266,14 @@
 	g.records.Add(record.Record{Kind: record.NoteRejected, Cause: "StoreEntry", Note: g.chain.Number(), Evidence: record.Evidence{Detail: key + ": " + err.Error()}})
 }
 
+// recordRestore writes a change record for a store that has come back from an older copy, with its eras and revisions.
+func (g *Gateway) recordRestore(before, after int64) {
+	g.stats.restores.Add(1)
+	g.records.Add(record.Record{Kind: record.StoreRestored, Cause: "OlderCopy", Note: g.chain.Number(), Evidence: record.Evidence{
+		Detail: fmt.Sprintf("era %d revision %d, before era %d revision %d", platform.EraOf(after), platform.RevisionOf(after), platform.EraOf(before), platform.RevisionOf(before)),
+	}})
+}
+
 // applyView puts the configuration and the targets of the newest view of the store in force.
 func (g *Gateway) applyView() {
 	g.applyMu.Lock()
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -131,6 +131,8 @@
 	relayed, relayedForPeers atomic.Int64
 	// reachChecks counts the checks whether this host reaches a target.
 	reachChecks atomic.Int64
+	// restores counts the times that the store came back from an older copy.
+	restores atomic.Int64
 	// notices counts the news about targets that leave or want no requests for a time.
 	notices atomic.Int64
 	// quarantined counts the requests that this host, as a home, has put in quarantine.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -110,6 +110,8 @@
 	var err error
 	switch {
 	case w.revision == 0:
+		// What this host has written may be gone with the history that it missed.
+		w.registered = false
 		w.revision, err = g.readSnapshot(ctx)
 	case !w.registered && g.now() > registerDelay && g.isWatcher():
 		err = g.register(ctx)
@@ -175,7 +177,7 @@
 // register writes the inner address of this host to the store, where hosts that know no peer find it.
 func (g *Gateway) register(ctx context.Context) error {
 	key := g.dialect.PeerKey(g.settings.Host.Name)
-	if g.roster.View().PeerAddresses[key] == g.settings.Host.PeerAddress() {
+	if g.roster.Stored(key) && g.roster.View().PeerAddresses[key] == g.settings.Host.PeerAddress() {
 		return nil
 	}
 	g.stats.storeCalls.Add(1)
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -53,6 +53,8 @@
 	// StoreLost means that calls to the platform's store fail, and StoreReturned that they succeed again.
 	StoreLost     Kind = "StoreLost"
 	StoreReturned Kind = "StoreReturned"
+	// StoreRestored means that the platform's store has come back from an older copy; Evidence.Detail holds its eras and revisions.
+	StoreRestored Kind = "StoreRestored"
 	// TargetsLost means that this host reaches no target over its own link, so that other hosts relay its requests, and
 	// TargetsReturned that it reaches targets again.
 	TargetsLost     Kind = "TargetsLost"
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -33,6 +33,9 @@
 	// revision up to which they make them complete. Calls are in order, and come before OnChange. It must not block and
 	// must not call the roster. It may be nil.
 	OnUpdate func(changes []platform.Change, revision int64)
+	// OnRestore is called when the store has come back from an older copy, with the positions before and after. It must not call
+	// the roster. It may be nil.
+	OnRestore func(before, after int64)
 	// OnChange is called after each change of the view. The view may have changed again by then.
 	OnChange func()
 }
@@ -50,6 +53,8 @@
 type entryState struct {
 	change  platform.Change
 	decoded DecodedEntry
+	// newest is the newest registration of a target that was seen under the key; its name is empty if there was none.
+	newest Target
 	// usableUntil is when the content of a deleted entry goes out of use; zero means immediately.
 	usableUntil time.Duration
 }
@@ -118,6 +123,7 @@
 
 // applyAll applies changes and unlocks r.mu, which the caller holds.
 func (r *Roster) applyAll(now time.Duration, changes []platform.Change, revision int64) {
+	r.noticeRestore(now, revision)
 	var updates []platform.Change
 	for _, c := range changes {
 		if r.applyOne(now, c) {
@@ -133,6 +139,18 @@
 	r.unlockAndPublish(len(updates) > 0)
 }
 
+// noticeRestore handles the beginning of a new era of the store, which has come back from an older copy. It counts as the end of an
+// outage, so that what was lost stays in use until it can have been written again.
+func (r *Roster) noticeRestore(now time.Duration, revision int64) {
+	if r.revision == 0 || platform.EraOf(revision) <= platform.EraOf(r.revision) {
+		return
+	}
+	r.storeReturnedAt = now
+	if r.config.OnRestore != nil {
+		r.config.OnRestore(r.revision, revision)
+	}
+}
+
 // dropSuperseded removes the changes that a later change of the same key replaces, except the configuration in force.
 // This limits the traffic between hosts: a configuration may change many times before the store answers a watch
 // request, and every remaining change is sent to each host that replicates from this one.
@@ -169,7 +187,7 @@
 func (r *Roster) applyOne(now time.Duration, c platform.Change) bool {
 	old := r.entries[c.Key]
 	if old != nil && old.change.Revision >= c.Revision {
-		return false
+		return r.isNewerConfiguration(c)
 	}
 	if c.Deleted {
 		return r.remove(now, old, c)
@@ -181,10 +199,52 @@
 	if entry, is := decoded.(ConfigurationEntry); is {
 		r.setConfiguration(c, entry.Configuration)
 	}
-	r.entries[c.Key] = &entryState{change: c, decoded: decoded}
+	state := &entryState{change: c, decoded: decoded}
+	if old != nil {
+		state.newest = old.newest
+	}
+	if entry, is := decoded.(TargetEntry); is {
+		r.keepNewest(state, old, entry.Target)
+	}
+	r.entries[c.Key] = state
 	return true
 }
 
+// keepNewest keeps the content of an older state if the store's copy holds a registration that its target had already replaced.
+func (r *Roster) keepNewest(state, old *entryState, t Target) {
+	if old != nil && platform.EraOf(state.change.Revision) > platform.EraOf(old.change.Revision) {
+		gone := old.change.Deleted && old.decoded == nil && old.newest.Name != "" && !t.isNewerThan(old.newest)
+		if gone || old.newest.isNewerThan(t) {
+			state.decoded, state.usableUntil = old.decoded, old.usableUntil
+			return
+		}
+	}
+	state.newest = t
+}
+
+// isNewerConfiguration puts a configuration in force that the store has lost, and reports whether it was newer than the one in
+// force. Such a change has a lower revision than the older configuration in the store's copy.
+func (r *Roster) isNewerConfiguration(c platform.Change) bool {
+	if c.Deleted || c.Key != r.configurationChange.Key || c.Revision == r.configurationChange.Revision {
+		return false
+	}
+	decoded, err := r.config.Decode(c.Key, c.Value)
+	entry, is := decoded.(ConfigurationEntry)
+	if err != nil || !is || entry.Configuration.Number <= r.configuration.Number {
+		return false
+	}
+	r.setConfiguration(c, entry.Configuration)
+	return true
+}
+
+// Stored reports whether the store holds a key, as far as the roster knows.
+func (r *Roster) Stored(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := r.entries[key]
+	return state != nil && !state.change.Deleted
+}
+
 // setConfiguration puts a configuration in force, unless it is older than the one in force.
 func (r *Roster) setConfiguration(change platform.Change, c note.Configuration) {
 	if c.Number < r.configuration.Number {
@@ -199,6 +259,9 @@
 // passed.
 func (r *Roster) remove(now time.Duration, old *entryState, c platform.Change) bool {
 	state := &entryState{change: c}
+	if old != nil {
+		state.newest = old.newest
+	}
 	switch {
 	case old == nil:
 	case old.change.Deleted:
@@ -287,7 +350,7 @@
 		}
 	}
 	inForce := r.configurationChange
-	if state := r.entries[inForce.Key]; state != nil && state.change.Revision != inForce.Revision && (inForce.Revision > revision || d.Complete) {
+	if state := r.entries[inForce.Key]; state != nil && state.change.Revision != inForce.Revision {
 		d.Changes = append(d.Changes, inForce)
 	}
 	slices.SortFunc(d.Changes, func(a, b platform.Change) int { return cmp.Compare(a.Revision, b.Revision) })
--- a/internal/roster/target.go
+++ b/internal/roster/target.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"cmp"
+
 	"briarcroft/internal/note"
 	"briarcroft/internal/placement"
 )
@@ -9,6 +11,13 @@
 type Target struct {
 	placement.Target
 	Service string
+	// Sequence counts what the target has written since its start.
+	Sequence int64
+}
+
+// isNewerThan reports whether the target wrote this registration later than another one.
+func (t Target) isNewerThan(other Target) bool {
+	return cmp.Or(cmp.Compare(t.Incarnation, other.Incarnation), cmp.Compare(t.Sequence, other.Sequence)) > 0
 }
 
 // DecodedEntry is the content of one entry of the store: ConfigurationEntry, TargetEntry or PeerEntry.
