Relays: slow callers and late responses do not break them

A peer's silence counts only while the host waits for it, so a caller that reads a large response slowly does not end it. A response that comes while a hanging run is given up is either passed on or dropped whole, and a run is checked again if another check of its target was under way. Runs get their home passed in, because a hedge may outlive a new placement.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -52,7 +52,7 @@
 // runOn sends the request to one target and reports the end of the run to the home that placed it.
 func (x *exchange) runOn(ctx context.Context, from placer, p placement.Placed) *runResult {
 	started := x.gateway.now()
-	r := x.roundTrip(ctx, p)
+	r := x.roundTrip(ctx, from, p)
 	if r.duration == 0 {
 		r.duration = x.gateway.now() - started
 	}
@@ -65,11 +65,11 @@
 	return r
 }
 
-// roundTrip sends the request to one target and reads the response.
-func (x *exchange) roundTrip(ctx context.Context, p placement.Placed) *runResult {
+// roundTrip sends the request to the target that a home has chosen and reads the response.
+func (x *exchange) roundTrip(ctx context.Context, from placer, p placement.Placed) *runResult {
 	g := x.gateway
 	started := g.now()
-	response, err := x.send(ctx, p)
+	response, err := x.send(ctx, from, p)
 	if err != nil {
 		if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
 			g.recordTooLarge(p)
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -84,10 +84,13 @@
 	g.heartbeatTrigger.Push(struct{}{})
 }
 
-// checkReach checks whether this host reaches a target on a new connection, unless it was checked a short time ago, and reports
-// false if it does not.
+// checkReach checks whether this host reaches a target on a new connection, and reports false if it does not. If the target was
+// checked a short time ago, the result of that check holds.
 func (g *Gateway) checkReach(ctx context.Context, target string) bool {
-	return !g.reach.TakeCheck(g.now(), target) || g.reaches(ctx, target)
+	if !g.reach.TakeCheck(g.now(), target) {
+		return g.reach.Direct(target)
+	}
+	return g.reaches(ctx, target)
 }
 
 // reaches reports whether a check reaches a target, and records the result.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"briarcroft/internal/backend"
@@ -37,8 +39,8 @@
 )
 
 // send sends the request to a target and returns its response, of which the body was not read. It goes over this host's own
-// link, or through a peer if this host does not reach the target. Errors are those of backend.Pool.Do.
-func (x *exchange) send(ctx context.Context, p placement.Placed) (*http.Response, error) {
+// link, or through a peer if this host does not reach the target. Errors are those of backend.Pool.Do and errBlocked.
+func (x *exchange) send(ctx context.Context, from placer, p placement.Placed) (*http.Response, error) {
 	g := x.gateway
 	if g.said(p.Target).Blocked(g.now()) {
 		return nil, errBlocked.New("target %s has said that it wants no requests", p.Target)
@@ -47,7 +49,7 @@
 		if !g.reach.Lost() {
 			go g.checkReach(g.background, p.Target)
 		}
-		if response, err := x.relay(ctx, p); !errorx.IsOfType(err, backend.ErrNotSent) {
+		if response, err := x.relay(ctx, from, p); !errorx.IsOfType(err, backend.ErrNotSent) {
 			return response, err
 		}
 		if g.reach.Lost() {
@@ -55,27 +57,27 @@
 		}
 	}
 	started := g.now()
-	response, hung, err := x.sendDirectly(ctx, p)
+	response, hangs, err := x.sendDirectly(ctx, p)
 	switch {
 	case err == nil:
 		g.recordInReach(p.Target)
 		return response, nil
 	case ctx.Err() != nil:
 		return nil, err
-	case hung:
-		return x.relayOr(ctx, p, err)
+	case hangs:
+		return x.relayOr(ctx, from, p, err)
 	case errorx.IsOfType(err, backend.ErrNotSent):
 		g.recordOutOfReach(p.Target)
 		if p.KnowledgeAge+g.now()-started <= freshKnowledge || g.reach.Lost() {
-			return x.relayOr(ctx, p, err)
+			return x.relayOr(ctx, from, p, err)
 		}
 	}
 	return nil, err
 }
 
 // relayOr has a peer relay the request, and returns the given error if no peer can.
-func (x *exchange) relayOr(ctx context.Context, p placement.Placed, err error) (*http.Response, error) {
-	response, relayErr := x.relay(ctx, p)
+func (x *exchange) relayOr(ctx context.Context, from placer, p placement.Placed, err error) (*http.Response, error) {
+	response, relayErr := x.relay(ctx, from, p)
 	if errorx.IsOfType(relayErr, backend.ErrNotSent) {
 		return nil, err
 	}
@@ -88,44 +90,55 @@
 	return backend.ErrPoolExhausted.New("this host reaches no target and no peer relays to %s; wait for the network", p.Target)
 }
 
+// States of a run that is sent directly.
+const (
+	runWaits int32 = iota
+	runEnded
+	runHangs
+)
+
 // sendDirectly sends the request over this host's own link. If a repeatable request gets no response for long and its target
 // does not respond to a check either, it gives up and reports that the link hangs.
-func (x *exchange) sendDirectly(ctx context.Context, p placement.Placed) (response *http.Response, hung bool, err error) {
+func (x *exchange) sendDirectly(ctx context.Context, p placement.Placed) (response *http.Response, hangs bool, err error) {
 	g := x.gateway
 	directCtx, cancel := context.WithCancel(ctx)
-	gaveUp := make(chan bool, 1)
-	watch := time.AfterFunc(max(minHangTime, hangRatio*p.Expected), func() {
-		reached := g.checkReach(directCtx, p.Target)
-		if !reached && x.repeatable() {
-			cancel()
+	var state atomic.Int32
+	var watch *time.Timer
+	watch = time.AfterFunc(math.MaxInt64, func() {
+		switch {
+		case !g.checkReach(directCtx, p.Target) && x.repeatable():
+			if state.CompareAndSwap(runWaits, runHangs) {
+				cancel()
+			}
+		case state.Load() == runWaits:
+			watch.Reset(reachCheckTimeout)
 		}
-		gaveUp <- !reached && x.repeatable()
 	})
+	watch.Reset(max(minHangTime, hangRatio*p.Expected))
+	defer watch.Stop()
 	response, err = g.pools.get(p.Target, p.Address).Do(x.targetRequest(directCtx, p), backend.Options{RecentlyUsed: !x.repeatable()})
-	if err == nil {
-		// The context must last until the body was read.
-		watch.Stop()
+	hangs = !state.CompareAndSwap(runWaits, runEnded)
+	switch {
+	case err == nil && !hangs:
+		// The context must last until the body was read, and ends with that of the request.
 		return response, false, nil
-	}
-	if !watch.Stop() {
-		select {
-		case hung = <-gaveUp:
-		default:
-		}
+	case err == nil:
+		_ = response.Body.Close()
+		err = backend.ErrConnectionBroke.New("target %s responded when the run had been given up", p.Target)
 	}
 	cancel()
-	return nil, hung && ctx.Err() == nil, err
+	return nil, hangs && ctx.Err() == nil, err
 }
 
 // relay has peers send the request to a target, one after the other, until one of them reaches it. The error is ErrNotSent if
 // none does.
-func (x *exchange) relay(ctx context.Context, p placement.Placed) (*http.Response, error) {
+func (x *exchange) relay(ctx context.Context, from placer, p placement.Placed) (*http.Response, error) {
 	g := x.gateway
 	if len(x.request.body) > maxRelayedBody {
 		return nil, backend.ErrNotSent.New("the request is too large to be relayed to target %s", p.Target)
 	}
 	err := error(backend.ErrNotSent.New("no peer relays to target %s", p.Target))
-	for _, peer := range g.relayPeers(x.placer, p) {
+	for _, peer := range g.relayPeers(from, p) {
 		var response *http.Response
 		if response, err = g.relayThrough(ctx, peer, x.relayRequest(ctx, p)); !errorx.IsOfType(err, backend.ErrNotSent) || ctx.Err() != nil {
 			g.stats.relayed.Add(1)
@@ -147,9 +160,9 @@
 	for _, m := range g.members.Live(g.now()) {
 		switch {
 		case m.Name == self.Name || m.TargetsLost:
-		case home != nil && m.Name == home.name() && !g.reach.Lost():
+		case m.Name == home.name() && !g.reach.Lost():
 			return []host.Member{m}
-		case home != nil && m.Name == home.name():
+		case m.Name == home.name():
 			last = &m
 		case m.Domain == target.Domain:
 			near = append(near, m)
@@ -214,21 +227,22 @@
 type relayedBody struct {
 	stream inner.DRPCPeer_RelayClient
 	cancel context.CancelFunc
-	// silence ends the stream when the peer has sent nothing for inner.StreamTimeout.
+	// silence ends the stream when the peer has sent nothing for inner.StreamTimeout while it is waited for.
 	silence *time.Timer
 	// unread is what was received and not read yet; err is returned after it.
 	unread []byte
 	err    error
 }
 
-// receive returns the next message other than a keep-alive.
+// receive returns the next message other than a keep-alive. Only while it waits does the peer's silence count.
 func (b *relayedBody) receive() (*inner.RelayReply, error) {
+	defer b.silence.Stop()
 	for {
+		b.silence.Reset(inner.StreamTimeout)
 		reply, err := b.stream.Recv()
 		if err != nil {
 			return nil, err
 		}
-		b.silence.Reset(inner.StreamTimeout)
 		if reply.Kind != inner.RelayKind_RelayAlive {
 			return reply, nil
 		}
