--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -22,6 +22,8 @@
 type restoreTest struct {
 	*fleet
 	version int
+	// more is the number of further rules in each configuration.
+	more int
 }
 
 // writeMuch changes the configuration and an entry many times, so that revisions after a restore are below those before it.
@@ -40,6 +42,9 @@
 	for i, path := range paths {
 		rules = append(rules, safeRule(fmt.Sprintf("rule-%d", i), path))
 	}
+	for i := range r.more {
+		rules = append(rules, safeRule(fmt.Sprintf("more-%d", i), fmt.Sprintf("/more-%d/", i)))
+	}
 	r.configure(r.version, rules...)
 }
 
@@ -71,6 +76,13 @@
 	}{
 		{"5 hosts", 5, nil},
 		{"13 hosts", 13, nil},
+		{"106 hosts", 106, nil},
+		{"a large configuration is on its way", 13, func(r *restoreTest) func() {
+			r.more = 1400
+			r.configureNext("/lookup/", "/order/", "/late/")
+			time.Sleep(20 * time.Millisecond)
+			return func() {}
+		}},
 		{"the store is away for a moment", 5, func(r *restoreTest) func() {
 			r.store.SetFaults("", standin.Faults{Status: http.StatusServiceUnavailable})
 			time.Sleep(time.Second)
