A run counts as hanging after 400 ms and four times its expected time

Long runs under load counted as hanging after 150 ms and twice their expected time, so their targets were checked on new connections (180 of all connections reset over the targets' cap, 93 before).

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -34,8 +34,8 @@
 	freshKnowledge = 400 * time.Millisecond
 	// minHangTime is the least age of a run without a response from which its target is checked, and hangRatio the least one
 	// relative to the expected duration.
-	minHangTime = 150 * time.Millisecond
-	hangRatio   = 2
+	minHangTime = 400 * time.Millisecond
+	hangRatio   = 4
 )
 
 // send sends the request to a target and returns its response, of which the body was not read. It goes over this host's own
