--- /dev/null
+++ b/internal/gateway/freshness_test.go
@@ -0,0 +1,62 @@
+package gateway_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// configurationBound is the time in which a configuration must be in force after the store has acknowledged it, on all hosts
+// that reach the store.
+const configurationBound = 2 * time.Second
+
+// TestHostsThatLoseTheStoreDoNotDelayOthers cuts each host off from the store with probability one half and writes a
+// configuration up to 1.5 s later. It guards against hosts that rely on watchers which no longer reach the store.
+func TestHostsThatLoseTheStoreDoNotDelayOthers(t *testing.T) {
+	const hosts, seeds = 13, 20
+	for _, c := range []struct {
+		name string
+		cut  func(f *fleet, random *rand.Rand, host string)
+	}{
+		{"silent", func(f *fleet, _ *rand.Rand, h string) { f.net.Partition(h, "store") }},
+		{"to the store only", func(f *fleet, _ *rand.Rand, h string) { f.net.BlackholeOneWay(h, "store") }},
+		{"from the store only", func(f *fleet, _ *rand.Rand, h string) { f.net.BlackholeOneWay("store", h) }},
+		{"silent, half also from other hosts", func(f *fleet, random *rand.Rand, h string) {
+			f.net.Partition(h, "store")
+			if random.IntN(2) == 0 {
+				for other := range f.hosts {
+					f.net.Partition(h, other)
+				}
+			}
+		}},
+	} {
+		for seed := range uint64(seeds) {
+			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
+				withFleet(t, hosts, 2, func(f *fleet) {
+					random := rand.New(rand.NewPCG(seed, 1))
+					cut := map[string]bool{}
+					for i := range hosts {
+						if name := fmt.Sprint("h", i); random.IntN(2) == 0 {
+							cut[name] = true
+							c.cut(f, random, name)
+						}
+					}
+					time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+					f.configure(2, safeRule("lookup", "/lookup/"))
+					f.checkConfigured(2, cut)
+				})
+			})
+		}
+	}
+}
+
+// checkConfigured checks that a configuration that was just written is in force on all hosts in time, except on the given ones.
+func (f *fleet) checkConfigured(number int, except map[string]bool) {
+	time.Sleep(configurationBound)
+	for name, n := range f.hosts {
+		if !except[name] && n.gateway.NoteNumber() < number {
+			f.is.Equal(name, "late")
+		}
+	}
+}
