Hosts go by the age of their knowledge of the store, not by live streams

Cause: only the watcher of each failure domain reads the store, and all others took a live stream from it for fresh knowledge. A watcher whose link to the store goes silent notices after two calls that time out, so with all three watchers cut off nobody asked the store for 3 s or more, and the next watchers may be cut off too.

Now each host knows as of when its replica was complete: the store's word that nothing was newer, whose age is handed down with the streams between hosts and with heartbeats. The watchers' waits are spread, so that calm hosts never get there. A host that alone had lost the store reports no outage on its return.

--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -44,7 +44,11 @@
 // broadcast queues an update for all followers. A follower whose queue is full is removed, which ends its stream; it
 // then follows again from the revision that it has reached.
 func (f *followers) broadcast(u storeUpdate) {
-	encoded := newEncodedUpdate(u)
+	f.push(newEncodedUpdate(u))
+}
+
+// push queues an encoded update for all followers, as broadcast does.
+func (f *followers) push(encoded *encodedUpdate) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for number, queue := range f.queues {
@@ -90,16 +94,18 @@
 	return found
 }
 
-// FollowStore implements inner.DRPCPeerServer: it sends what the follower's replica lacks, then changes and, while there
-// are none, keep-alive messages.
+// FollowStore implements inner.DRPCPeerServer: it sends what the follower's replica lacks, then changes and, when there
+// are none, keep-alive messages, which tell how old this host's knowledge of the store is.
 func (p *peerServer) FollowStore(r *inner.FollowStoreRequest, stream inner.DRPCPeer_FollowStoreStream) error {
 	g := p.gateway
 	number, updates := g.followers.add()
 	defer g.followers.remove(number)
 	// The follower must not take entries for gone that it finds deleted just after an outage.
 	first := storeUpdate{Difference: g.roster.Since(r.Revision), returned: g.roster.ReturnedLately(g.now())}
-	if err := g.sendUpdate(r, stream, newEncodedUpdate(first)); err != nil {
-		return err
+	for _, u := range []*encodedUpdate{newEncodedUpdate(first), keepAliveUpdate} {
+		if err := g.sendUpdate(r, stream, u); err != nil {
+			return err
+		}
 	}
 	for g.followers.contains(number) {
 		waitCtx, cancel := context.WithTimeout(stream.Context(), followKeepAliveInterval)
@@ -118,15 +124,17 @@
 	return inner.ErrPeerFailed.New("host %s could not keep up; following again from its last revision", g.settings.Host.Name)
 }
 
-// keepAliveUpdate is sent while nothing changes.
-var keepAliveUpdate = newEncodedUpdate(storeUpdate{})
+// keepAliveUpdate is sent while nothing changes, and as soon as there is newer knowledge of the store.
+var keepAliveUpdate = &encodedUpdate{}
 
 // sendUpdate sends an update to a follower, or only the revision that this host has reached if the follower wants no more.
 // Hosts of older versions cannot join the parts of an update.
 func (g *Gateway) sendUpdate(r *inner.FollowStoreRequest, stream inner.DRPCPeer_FollowStoreStream, u *encodedUpdate) error {
 	switch {
 	case r.AnnounceOnly:
-		return stream.Send(&inner.FollowStoreReply{Revision: g.roster.Revision(), Returned: u.returned})
+		return stream.Send(&inner.FollowStoreReply{Revision: g.roster.Revision(), Returned: u.returned, Knowledge: g.knowledge()})
+	case u == keepAliveUpdate:
+		return stream.Send(&inner.FollowStoreReply{Knowledge: g.knowledge()})
 	case !r.JoinsParts:
 		return stream.Send(toFollowReply(u.storeUpdate))
 	}
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -208,6 +208,7 @@
 		} else if p := (peerAhead{m, reply.Revision}); g.isAhead(p) {
 			g.peersAhead.Push(p)
 		}
+		g.learnKnowledge(m, reply.Knowledge)
 		return true
 	})
 	if ctx.Err() == nil {
--- a/internal/gateway/freshness_test.go
+++ b/internal/gateway/freshness_test.go
@@ -60,3 +60,41 @@
 		}
 	}
 }
+
+// TestStoreIsCalledSeldom bounds the calls to the store: while nothing changes, by one call each 1.5 s and failure domain; while
+// half of the hosts are cut off from it, by twice that; and after an outage for all, by three calls of each host beside those that
+// the watchers need to follow the store and register.
+func TestStoreIsCalledSeldom(t *testing.T) {
+	const calmIn30s, watchersAfterOutage = 60, 35
+	for _, hosts := range []int{13, 60} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			withFleet(t, hosts, 2, func(f *fleet) {
+				time.Sleep(5 * time.Second)
+				calm := f.storeCallsIn(30 * time.Second)
+				for i := 0; i < hosts; i += 2 {
+					f.net.Partition(fmt.Sprint("h", i), "store")
+				}
+				half := f.storeCallsIn(30 * time.Second)
+				for i := range hosts {
+					f.net.Partition(fmt.Sprint("h", i), "store")
+				}
+				time.Sleep(20 * time.Second)
+				for i := range hosts {
+					f.net.Heal(fmt.Sprint("h", i), "store")
+				}
+				after := f.storeCallsIn(10 * time.Second)
+				t.Logf("calls to the store: %d in 30 s, %d in 30 s without half of the links, %d in 10 s after an outage", calm, half, after)
+				f.is.True(calm <= calmIn30s+3)
+				f.is.True(half <= 2*calmIn30s)
+				f.is.True(after <= watchersAfterOutage+3*hosts)
+			})
+		})
+	}
+}
+
+// storeCallsIn returns the number of calls to the store in a time.
+func (f *fleet) storeCallsIn(duration time.Duration) int {
+	before := f.store.CallCount()
+	time.Sleep(duration)
+	return f.store.CallCount() - before
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,6 +164,8 @@
 	stats          stats
 	followers      followers
 	storeWatch     watchState
+	// passedOn is the AsOf of the knowledge of the store that was last passed on to followers.
+	passedOn atomic.Int64
 	// receiving is the number of streams on which an update of the store has arrived in part.
 	receiving atomic.Int32
 	// bodies bounds the memory for request bodies, and responses that for responses of unknown length.
@@ -215,6 +217,7 @@
 		request.Quarantines = inner.EncodeQuarantines(g.quarantine.All(g.now()))
 		request.RateLimits = inner.EncodeRateLimits(g.rateLimits.Share(g.now()))
 		request.Notices = inner.EncodeNotices(g.notices.Share(g.now()))
+		request.Knowledge = g.knowledge()
 		return request
 	}, OnReply: func(r *inner.HeartbeatReply) { g.handlePeerState(r.Sender, r) }}
 	var cancelBackground context.CancelFunc
@@ -351,7 +354,7 @@
 	}
 	tasks := duty.NewGroup()
 	defer tasks.Stop()
-	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks} {
+	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runStoreChecks, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks} {
 		tasks.Go(task)
 	}
 	failed := make(chan error, len(listeners))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -321,18 +321,7 @@
 // that begins to follow another one after the outage learns with the deletions that the store has just returned.
 func TestFollowerLearnsOfStoreReturn(t *testing.T) {
 	withFleet(t, 3, 2, func(f *fleet) {
-		client, closeClient := inner.NewClient(inner.ClientConfig{Dial: f.net.Dialer("follower")})
-		defer closeClient()
-		// follow returns the first update that a host sends to a follower with a revision.
-		follow := func(name string, revision int64) *inner.FollowStoreReply {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			defer cancel()
-			stream, err := client.Peer(ctx, f.hosts[name].inner).FollowStore(ctx, &inner.FollowStoreRequest{Revision: revision})
-			f.is.NoErr(err)
-			reply, err := stream.Recv()
-			f.is.NoErr(err)
-			return reply
-		}
+		follow := f.follow
 		before := follow("h0", 0).Revision
 		f.store.SetFaults("", storeUnavailable)
 		time.Sleep(3 * time.Second)
@@ -347,6 +336,38 @@
 	})
 }
 
+// follow returns the first update that a host sends to a follower with a revision.
+func (f *fleet) follow(name string, revision int64) *inner.FollowStoreReply {
+	client, closeClient := inner.NewClient(inner.ClientConfig{Dial: f.net.Dialer("follower")})
+	defer closeClient()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	stream, err := client.Peer(ctx, f.hosts[name].inner).FollowStore(ctx, &inner.FollowStoreRequest{Revision: revision})
+	f.is.NoErr(err)
+	reply, err := stream.Recv()
+	f.is.NoErr(err)
+	return reply
+}
+
+// TestHostThatFindsStoreAgainReportsNoOutage guards against keeping targets in use whose entries are gone because one host alone
+// had lost the store.
+func TestHostThatFindsStoreAgainReportsNoOutage(t *testing.T) {
+	withFleet(t, 3, 2, func(f *fleet) {
+		for _, name := range []string{"h0", "h1"} {
+			f.store.SetFaults(name, storeUnavailable)
+			time.Sleep(4 * time.Second)
+			f.store.SetFaults(name, storeHealthy)
+			for range 20 {
+				time.Sleep(500 * time.Millisecond)
+				for host := range f.hosts {
+					f.is.True(!f.follow(host, 0).Returned)
+				}
+			}
+			f.is.True(!f.hosts[name].gateway.StoreLost())
+		}
+	})
+}
+
 // TestUnreadableEntriesIgnored writes invalid entries of targets and an invalid configuration: the valid ones stay in
 // use.
 func TestUnreadableEntriesIgnored(t *testing.T) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -33,6 +33,7 @@
 	reply.Quarantines = inner.EncodeQuarantines(g.quarantine.All(g.now()))
 	reply.RateLimits = inner.EncodeRateLimits(g.rateLimits.Share(g.now()))
 	reply.Notices = inner.EncodeNotices(g.notices.Share(g.now()))
+	reply.Knowledge = g.knowledge()
 	return reply, nil
 }
 
@@ -41,6 +42,7 @@
 	GetQuarantines() []*inner.Quarantine
 	GetRateLimits() []*inner.RateLimit
 	GetNotices() []*inner.TargetNotice
+	GetKnowledge() *inner.StoreKnowledge
 }
 
 // handlePeerState processes the parts of a heartbeat or its reply that the membership table does not handle, after it has
@@ -51,6 +53,9 @@
 	for _, news := range g.notices.Merge(g.now(), inner.DecodeNotices(state.GetNotices())) {
 		g.recordNotice(news.Target, news.Notice, sender)
 	}
+	if m, found := g.members.Find(sender); found {
+		g.learnKnowledge(m, state.GetKnowledge())
+	}
 	g.queueIfNewer(sender)
 }
 
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -120,7 +120,9 @@
 
 // stats holds the counters that the metrics page shows.
 type stats struct {
-	requests, attempts, storeCalls                 atomic.Int64
+	requests, attempts, storeCalls atomic.Int64
+	// storeChecks counts the calls to the store that were made because this host's knowledge of it was old.
+	storeChecks                                    atomic.Int64
 	answered, refused, failed, notFound, truncated atomic.Int64
 	// unresponsiveHomes counts homes that gave no verdict within firstVerdictTimeout; slowReaders, hosts that were cut off
 	// because they did not read their verdicts; rejected, requests that could not be read.
@@ -159,7 +161,7 @@
 			Bool("TargetsLost", g.reach.Lost()).Int64("RelayedRequests", s.relayed.Load()).Int64("RequestsForPeers", s.relayedForPeers.Load()).
 			Int64("PrimaryProbes", s.primaryProbes.Load()).Int64("FallbackProbes", s.fallbackProbes.Load()).
 			Int64("PrimaryLimitedRuns", s.primaryLimitedRuns.Load()).Int64("FallbackLimitedRuns", s.fallbackLimitedRuns.Load()).
-			Int64("StoreCalls", s.storeCalls.Load()).Int64("StoreBytesSent", s.storeBytesSent.Load()).
+			Int64("StoreCalls", s.storeCalls.Load()).Int64("StoreChecks", s.storeChecks.Load()).Dur("StoreAgeMilliseconds", g.now()-g.roster.Confirmed().AsOf).Int64("StoreBytesSent", s.storeBytesSent.Load()).
 			Int64("StoreBytesReceived", s.storeBytesReceived.Load()).Int64("FollowsStarted", s.followsStarted.Load()).
 			Int("Followers", g.followers.count()).Int("LiveHosts", len(g.members.Live(g.now()))).
 			Msg("counters")
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -10,6 +10,7 @@
 	"briarcroft/internal/host"
 	"briarcroft/internal/platform"
 	"briarcroft/internal/record"
+	"briarcroft/internal/roster"
 
 	"github.com/joomcode/errorx"
 )
@@ -20,9 +21,11 @@
 const (
 	// watchersPerDomain is the number of hosts in each failure domain that follow the store itself.
 	watchersPerDomain = 1
-	// watchTimeout is how long a call waits for changes of the store. A store that stops answering is noticed only
-	// after this time, and changes that were written meanwhile must be in force within 2 s.
-	watchTimeout = 1500 * time.Millisecond
+	// confirmInterval is how often the watchers together learn from the store that nothing has changed.
+	confirmInterval = 600 * time.Millisecond
+	// minWatchTimeout and maxWatchTimeout limit how long a call waits for changes of the store.
+	minWatchTimeout = time.Second
+	maxWatchTimeout = 2 * time.Second
 	// firstWatchDelay is how long after its start a host that has read the store first follows it. By then it knows its
 	// peers, and only watchers go on to call the store; changes meanwhile are read late rather than missed.
 	firstWatchDelay = time.Second
@@ -30,7 +33,7 @@
 	changeBatchDelay = 100 * time.Millisecond
 	// registerDelay is how long after its start a host first registers its address in the store. By then it knows its
 	// peers, and only watchers register.
-	registerDelay = 3 * time.Second
+	registerDelay = 4 * time.Second
 	// firstRetryPause is the pause after the first failed call in a row.
 	firstRetryPause = 20 * time.Millisecond
 	// watchRetryPause is the pause after each further failed call. It is also how often the choice of watchers and of
@@ -49,6 +52,10 @@
 type watchState struct {
 	// unreachable is set while this host cannot reach the store.
 	unreachable atomic.Bool
+	// failedAt is when a call last failed while the store counted as unreachable.
+	failedAt atomic.Int64
+	// freshSince is since when this host's knowledge of the store has not been old, if it is not now.
+	freshSince atomic.Int64
 	// watching is set while this host follows the store itself.
 	watching atomic.Bool
 	// loaded is set once this host has read the store successfully.
@@ -81,10 +88,11 @@
 		watching := !g.storeWatch.loaded.Load() || g.now() >= firstWatchDelay && g.isWatcher()
 		g.storeWatch.watching.Store(watching)
 		if !watching {
-			if g.now() >= firstWatchDelay {
-				w = watcher{gateway: g}
+			pause := firstWatchDelay - g.now()
+			if pause <= 0 {
+				w, pause = watcher{gateway: g}, watchRetryPause
 			}
-			duty.Sleep(ctx, watchRetryPause)
+			duty.Sleep(ctx, min(pause, watchRetryPause))
 			continue
 		}
 		if err := w.call(ctx); err != nil && ctx.Err() == nil {
@@ -100,6 +108,8 @@
 	revision int64
 	// registered is set once this host's address is in the store.
 	registered bool
+	// undisturbed is set if nothing had changed when the last call ended.
+	undisturbed bool
 	// failures counts failed calls in a row.
 	failures int
 }
@@ -108,6 +118,7 @@
 func (w *watcher) call(ctx context.Context) error {
 	g := w.gateway
 	var err error
+	undisturbed := false
 	switch {
 	case w.revision == 0:
 		// What this host has written may be gone with the history that it missed.
@@ -117,8 +128,14 @@
 		err = g.register(ctx)
 		w.registered = err == nil
 	default:
-		w.revision, err = g.readChanges(ctx, w.revision)
+		var changes int
+		w.revision, changes, err = g.readChanges(ctx, w.revision, w.waitTime())
+		if undisturbed = err == nil && changes == 0; changes > 0 {
+			// Changes come in bursts, and the platform charges for each call that the store answers.
+			duty.Sleep(ctx, changeBatchDelay)
+		}
 	}
+	w.undisturbed = undisturbed
 	if err == nil {
 		w.failures = 0
 		g.storeWatch.loaded.Store(true)
@@ -127,6 +144,19 @@
 	return err
 }
 
+// waitTime returns how long the next call waits for changes. Each watcher waits for as many times confirmInterval as there are
+// watchers. A change ends the calls of all of them at the same time; the waits after it differ, so that they learn in turn that
+// nothing has changed since.
+func (w *watcher) waitTime() time.Duration {
+	watchers := w.gateway.watchers()
+	timeout := min(max(minWatchTimeout, confirmInterval*time.Duration(len(watchers))), maxWatchTimeout)
+	position := slices.IndexFunc(watchers, func(m host.Member) bool { return m.Name == w.gateway.settings.Host.Name })
+	if w.undisturbed || position < 0 {
+		return timeout
+	}
+	return timeout * time.Duration(position+1) / time.Duration(len(watchers))
+}
+
 // handleFailure handles a failed call and returns the pause before the next one. That one reads a snapshot, because
 // changes that were missed in the meantime may have been compacted away.
 func (w *watcher) handleFailure(err error) time.Duration {
@@ -140,14 +170,19 @@
 		return firstRetryPause
 	}
 	g.setStoreLost(err)
-	if len(g.watchers()) > 0 && g.chain.Number() > 0 {
+	switch {
+	case g.chain.Number() == 0:
+		return watchRetryPause
+	case len(g.watchers()) > 0:
 		return lostStoreRetryPause
+	default:
+		return lostStorePause(g.watcherRank())
 	}
-	return watchRetryPause
 }
 
 // readSnapshot reads all entries of the store and returns its revision.
 func (g *Gateway) readSnapshot(ctx context.Context) (int64, error) {
+	started := g.now()
 	g.stats.storeCalls.Add(1)
 	entries, revision, err := g.config.Store.Snapshot(ctx, "")
 	if err != nil {
@@ -155,23 +190,27 @@
 	}
 	g.markStoreReturned()
 	g.roster.ApplySnapshot(g.now(), entries, revision)
+	g.confirm(roster.Knowledge{Revision: revision, AsOf: started})
 	return revision, nil
 }
 
-// readChanges waits for changes after a revision and returns the new revision.
-func (g *Gateway) readChanges(ctx context.Context, revision int64) (int64, error) {
+// readChanges waits for changes after a revision and returns the new revision and the number of changes.
+func (g *Gateway) readChanges(ctx context.Context, revision int64, wait time.Duration) (int64, int, error) {
+	started := g.now()
 	g.stats.storeCalls.Add(1)
-	changes, next, err := g.config.Store.WaitForChanges(ctx, "", revision, watchTimeout)
+	changes, next, err := g.config.Store.WaitForChanges(ctx, "", revision, wait)
 	if err != nil {
-		return revision, err
+		return revision, 0, err
 	}
 	g.markStoreReturned()
 	g.roster.Apply(g.now(), changes, next)
-	if len(changes) > 0 {
-		// Changes come in bursts, and the platform charges for each call that the store answers.
-		duty.Sleep(ctx, changeBatchDelay)
+	// The response may have been long on its way. It is not older than the call, nor than the wait that ended without changes.
+	asOf := started
+	if len(changes) == 0 && g.now() >= started+wait {
+		asOf += wait
 	}
-	return next, nil
+	g.confirm(roster.Knowledge{Revision: next, AsOf: asOf})
+	return next, len(changes), nil
 }
 
 // register writes the inner address of this host to the store, where hosts that know no peer find it.
@@ -184,9 +223,13 @@
 	return g.config.Store.Write(ctx, []platform.Entry{{Key: key, Value: []byte(g.settings.Host.PeerAddress())}}, nil)
 }
 
-// markStoreReturned handles the end of an outage of the store and reports it to the followers.
+// markStoreReturned handles the end of an outage of the store and reports it to the followers. A host that alone had lost the
+// store has not seen an outage: others knew the store's content all the while.
 func (g *Gateway) markStoreReturned() {
-	if g.storeWatch.unreachable.Load() && g.roster.StoreReturned(g.now()) {
+	if !g.storeWatch.unreachable.Load() || g.knowledgeFreshFor() >= roster.StoreReturnGrace {
+		return
+	}
+	if g.roster.StoreReturned(g.now()) {
 		g.followers.broadcast(storeUpdate{returned: true})
 	}
 }
@@ -195,6 +238,9 @@
 // sends it to the peers.
 func (g *Gateway) setStoreLost(err error) {
 	unreachable := err != nil
+	if unreachable {
+		g.storeWatch.failedAt.Store(int64(g.now()))
+	}
 	if g.storeWatch.unreachable.Swap(unreachable) == unreachable {
 		return
 	}
--- a/internal/host/sources.go
+++ b/internal/host/sources.go
@@ -38,6 +38,12 @@
 	return s
 }
 
+// WatcherRank returns how many hosts of self's failure domain are to ask the platform's store before self: the position of self
+// in the tree of its domain. Hosts that have lost the store come last.
+func WatcherRank(self Member, live []Member) int {
+	return slices.IndexFunc(newForest(self, live).trees[self.Domain], func(m Member) bool { return m.Name == self.Name })
+}
+
 // forest holds the tree of each failure domain. The parent of position p in a tree is at (p-1)/fanOut.
 type forest struct {
 	// domains are the sorted names of the failure domains.
--- a/internal/roster/restore_test.go
+++ b/internal/roster/restore_test.go
@@ -153,7 +153,7 @@
 		store.rewrite()
 		for _, r := range replicas {
 			check(func(r *Roster) { entries, position := store.entries(); r.ApplySnapshot(now, entries, position) }, r)
-			now += 2 * storeReturnGrace
+			now += 2 * StoreReturnGrace
 			check(func(r *Roster) { r.Tick(now) }, r)
 			v := r.View()
 			if v.Configuration.Number != store.version {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -16,9 +16,9 @@
 	"briarcroft/internal/platform"
 )
 
-// storeReturnGrace is how long after the end of a store outage a target stays in use whose entry expired during the
+// StoreReturnGrace is how long after the end of a store outage a target stays in use whose entry expired during the
 // outage. A target that is still running has registered again by then.
-const storeReturnGrace = 2 * time.Second
+const StoreReturnGrace = 2 * time.Second
 
 // maxTombstones is the number of deletions that are remembered, so that an older write that arrives late is ignored.
 // When it is exceeded, all of them are dropped, except those of entries that are still in use.
@@ -66,6 +66,8 @@
 	entries map[string]*entryState
 	// revision is the store revision up to which the replica is complete.
 	revision int64
+	// confirmed is the newest statement about the store that the replica fulfills.
+	confirmed Knowledge
 	// storeReturnedAt is the end of the last store outage.
 	storeReturnedAt time.Duration
 	configuration   note.Configuration
@@ -79,7 +81,7 @@
 
 // New returns an empty roster.
 func New(c Config) *Roster {
-	r := &Roster{config: c, entries: map[string]*entryState{}, storeReturnedAt: -storeReturnGrace}
+	r := &Roster{config: c, entries: map[string]*entryState{}, storeReturnedAt: -StoreReturnGrace}
 	r.view.Store(&View{})
 	return r
 }
@@ -94,12 +96,39 @@
 	return r.revision
 }
 
+// Knowledge is the statement that the store held nothing newer than a revision at a time. A replica that is complete up to
+// this revision was up to date then, whoever has asked the store.
+type Knowledge struct {
+	Revision int64
+	AsOf     time.Duration
+}
+
+// Confirm records a statement about the store and reports whether the roster fulfills it. If not, it lacks changes.
+func (r *Roster) Confirm(k Knowledge) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.revision < k.Revision {
+		return false
+	}
+	if k.AsOf > r.confirmed.AsOf || r.confirmed.Revision == 0 {
+		r.confirmed = k
+	}
+	return true
+}
+
+// Confirmed returns the newest statement about the store that the roster fulfills; its revision is 0 if there is none.
+func (r *Roster) Confirmed() Knowledge {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmed
+}
+
 // StoreReturned records that the store can be reached again after an outage. It reports false if this was recorded
 // already, because several hosts detect the end of the same outage.
 func (r *Roster) StoreReturned(now time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now-r.storeReturnedAt < storeReturnGrace {
+	if now-r.storeReturnedAt < StoreReturnGrace {
 		return false
 	}
 	r.storeReturnedAt = now
@@ -111,7 +140,7 @@
 func (r *Roster) ReturnedLately(now time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return now-r.storeReturnedAt < storeReturnGrace
+	return now-r.storeReturnedAt < StoreReturnGrace
 }
 
 // Apply applies changes that make the roster complete up to a revision. Changes may come late or twice: for each key the
@@ -255,7 +284,7 @@
 }
 
 // remove marks a key as deleted and reports whether the key was known. Just after a store outage, an entry may have
-// expired only because its target or host could not renew it; its content stays in use until storeReturnGrace has
+// expired only because its target or host could not renew it; its content stays in use until StoreReturnGrace has
 // passed.
 func (r *Roster) remove(now time.Duration, old *entryState, c platform.Change) bool {
 	state := &entryState{change: c}
@@ -267,8 +296,8 @@
 	case old.change.Deleted:
 		// The removal is known already, of an earlier revision.
 		state.decoded, state.usableUntil = old.decoded, old.usableUntil
-	case now-r.storeReturnedAt < storeReturnGrace:
-		state.decoded, state.usableUntil = old.decoded, r.storeReturnedAt+storeReturnGrace
+	case now-r.storeReturnedAt < StoreReturnGrace:
+		state.decoded, state.usableUntil = old.decoded, r.storeReturnedAt+StoreReturnGrace
 	}
 	r.entries[c.Key] = state
 	r.tombstones++
@@ -289,7 +318,7 @@
 }
 
 // Tick ends the use of targets whose entries were deleted just after a store outage and were not written again within
-// storeReturnGrace.
+// StoreReturnGrace.
 func (r *Roster) Tick(now time.Duration) {
 	r.mu.Lock()
 	changed := false
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -116,7 +116,7 @@
 }
 
 // TestRemovedTargets removes targets by a change, by a snapshot and after a store outage. Only after the outage does a
-// removed target stay in use until storeReturnGrace has passed.
+// removed target stay in use until StoreReturnGrace has passed.
 func TestRemovedTargets(t *testing.T) {
 	is := is.New(t)
 	r := newTestRoster()
@@ -132,14 +132,14 @@
 	r.Apply(now+time.Second, []platform.Change{deletion("t/b", 11)}, 11)
 	r.Tick(now + time.Second)
 	is.Equal(r.targets(), 1)
-	r.Tick(now + storeReturnGrace)
+	r.Tick(now + StoreReturnGrace)
 	is.Equal(r.targets(), 0)
 	r.Apply(now+3*time.Second, []platform.Change{put("t/b", "y", 12)}, 12)
 	is.Equal(r.targets(), 1)
 }
 
 // TestTargetsRemovedTwiceStayInUse reports the same removal after an outage twice, at different revisions, as hosts do that
-// read the store at different times: the target stays in use until storeReturnGrace has passed, and no longer.
+// read the store at different times: the target stays in use until StoreReturnGrace has passed, and no longer.
 func TestTargetsRemovedTwiceStayInUse(t *testing.T) {
 	is := is.New(t)
 	r := newTestRoster()
@@ -149,12 +149,12 @@
 	r.ApplySnapshot(now, []platform.Entry{{Key: "config", Value: []byte("1"), Revision: 1}}, 6)
 	r.Apply(now+time.Millisecond, []platform.Change{deletion("t/a", 8)}, 8)
 	is.Equal(r.targets(), 1)
-	r.Tick(now + storeReturnGrace - 1)
+	r.Tick(now + StoreReturnGrace - 1)
 	is.Equal(r.targets(), 1)
-	r.Apply(now+storeReturnGrace-1, []platform.Change{deletion("t/a", 9)}, 9)
-	r.Tick(now + storeReturnGrace)
+	r.Apply(now+StoreReturnGrace-1, []platform.Change{deletion("t/a", 9)}, 9)
+	r.Tick(now + StoreReturnGrace)
 	is.Equal(r.targets(), 0)
-	r.Apply(now+storeReturnGrace, []platform.Change{deletion("t/a", 10)}, 10)
+	r.Apply(now+StoreReturnGrace, []platform.Change{deletion("t/a", 10)}, 10)
 	is.Equal(r.targets(), 0)
 }
 
@@ -240,3 +240,25 @@
 	}
 	return numbers
 }
+
+// TestConfirm checks that a roster counts as up to date only by statements about revisions that it has reached.
+func TestConfirm(t *testing.T) {
+	is := is.New(t)
+	r := New(Config{Decode: func(string, []byte) (DecodedEntry, error) { return nil, nil }, OnChange: func() {}})
+	is.True(!r.Confirm(Knowledge{Revision: 5, AsOf: time.Second}))
+	is.Equal(r.Confirmed(), Knowledge{})
+	r.Apply(0, nil, 6)
+	for _, c := range []struct {
+		k, want   Knowledge
+		fulfilled bool
+	}{
+		{Knowledge{5, time.Second}, Knowledge{5, time.Second}, true},
+		{Knowledge{7, 3 * time.Second}, Knowledge{5, time.Second}, false},
+		{Knowledge{6, 2 * time.Second}, Knowledge{6, 2 * time.Second}, true},
+		{Knowledge{4, time.Second}, Knowledge{6, 2 * time.Second}, true},
+		{Knowledge{platform.Position(1, 1), 4 * time.Second}, Knowledge{6, 2 * time.Second}, false},
+	} {
+		is.Equal(r.Confirm(c.k), c.fulfilled)
+		is.Equal(r.Confirmed(), c.want)
+	}
+}
