--- a/internal/gateway/freshness_test.go
+++ b/internal/gateway/freshness_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
+
+	"briarcroft/platform/standin"
 )
 
 // configurationBound is the time in which a configuration must be in force after the store has acknowledged it, on all hosts
@@ -51,6 +54,37 @@
 	}
 }
 
+// TestHostsThatLoseTheStoreDoNotDelayDrains is like TestHostsThatLoseTheStoreDoNotDelayOthers for a target that drains.
+func TestHostsThatLoseTheStoreDoNotDelayDrains(t *testing.T) {
+	const hosts, seeds = 13, 20
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			withFleet(t, hosts, 3, func(f *fleet) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				var connected []string
+				for i := range hosts {
+					name := fmt.Sprint("h", i)
+					if random.IntN(2) == 0 {
+						f.net.Partition(name, "store")
+					} else {
+						connected = append(connected, name)
+					}
+				}
+				time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+				f.register(f.targets["t0"], "draining")
+				time.Sleep(configurationBound)
+				drained := time.Now()
+				for i, name := range connected {
+					for k := range 5 {
+						f.is.Equal(f.call(name, http.MethodGet, "/lookup/1", fmt.Sprintf("d%d-%d", i, k)).status, http.StatusOK)
+					}
+				}
+				f.targets["t0"].Update(func(t *standin.Target) { f.is.True(t.LastRunStart.Before(drained)) })
+			})
+		})
+	}
+}
+
 // checkConfigured checks that a configuration that was just written is in force on all hosts in time, except on the given ones.
 func (f *fleet) checkConfigured(number int, except map[string]bool) {
 	time.Sleep(configurationBound)
