Knowledge of the store does not grow younger as hosts pass it on

Its age leaves out the way of the message, and hosts took the youngest of what reached them over many ways, so that a statement which circulates gained some milliseconds with each hop.

A statement now names the call that it came from, and each host takes it once, as it came first. TestKnowledgeAgesInCirculation fails without this.

--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -59,7 +59,9 @@
 	}
 	// Rounded up, as no peer may take it for newer than it is.
 	age := (g.now() - k.AsOf + time.Millisecond - 1) / time.Millisecond
-	return &inner.StoreKnowledge{Revision: k.Revision, AgeMilliseconds: uint32(max(0, age))}
+	return &inner.StoreKnowledge{
+		Revision: k.Revision, AgeMilliseconds: uint32(max(0, age)), Host: k.Source.Host, Incarnation: k.Source.Incarnation, Number: k.Number,
+	}
 }
 
 // learnKnowledge handles what a peer tells of its knowledge of the store. A host that lacks changes up to the peer's revision
@@ -69,11 +71,18 @@
 		return
 	}
 	asOf := g.now() - time.Duration(k.AgeMilliseconds)*time.Millisecond
-	if !g.confirm(roster.Knowledge{Revision: k.Revision, AsOf: asOf}) {
+	source := roster.KnowledgeSource{Host: k.Host, Incarnation: k.Incarnation}
+	if !g.confirm(roster.Knowledge{Revision: k.Revision, AsOf: asOf, Source: source, Number: k.Number}) {
 		g.peersAhead.Push(peerAhead{m, k.Revision})
 	}
 }
 
+// confirmOwn records what a call of this host to the store has shown.
+func (g *Gateway) confirmOwn(revision int64, asOf time.Duration) {
+	source := roster.KnowledgeSource{Host: g.settings.Host.Name, Incarnation: g.incarnation}
+	g.confirm(roster.Knowledge{Revision: revision, AsOf: asOf, Source: source, Number: g.lastKnowledge.Add(1)})
+}
+
 // confirm records knowledge of the store, passes it on to the followers if it is newer, and reports whether this host's replica
 // fulfills it.
 func (g *Gateway) confirm(k roster.Knowledge) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,6 +164,8 @@
 	stats          stats
 	followers      followers
 	storeWatch     watchState
+	// lastKnowledge is the number of this host's last call that showed what the store holds.
+	lastKnowledge atomic.Uint64
 	// passedOn is the AsOf of the knowledge of the store that was last passed on to followers.
 	passedOn atomic.Int64
 	// receiving is the number of streams on which an update of the store has arrived in part.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -190,7 +190,7 @@
 	}
 	g.markStoreReturned()
 	g.roster.ApplySnapshot(g.now(), entries, revision)
-	g.confirm(roster.Knowledge{Revision: revision, AsOf: started})
+	g.confirmOwn(revision, started)
 	return revision, nil
 }
 
@@ -209,7 +209,7 @@
 	if len(changes) == 0 && g.now() >= started+wait {
 		asOf += wait
 	}
-	g.confirm(roster.Knowledge{Revision: next, AsOf: asOf})
+	g.confirmOwn(next, asOf)
 	return next, len(changes), nil
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -68,6 +68,8 @@
 	revision int64
 	// confirmed is the newest statement about the store that the replica fulfills.
 	confirmed Knowledge
+	// knowledgeNumbers holds the number of the newest statement of each source.
+	knowledgeNumbers map[KnowledgeSource]uint64
 	// storeReturnedAt is the end of the last store outage.
 	storeReturnedAt time.Duration
 	configuration   note.Configuration
@@ -81,7 +83,7 @@
 
 // New returns an empty roster.
 func New(c Config) *Roster {
-	r := &Roster{config: c, entries: map[string]*entryState{}, storeReturnedAt: -StoreReturnGrace}
+	r := &Roster{config: c, entries: map[string]*entryState{}, knowledgeNumbers: map[KnowledgeSource]uint64{}, storeReturnedAt: -StoreReturnGrace}
 	r.view.Store(&View{})
 	return r
 }
@@ -101,15 +103,36 @@
 type Knowledge struct {
 	Revision int64
 	AsOf     time.Duration
+	// Source is who has asked, and Number increases with each of its calls.
+	Source KnowledgeSource
+	Number uint64
 }
 
-// Confirm records a statement about the store and reports whether the roster fulfills it. If not, it lacks changes.
+// KnowledgeSource is one start of a host that asks the store.
+type KnowledgeSource struct {
+	Host        string
+	Incarnation uint64
+}
+
+// maxKnowledgeSources is the number of sources that a roster remembers.
+const maxKnowledgeSources = 4096
+
+// Confirm records a statement about the store and reports whether the roster fulfills it. If not, it lacks changes. Each statement
+// counts as it came first: every host that passes it on makes it seem a little younger, as its age leaves out the way of the
+// message.
 func (r *Roster) Confirm(k Knowledge) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.revision < k.Revision {
 		return false
 	}
+	if number, known := r.knowledgeNumbers[k.Source]; known && number >= k.Number {
+		return true
+	}
+	if len(r.knowledgeNumbers) >= maxKnowledgeSources {
+		clear(r.knowledgeNumbers)
+	}
+	r.knowledgeNumbers[k.Source] = k.Number
 	if k.AsOf > r.confirmed.AsOf || r.confirmed.Revision == 0 {
 		r.confirmed = k
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -244,21 +244,51 @@
 // TestConfirm checks that a roster counts as up to date only by statements about revisions that it has reached.
 func TestConfirm(t *testing.T) {
 	is := is.New(t)
-	r := New(Config{Decode: func(string, []byte) (DecodedEntry, error) { return nil, nil }, OnChange: func() {}})
-	is.True(!r.Confirm(Knowledge{Revision: 5, AsOf: time.Second}))
+	r := New(Config{Decode: decode, OnChange: func() {}})
+	a := KnowledgeSource{"a", 1}
+	is.True(!r.Confirm(Knowledge{5, time.Second, a, 1}))
 	is.Equal(r.Confirmed(), Knowledge{})
 	r.Apply(0, nil, 6)
 	for _, c := range []struct {
-		k, want   Knowledge
+		k         Knowledge
 		fulfilled bool
+		wantAsOf  time.Duration
 	}{
-		{Knowledge{5, time.Second}, Knowledge{5, time.Second}, true},
-		{Knowledge{7, 3 * time.Second}, Knowledge{5, time.Second}, false},
-		{Knowledge{6, 2 * time.Second}, Knowledge{6, 2 * time.Second}, true},
-		{Knowledge{4, time.Second}, Knowledge{6, 2 * time.Second}, true},
-		{Knowledge{platform.Position(1, 1), 4 * time.Second}, Knowledge{6, 2 * time.Second}, false},
+		{Knowledge{5, time.Second, a, 1}, true, time.Second},
+		{Knowledge{7, 3 * time.Second, a, 3}, false, time.Second},
+		{Knowledge{6, 2 * time.Second, a, 2}, true, 2 * time.Second},
+		{Knowledge{4, time.Second, KnowledgeSource{"b", 1}, 1}, true, 2 * time.Second},
+		{Knowledge{6, 4 * time.Second, a, 2}, true, 2 * time.Second},
+		{Knowledge{6, 4 * time.Second, KnowledgeSource{"a", 2}, 1}, true, 4 * time.Second},
+		{Knowledge{platform.Position(1, 1), 5 * time.Second, KnowledgeSource{"b", 1}, 2}, false, 4 * time.Second},
 	} {
 		is.Equal(r.Confirm(c.k), c.fulfilled)
-		is.Equal(r.Confirmed(), c.want)
+		is.Equal(r.Confirmed().AsOf, c.wantAsOf)
+	}
+}
+
+// TestKnowledgeAgesInCirculation passes one statement on among hosts for 20 s. Its age leaves out the 5 ms that each message takes, which
+// must not add up.
+func TestKnowledgeAgesInCirculation(t *testing.T) {
+	is := is.New(t)
+	const hosts, way, rounds = 20, 5 * time.Millisecond, 4000
+	var rosters []*Roster
+	for range hosts {
+		r := New(Config{Decode: decode, OnChange: func() {}})
+		r.Apply(0, nil, 1)
+		rosters = append(rosters, r)
+	}
+	rosters[0].Confirm(Knowledge{Revision: 1, AsOf: time.Second, Source: KnowledgeSource{"a", 1}, Number: 1})
+	now := time.Second
+	for i := range rounds {
+		age := now - rosters[i%hosts].Confirmed().AsOf
+		now += way
+		if k := rosters[i%hosts].Confirmed(); k.Revision > 0 {
+			k.AsOf = now - age
+			rosters[(i+1)%hosts].Confirm(k)
+		}
+	}
+	for _, r := range rosters {
+		is.True(r.Confirmed().AsOf <= time.Second+hosts*way)
 	}
 }
