--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -28,7 +28,7 @@
 	maxWatchTimeout = 2 * time.Second
 	// firstWatchDelay is how long after its start a host that has read the store first follows it. By then it knows its
 	// peers, and only watchers go on to call the store; changes meanwhile are read late rather than missed.
-	firstWatchDelay = time.Second
+	firstWatchDelay = 800 * time.Millisecond
 	// changeBatchDelay is how long to wait after a call that returned changes, so that the next one returns several.
 	changeBatchDelay = 100 * time.Millisecond
 	// registerDelay is how long after its start a host first registers its address in the store. By then it knows its
@@ -154,7 +154,7 @@
 	if w.undisturbed || position < 0 {
 		return timeout
 	}
-	return timeout * time.Duration(position+1) / time.Duration(len(watchers))
+	return timeout * time.Duration(2*position+1) / time.Duration(2*len(watchers))
 }
 
 // handleFailure handles a failed call and returns the pause before the next one. That one reads a snapshot, because
