--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -76,9 +76,7 @@
 		}
 		return &runResult{outcome: x.outcomeOfError(ctx, err), blocked: errorx.IsOfType(err, errBlocked)}
 	}
-	if response.StatusCode != http.StatusMisdirectedRequest {
-		g.readNotice(p.Target, response.StatusCode, response.Header)
-	}
+	g.readNotice(p.Target, response.StatusCode, response.Header)
 	r := &runResult{load: g.parseLoad(response.Header), rateLimit: g.parseRateLimit(response.Header), duration: g.now() - started}
 	if response.Header.Get(g.dialect.NotRunHeader) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		r.outcome = placement.OutcomeNotRun
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -45,7 +45,11 @@
 }
 
 // parseNotice returns what a response header says, and a field that cannot be read. Of several values, the longest pause holds.
+// A server that declines a request for another one says nothing about that one.
 func (g *Gateway) parseNotice(status int, header http.Header) (n notice.Notice, malformed string) {
+	if status == http.StatusMisdirectedRequest {
+		return notice.Notice{}, ""
+	}
 	for _, value := range header.Values(g.dialect.LeavingHeader) {
 		if strings.TrimSpace(value) == g.dialect.LeavingValue {
 			n.Leaving = true
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -154,6 +154,41 @@
 	}
 }
 
+// TestSlowRefusalNamesPause guards against losing what a refusal says that arrives while the target's entry is gone for a moment,
+// or after the run was given up.
+func TestSlowRefusalNamesPause(t *testing.T) {
+	const pause = 4 * time.Second
+	for _, c := range []struct {
+		name     string
+		delay    time.Duration
+		entryOut time.Duration
+	}{
+		{"entry is gone for a moment", 300 * time.Millisecond, 500 * time.Millisecond},
+		{"run was given up", 600 * time.Millisecond, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 3, 4, func(f *fleet) {
+				f.sendToHosts(100, time.Second)
+				said := time.Now()
+				paused := f.targets["t0"]
+				paused.Update(func(t *standin.Target) {
+					t.RefuseRuns, t.RefusalDelay, t.RetryAfter = true, c.delay, fmt.Sprint(pause.Seconds())
+				})
+				if c.entryOut > 0 {
+					time.AfterFunc(200*time.Millisecond, func() { f.store.Delete("servers/t0") })
+					time.AfterFunc(200*time.Millisecond+c.entryOut, func() { f.register(paused, "ready") })
+				}
+				f.sendToHosts(100, pause)
+				during := arrivalsBetween(paused, said, c.delay+pauseReaction, c.delay+pause)
+				t.Logf("arrivals by host after %v: %v", pauseReaction, during)
+				for _, count := range during {
+					f.is.True(count <= maxInPause)
+				}
+			})
+		})
+	}
+}
+
 // TestAllTargetsWantNoRequests checks that requests are refused at once while all targets have said that they want none, with the
 // time at which one takes requests again, and that they are served then.
 func TestAllTargetsWantNoRequests(t *testing.T) {
--- a/internal/gateway/parse_notice_test.go
+++ b/internal/gateway/parse_notice_test.go
@@ -36,6 +36,7 @@
 		{"pause, not a number", unavailable, http.Header{"Retry-After": {"NaN"}}, notice.Notice{}, true},
 		{"pause, a date", unavailable, http.Header{"Retry-After": {"Wed, 21 Oct 2026 07:28:00 GMT"}}, notice.Notice{}, true},
 		{"pause, another status", 429, http.Header{"Retry-After": {"4"}}, notice.Notice{}, false},
+		{"declined for another server", http.StatusMisdirectedRequest, http.Header{"Leaving": {"1"}, "Retry-After": {"4"}}, notice.Notice{}, false},
 		{"both", unavailable, http.Header{"Leaving": {"1"}, "Retry-After": {"4"}}, notice.Notice{Leaving: true, Pause: 4 * time.Second}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
