A full target is not taken for a lost link

With targets full, runs and checks take long; a host took that for a lost link and had a peer send the same work once more, over new connections.

A check whether a host reaches a target now opens a connection and sends nothing: the handshake does not wait in the target's queue. A probe without a response shows nothing by itself and is followed by a check.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -182,6 +182,22 @@
 	return response, nil
 }
 
+// Connect checks whether the backend server's host is reached: it opens a connection, which the next request can use if no other
+// is idle. Unlike a response, the handshake needs nothing of the server, which may be busy. Errors are ErrNotSent or
+// ErrPoolExhausted.
+func (p *Pool) Connect(ctx context.Context) error {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	if p.Usage().Idle > 0 {
+		p.discard(c)
+		return nil
+	}
+	p.putIdle(c, maxIdleTime)
+	return nil
+}
+
 // acquire returns an idle connection that the options allow, or opens a new one.
 func (p *Pool) acquire(ctx context.Context, o Options) (*connection, error) {
 	for !o.NewConnection {
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -12,3 +12,6 @@
 // NoteNumber returns the number of the note in force, and StoreLost whether the gateway cannot reach the store.
 func (g *Gateway) NoteNumber() int { return g.chain.Number() }
 func (g *Gateway) StoreLost() bool { return g.storeWatch.unreachable.Load() }
+
+// RelayedRequests returns how many runs peers have relayed for the gateway.
+func (g *Gateway) RelayedRequests() int64 { return g.stats.relayed.Load() }
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -93,6 +93,9 @@
 func (f *fleet) serve(node, address string, handler http.Handler) string {
 	l := f.net.Listen(node, address)
 	server := &http.Server{Handler: handler}
+	if target, is := handler.(*standin.Target); is {
+		server.ConnState = target.CountConnections
+	}
 	f.servers = append(f.servers, server)
 	f.running.Go(func() { _ = server.Serve(l) })
 	return l.Addr().String()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,7 +151,7 @@
 	// malformedNotices limits the records about header fields of targets that cannot be read.
 	malformedNotices *rate.Limiter
 	// registered holds the registered targets by name.
-	registered atomic.Pointer[map[string]registeredTarget]
+	registered atomic.Pointer[map[string]roster.Target]
 	pools      *pools
 	// reach holds which targets this host reaches over its own link.
 	reach *reach.Table
@@ -228,7 +228,7 @@
 	g.quarantine = quarantine.New(quarantine.Config{Targets: crashesToQuarantine})
 	g.rateLimits = ratelimit.New()
 	g.notices, g.malformedNotices = notice.New(), rate.NewLimiter(malformedNoticesPerSecond, 1)
-	g.registered.Store(&map[string]registeredTarget{})
+	g.registered.Store(&map[string]roster.Target{})
 	g.homeServer = newHomeServer(g)
 	g.pools = newPools(g)
 	g.reach = reach.New()
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -54,42 +54,50 @@
 	g := h.server.gateway
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	health, load, reached := g.checkHealth(ctx, p, h.healthPath, backend.Options{})
-	g.recordReach(p.Target, reached)
+	health, load, err := g.checkHealth(ctx, p, h.healthPath)
+	switch {
+	case err == nil:
+		g.recordInReach(p.Target)
+	case errorx.IsOfType(err, backend.ErrNotSent):
+		g.recordOutOfReach(p.Target)
+	default:
+		// The target may be busy, or the link silent.
+		go g.checkReach(g.background, p.Target)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.home.RecordProbe(g.now(), p.Target, health, load)
 	h.sendProbes()
 }
 
-// checkHealth sends one health request on a connection that the options allow. A target that refuses it without running it is
-// healthy but busy. One that breaks the connection does not respond but was reached.
-func (g *Gateway) checkHealth(ctx context.Context, p placement.Placed, path string, o backend.Options) (result placement.ProbeResult, load *placement.LoadReport, reached bool) {
+// checkHealth sends one health request. A target that refuses it without running it is healthy but busy. Errors are those of
+// backend.Pool.Do, and mean that the target does not respond.
+func (g *Gateway) checkHealth(ctx context.Context, p placement.Placed, path string) (placement.ProbeResult, *placement.LoadReport, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+path, nil)
 	if err != nil {
-		return placement.ProbeNoResponse, nil, true
+		return placement.ProbeNoResponse, nil, backend.ErrPoolExhausted.New("the health path %q of target %s is invalid: %v; correct the configuration", path, p.Target, err)
 	}
-	response, err := g.pools.get(p.Target, p.Address).Do(r, o)
+	response, err := g.pools.get(p.Target, p.Address).Do(r, backend.Options{})
 	if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
 		g.recordTooLarge(p)
 	}
 	if err != nil {
-		return placement.ProbeNoResponse, nil, ctx.Err() == nil && !errorx.IsOfType(err, backend.ErrNotSent)
+		return placement.ProbeNoResponse, nil, err
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxHealthBytes)); err != nil {
-		return placement.ProbeNoResponse, nil, true
+		return placement.ProbeNoResponse, nil, backend.ErrConnectionBroke.New("target %s broke off its health response: %v", p.Target, err)
 	}
 	if name := response.Header.Get(g.dialect.InstanceHeader); name != "" && name != p.Target {
-		return placement.ProbeOtherServer, nil, true
+		return placement.ProbeOtherServer, nil, nil
 	}
 	g.readNotice(p.Target, response.StatusCode, response.Header)
-	load = g.parseLoad(response.Header)
+	load := g.parseLoad(response.Header)
 	switch {
 	case response.StatusCode == http.StatusOK, response.Header.Get(g.dialect.NotRunHeader) != "":
-		return placement.ProbeHealthy, load, true
+		return placement.ProbeHealthy, load, nil
 	default:
-		return placement.ProbeUnhealthy, load, true
+		return placement.ProbeUnhealthy, load, nil
 	}
 }
 
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -6,33 +6,27 @@
 
 	"briarcroft/internal/backend"
 	"briarcroft/internal/duty"
-	"briarcroft/internal/placement"
 	"briarcroft/internal/record"
 	"briarcroft/internal/roster"
+
+	"github.com/joomcode/errorx"
 )
 
 // Times and counts of the checks whether this host reaches targets.
 const (
-	// reachCheckTimeout is how long a target may take to respond to a check on a new connection: many times the round trip of
-	// a few milliseconds, as the target or this host may be busy.
+	// reachCheckTimeout is how long opening a connection may take in a check: many times the round trip of a few milliseconds, as
+	// this host may be busy.
 	reachCheckTimeout = 150 * time.Millisecond
 	// lostCheckInterval is the time between two checks while this host reaches no target.
 	lostCheckInterval = 250 * time.Millisecond
 )
 
-// registeredTarget is a target in the store, with the health path of its service.
-type registeredTarget struct {
-	roster.Target
-	healthPath string
-}
-
 // applyRegistered replaces the registered targets by those of a view.
 func (g *Gateway) applyRegistered(v *roster.View) {
-	registered, names := map[string]registeredTarget{}, map[string]bool{}
-	for service, targets := range v.Targets {
-		s, _ := v.Configuration.Service(service)
+	registered, names := map[string]roster.Target{}, map[string]bool{}
+	for _, targets := range v.Targets {
 		for _, t := range targets {
-			registered[t.Name], names[t.Name] = registeredTarget{t, s.ReportPath}, true
+			registered[t.Name], names[t.Name] = t, true
 		}
 	}
 	g.registered.Store(&registered)
@@ -40,20 +34,11 @@
 }
 
 // findTarget returns a registered target.
-func (g *Gateway) findTarget(name string) (registeredTarget, bool) {
+func (g *Gateway) findTarget(name string) (roster.Target, bool) {
 	t, found := (*g.registered.Load())[name]
 	return t, found
 }
 
-// recordReach records whether a probe of this host has reached a target.
-func (g *Gateway) recordReach(target string, reached bool) {
-	if reached {
-		g.recordInReach(target)
-		return
-	}
-	g.recordOutOfReach(target)
-}
-
 // recordInReach records that this host has reached a target.
 func (g *Gateway) recordInReach(target string) {
 	if g.reach.RecordResponse(target) {
@@ -93,7 +78,8 @@
 	return g.reaches(ctx, target)
 }
 
-// reaches reports whether a check reaches a target, and records the result.
+// reaches reports whether a check reaches a target, and records the result. The check opens a connection and sends nothing: what
+// a target answers, and when, depends on its load, and the handshake does not.
 func (g *Gateway) reaches(ctx context.Context, target string) bool {
 	t, found := g.findTarget(target)
 	if !found || g.said(target).Blocked(g.now()) {
@@ -102,12 +88,17 @@
 	checkCtx, cancel := context.WithTimeout(ctx, reachCheckTimeout)
 	defer cancel()
 	g.stats.reachChecks.Add(1)
-	_, _, reached := g.checkHealth(checkCtx, placement.Placed{Target: t.Name, Address: t.Address}, t.healthPath, backend.Options{NewConnection: true})
+	err := g.pools.get(t.Name, t.Address).Connect(checkCtx)
+	reached := !errorx.IsOfType(err, backend.ErrNotSent)
 	if ctx.Err() != nil {
 		// The check was ended and shows nothing.
 		return true
 	}
-	g.recordReach(target, reached)
+	if reached {
+		g.recordInReach(target)
+	} else {
+		g.recordOutOfReach(target)
+	}
 	return reached
 }
 
