A peer that does not know the call to relay has sent nothing

Hosts of the release before last are asked to relay beside this one's, and answer that the call is unknown. The error was taken for a request that may have run, so that one which ran nowhere ended without a promise. It counts as not sent now, and the next way is tried.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -200,7 +200,7 @@
 	stream, err := g.client.Peer(ctx, peer.Inner).Relay(ctx, r)
 	if err != nil {
 		body.end()
-		if errorx.IsOfType(err, inner.ErrPeerFailed) {
+		if errorx.IsOfType(err, inner.ErrPeerFailed) || inner.IsUnknownCall(err) {
 			return nil, backend.ErrNotSent.New("%v", err)
 		}
 		return nil, backend.ErrConnectionBroke.New("peer %s broke the connection (%v); the request may have run", peer.Name, err)
@@ -208,6 +208,8 @@
 	body.stream = stream
 	reply, err := body.receive()
 	switch {
+	case inner.IsUnknownCall(err):
+		err = backend.ErrNotSent.New("peer %s cannot relay (%v)", peer.Name, err)
 	case err != nil:
 		err = backend.ErrConnectionBroke.New("peer %s broke the stream (%v); the request may have run", peer.Name, err)
 	case reply.Kind == inner.RelayKind_RelayHead:
--- a/internal/inner/client.go
+++ b/internal/inner/client.go
@@ -4,11 +4,13 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcpool"
 )
 
@@ -21,6 +23,12 @@
 // ErrPeerFailed reports that a peer could not be reached, broke the connection or could not serve the call.
 var ErrPeerFailed = namespace.NewType("peer")
 
+// IsUnknownCall reports whether an error of a call means that the peer does not know it and has done nothing, as hosts of older
+// versions.
+func IsUnknownCall(err error) bool {
+	return drpcerr.Code(err) == drpcerr.Unimplemented || err != nil && strings.Contains(err.Error(), "unknown rpc")
+}
+
 // Timeouts and intervals of connections and streams between peers.
 const (
 	dialTimeout = 500 * time.Millisecond
