--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -34,9 +35,10 @@
 
 // fleet is a set of entry hosts that run as processes, with a store and backend servers that run in the test process.
 type fleet struct {
-	t       *testing.T
-	is      *is.I
-	binary  string
+	t  *testing.T
+	is *is.I
+	// binary returns the program for a start of a host, counted from 0.
+	binary  func(host, start int) string
 	dir     string
 	store   *standin.Store
 	hosts   []*process
@@ -72,18 +74,45 @@
 	stopping bool
 }
 
-// buildBinary builds the program that the processes run and returns its path.
-func buildBinary(t *testing.T) string {
+// buildBinary builds the program in a directory of its source, and returns its path.
+func buildBinary(t *testing.T, source string) string {
 	binary := filepath.Join(t.TempDir(), "briarcroft")
-	out, err := exec.Command("go", "build", "-o", binary, "briarcroft/cmd/briarcroft").CombinedOutput()
-	if err != nil {
+	build := exec.Command("go", "build", "-o", binary, "./cmd/briarcroft")
+	build.Dir = source
+	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("cannot build the program: %v\n%s", err, out)
 	}
 	return binary
 }
 
+// checkOut checks out a commit from the history of this repository until the test ends, and returns its directory. It skips the
+// test if the history lacks the commit.
+func checkOut(t *testing.T, commit string) string {
+	if out, err := exec.Command("git", "cat-file", "-e", commit+"^{commit}").CombinedOutput(); err != nil {
+		t.Skipf("commit %s is not in the history here: %s", commit, out)
+	}
+	dir := filepath.Join(t.TempDir(), "source")
+	if out, err := exec.Command("git", "worktree", "add", "--detach", dir, commit).CombinedOutput(); err != nil {
+		t.Fatalf("cannot check out %s: %v\n%s", commit, err, out)
+	}
+	t.Cleanup(func() {
+		if out, err := exec.Command("git", "worktree", "remove", "--force", dir).CombinedOutput(); err != nil {
+			t.Errorf("cannot remove the worktree of %s: %v\n%s", commit, err, out)
+		}
+	})
+	return dir
+}
+
+// releasePlans tell by name which hosts run the older of two releases, by the host's index and the number of its start.
+var releasePlans = map[string]func(host, start int) bool{
+	"upgrade":  func(_, start int) bool { return start == 0 },
+	"rollback": func(_, start int) bool { return start > 0 },
+	"back":     func(_, start int) bool { return start%2 == 0 },
+	"half":     func(host, _ int) bool { return host%2 == 0 },
+}
+
 // newFleet starts the store, the backend servers and the hosts, and waits until every host is ready.
-func newFleet(t *testing.T, binary string, hosts, targets int) *fleet {
+func newFleet(t *testing.T, binary func(host, start int) string, hosts, targets int) *fleet {
 	f := &fleet{t: t, is: is.New(t), binary: binary, dir: t.TempDir(), store: standin.New(), client: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: waitTimeout,
 	}}
@@ -193,7 +222,7 @@
 	f.is.NoErr(err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.command = exec.Command(f.binary, "serve", "--config", p.settingsFile)
+	p.command = exec.Command(f.binary(slices.Index(f.hosts, p), p.starts), "serve", "--config", p.settingsFile)
 	p.command.Stdout, p.command.Stderr = log, log
 	f.is.NoErr(p.command.Start())
 	p.starts++
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,10 +1,13 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -65,7 +68,7 @@
 //
 // It runs the seeds that have found faults before, or those that the environment selects: SOAK_SEED is the first
 // seed, SOAK_SEEDS the number of seeds, SOAK_SECONDS the length of each run, and SOAK_HOSTS and SOAK_TARGETS the size
-// of the fleet.
+// of the fleet. SOAK_OLD is a commit whose program some hosts run, and SOAK_PLAN which ones (releasePlans).
 func TestSoak(t *testing.T) {
 	seeds := regressionSeeds
 	if first := intFromEnv(t, "SOAK_SEED", 0); first > 0 {
@@ -75,7 +78,42 @@
 		}
 	}
 	length := time.Duration(intFromEnv(t, "SOAK_SECONDS", int(defaultLength/time.Second))) * time.Second
-	binary := buildBinary(t)
+	newest := buildBinary(t, "..")
+	binary := func(int, int) string { return newest }
+	if commit := os.Getenv("SOAK_OLD"); commit != "" {
+		plan := releasePlans[cmp.Or(os.Getenv("SOAK_PLAN"), "upgrade")]
+		if plan == nil {
+			t.Fatalf("SOAK_PLAN=%q is not valid; set it to one of %v", os.Getenv("SOAK_PLAN"), slices.Sorted(maps.Keys(releasePlans)))
+		}
+		binary = mixReleases(buildBinary(t, checkOut(t, commit)), newest, plan)
+	}
+	soak(t, binary, seeds, length)
+}
+
+// TestSoakOfTwoReleases runs hosts of the former landing and of this code as one fleet, under the faults of TestSoak, for a short time with
+// each plan. Longer ones are run with SOAK_OLD and SOAK_PLAN.
+func TestSoakOfTwoReleases(t *testing.T) {
+	const formerLanding, seed = "97f216c", 3100
+	older, newest := buildBinary(t, checkOut(t, formerLanding)), buildBinary(t, "..")
+	for _, name := range slices.Sorted(maps.Keys(releasePlans)) {
+		t.Run(name, func(t *testing.T) {
+			soak(t, mixReleases(older, newest, releasePlans[name]), []uint64{seed}, defaultLength)
+		})
+	}
+}
+
+// mixReleases returns the function fleet.binary for a plan.
+func mixReleases(older, newest string, plan func(host, start int) bool) func(host, start int) string {
+	return func(host, start int) string {
+		if plan(host, start) {
+			return older
+		}
+		return newest
+	}
+}
+
+// soak runs the fleet under faults with each seed and reports the guarantees that were violated.
+func soak(t *testing.T, binary func(host, start int) string, seeds []uint64, length time.Duration) {
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			r := &soakRun{
