--- /dev/null
+++ b/internal/inner/testdata/062c9b7/FetchNotesRequest.pb
@@ -0,0 +1,1 @@
+
--- /dev/null
+++ b/internal/inner/testdata/062c9b7/Header.pb
@@ -0,0 +1,2 @@
+
+sssss
--- /dev/null
+++ b/internal/inner/testdata/062c9b7/PlaceVerdict.pb
@@ -0,0 +1,1 @@
+ssss"sssss*ssssss08@H	P
--- /dev/null
+++ b/internal/inner/testdata/062c9b7/Want.pb
@@ -0,0 +1,2 @@
+
+ss
--- /dev/null
+++ b/internal/inner/testdata/97f216c/CountsRequest.pb
@@ -0,0 +1,2 @@
+
+ss"sssss"ssssss*
--- /dev/null
+++ b/internal/inner/testdata/97f216c/Member.pb
@@ -0,0 +1,4 @@
+
+sssssssss"sssss*ssssss08@H	PZ	
+sssssZ
+sssssss`hpx€
--- /dev/null
+++ b/internal/inner/testdata/97f216c/Quarantine.pb
@@ -0,0 +1,1 @@
+ssss
