--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -163,7 +163,7 @@
 		{"Followers", func() any { return g.followers.count() }},
 		{"StoreCalls", func() any { return s.storeCalls.Load() }},
 		{"StoreChecks", func() any { return s.storeChecks.Load() }},
-		{"StoreAgeMilliseconds", func() any { return (g.now() - g.roster.Confirmed().AsOf).Milliseconds() }},
+		{"StoreAgeMilliseconds", func() any { return g.knowledgeAge().Milliseconds() }},
 		{"StoreLost", func() any { return g.storeWatch.unreachable.Load() }},
 		{"SilentHomes", func() any { return s.unresponsiveHomes.Load() }},
 		{"ResponsesTooLarge", func() any { return s.tooLarge.Load() }},
--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -100,13 +100,15 @@
 	return true
 }
 
+// knowledgeAge returns how old this host's knowledge of the store is; it grows from this host's start while there is none.
+func (g *Gateway) knowledgeAge() time.Duration { return g.now() - g.roster.Confirmed().AsOf }
+
 // knowledgeFreshFor returns for how long this host's knowledge of the store has not been old; 0 if it is old.
 func (g *Gateway) knowledgeFreshFor() time.Duration {
-	now := g.now()
-	if now-g.roster.Confirmed().AsOf > staleAfter {
+	if g.knowledgeAge() > staleAfter {
 		return 0
 	}
-	return max(1, now-time.Duration(g.storeWatch.freshSince.Load()))
+	return max(1, g.now()-time.Duration(g.storeWatch.freshSince.Load()))
 }
 
 // storeChecker checks the store when this host's knowledge of it is old. Only runStoreChecks uses it.
@@ -139,7 +141,7 @@
 	g := c.gateway
 	w := &g.storeWatch
 	now := g.now()
-	switch age := now - g.roster.Confirmed().AsOf; {
+	switch age := g.knowledgeAge(); {
 	case !w.loaded.Load() || w.unreachable.Load() && w.watching.Load():
 		// The watcher is reading the store, or trying to.
 		return watchRetryPause
@@ -160,7 +162,7 @@
 func (c *storeChecker) check(ctx context.Context) {
 	g := c.gateway
 	g.stats.storeChecks.Add(1)
-	age := g.now() - g.roster.Confirmed().AsOf
+	age := g.knowledgeAge()
 	callCtx, cancel := ctx, context.CancelFunc(func() {})
 	if c.failures == 0 {
 		callCtx, cancel = context.WithTimeout(ctx, firstCheckTimeout)
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -161,7 +161,7 @@
 			Bool("TargetsLost", g.reach.Lost()).Int64("RelayedRequests", s.relayed.Load()).Int64("RequestsForPeers", s.relayedForPeers.Load()).
 			Int64("PrimaryProbes", s.primaryProbes.Load()).Int64("FallbackProbes", s.fallbackProbes.Load()).
 			Int64("PrimaryLimitedRuns", s.primaryLimitedRuns.Load()).Int64("FallbackLimitedRuns", s.fallbackLimitedRuns.Load()).
-			Int64("StoreCalls", s.storeCalls.Load()).Int64("StoreChecks", s.storeChecks.Load()).Dur("StoreAgeMilliseconds", g.now()-g.roster.Confirmed().AsOf).Int64("StoreBytesSent", s.storeBytesSent.Load()).
+			Int64("StoreCalls", s.storeCalls.Load()).Int64("StoreChecks", s.storeChecks.Load()).Dur("StoreAgeMilliseconds", g.knowledgeAge()).Int64("StoreBytesSent", s.storeBytesSent.Load()).
 			Int64("StoreBytesReceived", s.storeBytesReceived.Load()).Int64("FollowsStarted", s.followsStarted.Load()).
 			Int("Followers", g.followers.count()).Int("LiveHosts", len(g.members.Live(g.now()))).
 			Msg("counters")
