--- a/internal/inner/verdict.go
+++ b/internal/inner/verdict.go
@@ -63,6 +63,7 @@
 		Class: r.Class, Priority: uint32(r.Priority), GoalMicroseconds: (r.Goal - now).Microseconds(),
 		DeadlineMicroseconds: (r.Deadline - now).Microseconds(), Repeatable: r.Repeatable, Tried: r.Tried,
 		Fingerprint: r.Fingerprint, SharedFingerprints: r.SharedFingerprints, Domain: r.Domain, Probes: uint32(r.Probes),
+		Account: r.Account, AccountPriority: uint32(r.AccountPriority), AgeMicroseconds: r.Age.Microseconds(),
 	}
 }
 
@@ -72,6 +73,7 @@
 		ID: id, Class: wire.Class, Priority: int(wire.Priority), Goal: now + microseconds(wire.GoalMicroseconds),
 		Deadline: now + microseconds(wire.DeadlineMicroseconds), Repeatable: wire.Repeatable, Tried: wire.Tried,
 		Fingerprint: wire.Fingerprint, SharedFingerprints: wire.SharedFingerprints, Domain: wire.Domain, Probes: int(wire.Probes),
+		Account: wire.Account, AccountPriority: int(wire.AccountPriority), Age: microseconds(wire.AgeMicroseconds),
 	}
 }
 
--- a/internal/note/configuration.go
+++ b/internal/note/configuration.go
@@ -21,6 +21,8 @@
 	Services []Service
 	Targets  []Target
 	Rules    []Rule
+	// Accounts holds the client accounts; if there are none, requests need no key.
+	Accounts []Account `json:",omitempty"`
 	// Limits holds the limits that a configuration of the users' platform sets. It is nil in configurations that are made
 	// of operators' notes; the limits in each host's settings apply then.
 	Limits *Limits `json:",omitempty"`
--- a/internal/note/note.go
+++ b/internal/note/note.go
@@ -42,6 +42,10 @@
 	// Connections is the maximum number of connections to one target over all entry hosts, as the configuration of the
 	// users' platform states it; zero means no limit. It is not enforced: each entry host has a fixed limit of its own.
 	Connections int `ini:"-" json:",omitempty"`
+	// WarmUpTime is how long a target stays cold after its start, and WarmUpRate the number of requests per second that a cold
+	// target takes from all entry hosts together; zero means no limit.
+	WarmUpTime time.Duration `json:",omitempty"`
+	WarmUpRate float64       `json:",omitempty"`
 }
 
 // Target is one backend server that runs requests of a service.
@@ -84,6 +88,21 @@
 	Goal time.Duration `ini:"-" json:",omitempty"`
 	// Attempts is the maximum number of targets that one request is sent to; zero means no limit.
 	Attempts int `ini:"-" json:",omitempty"`
+	// Public is set if requests need no key of a client account.
+	Public bool `json:",omitempty"`
+}
+
+// Account is a client account: a customer whose requests carry one of its keys.
+type Account struct {
+	Name string `ini:"-"`
+	// Keys are secret. They must not appear in logs, records or pages.
+	Keys []string
+	// Priority orders queued requests before the priority of their rule; lower numbers are placed first.
+	Priority int
+	// Rate is the number of requests per second that the account may send over all entry hosts, and Burst the number that it may
+	// send beyond that at once; a rate of zero means no limit.
+	Rate  float64
+	Burst float64
 }
 
 // Share is the part of a rule's requests that goes to one service, relative to the weights of the rule's other shares.
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -29,8 +29,13 @@
 	ID RequestID
 	// Class names a group of requests with a similar service time.
 	Class string
-	// Priority orders the queue: lower numbers are placed first.
-	Priority int
+	// Account is the client account that sent the request; it is empty without accounts.
+	Account string
+	// AccountPriority and then Priority order the queue: lower numbers are placed first.
+	AccountPriority int
+	Priority        int
+	// Age is how long before its submission the caller first sent the request; 0 means that it is new or not known.
+	Age time.Duration
 	// Goal is the time after which a response is worth less; Deadline is the time after which it is worth nothing.
 	Goal     time.Duration
 	Deadline time.Duration
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -129,16 +129,65 @@
 	Level string `allowed:"debug|info|warn|error"`
 }
 
+// Targets sets how cold backend servers are used. Only hosts with Platform.Kind Native use it.
+type Targets struct {
+	// WarmUpOverage and WarmUpSlack bound what a cold target may get in one second: its WarmUpRate times WarmUpOverage, plus
+	// WarmUpSlack requests.
+	WarmUpOverage float64
+	WarmUpSlack   float64
+}
+
+// Accounts sets how the keys and allowances of client accounts are enforced. Only hosts with Platform.Kind Native use it.
+type Accounts struct {
+	// WithdrawalLimit is the time after which a key that the configuration no longer holds must not be accepted; zero means no
+	// limit. With StrictWithdrawal this binds a host also while it knows nothing of the store.
+	WithdrawalLimit  time.Duration
+	StrictWithdrawal bool
+	// AllowanceWindow is the time in which the requests of an account are counted. They may exceed the allowance by the share
+	// AllowanceOverage and by AllowanceSlack requests.
+	AllowanceWindow  time.Duration
+	AllowanceOverage float64
+	AllowanceSlack   float64
+}
+
+// Overload sets what happens when a service has too little room. Only hosts with Platform.Kind Native use it.
+type Overload struct {
+	// AgeOrder makes order, refusals and times of return go by how long ago the caller first sent a request.
+	AgeOrder bool
+}
+
+// Placement sets which targets are preferred. Only hosts with Platform.Kind Native use it.
+type Placement struct {
+	// DomainPlan makes each home plan how much traffic crosses between failure domains.
+	DomainPlan bool
+}
+
+// Unset is the value of a limit that is not set.
+const Unset = -1
+
+// SecondRuns limits second runs of repeatable requests that take longer than expected. Only hosts with Platform.Kind Native use it.
+type SecondRuns struct {
+	// Runs is the number of second runs in 100 requests of a service, and Work their share in 100 of the server time of its
+	// requests. Zero means none. Unset means the default behavior, which only the retry budget limits.
+	Runs float64
+	Work float64
+}
+
 // Settings holds the sections of an entry host's settings file.
 type Settings struct {
-	Host     Host
-	Platform Platform
-	Peers    Peers
-	Limits   Limits
-	Budget   Budget
-	TLS      TLS
-	Log      Log
-	Retries  Retries
+	Host       Host
+	Platform   Platform
+	Peers      Peers
+	Limits     Limits
+	Budget     Budget
+	TLS        TLS
+	Log        Log
+	Retries    Retries
+	Targets    Targets
+	Accounts   Accounts
+	Overload   Overload
+	Placement  Placement
+	SecondRuns SecondRuns
 }
 
 // Default returns settings with the default values of all optional keys.
@@ -152,9 +201,12 @@
 			AddressMaxAge: 2 * time.Second, GrantWindow: 30 * time.Second,
 			KeptEntries: 100_000, KeptBytes: 16 << 20, ClaimsPerSec: 20, HeldBytes: 64 << 20,
 		},
-		Budget:  Budget{ProbesPerSec: 20, BytesPerSec: 10_000, CoreShare: 0.01},
-		Log:     Log{Level: "info"},
-		Retries: Retries{Ratio: 0.2, Window: 10 * time.Second, Slack: 20},
+		Budget:     Budget{ProbesPerSec: 20, BytesPerSec: 10_000, CoreShare: 0.01},
+		Log:        Log{Level: "info"},
+		Retries:    Retries{Ratio: 0.2, Window: 10 * time.Second, Slack: 20},
+		Targets:    Targets{WarmUpOverage: 1.5, WarmUpSlack: 8},
+		Accounts:   Accounts{AllowanceWindow: 5 * time.Second, AllowanceOverage: 0.1, AllowanceSlack: 20},
+		SecondRuns: SecondRuns{Runs: Unset, Work: Unset},
 	}
 }
 
@@ -180,6 +232,7 @@
 	}{
 		{"Host", &s.Host}, {"Platform", &s.Platform}, {"Peers", &s.Peers}, {"Limits", &s.Limits},
 		{"Budget", &s.Budget}, {"TLS", &s.TLS}, {"Log", &s.Log}, {"Retries", &s.Retries},
+		{"Targets", &s.Targets}, {"Accounts", &s.Accounts}, {"Overload", &s.Overload}, {"Placement", &s.Placement}, {"SecondRuns", &s.SecondRuns},
 	}
 	allowed := map[string]bool{}
 	var names []string
