Evacuation of failure domains

Cause: operators need to take all targets of a failure domain out of use at once, on all hosts, by one key in the store. Change: the key op/evacuate/DOMAIN is an entry of the roster and marks the targets of the domain. Homes place nothing on them, start no second runs and send no probes there; when all targets are evacuated requests are refused at once (TargetsEvacuated). Hosts and peers that relay check again just before sending, and such a check counts as OutcomeBlocked, not as a failure of the target. The slots open over a second after the end. Records EvacuationBegan and EvacuationEnded, Evacuated in the status and the metrics.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -22,6 +22,7 @@
 	placement.OutcomeAnswered: "Answered", placement.OutcomeFailed: "TargetFailed", placement.OutcomeNotRun: "TargetRefused",
 	placement.OutcomeUnreachable: "TargetUnreachable", placement.OutcomeConnectionBroke: "ConnectionBroke", placement.OutcomeTimedOut: "TimedOut",
 	placement.OutcomeCanceled: "Abandoned", placement.OutcomeOtherServer: "OtherTargetAtAddress",
+	placement.OutcomeBlocked: "TargetEvacuated",
 }
 
 // runResult is how a run on a target ended.
@@ -34,7 +35,7 @@
 	rateLimit *float64
 	// duration is the time until the response header arrived, or until the run ended without one.
 	duration time.Duration
-	// blocked is set if nothing was sent because the target has said that it wants no requests.
+	// blocked is set if nothing was sent because the target is evacuated or has said that it wants no requests.
 	blocked bool
 	// index is the position of the run among its hedgedRuns.
 	index int
@@ -43,7 +44,7 @@
 // notRun reports whether the target certainly did not run the request.
 func (r *runResult) notRun() bool {
 	switch r.outcome {
-	case placement.OutcomeNotRun, placement.OutcomeUnreachable, placement.OutcomeOtherServer:
+	case placement.OutcomeNotRun, placement.OutcomeUnreachable, placement.OutcomeOtherServer, placement.OutcomeBlocked:
 		return true
 	}
 	return false
@@ -74,7 +75,7 @@
 		if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
 			g.recordTooLarge(p)
 		}
-		return &runResult{outcome: x.outcomeOfError(ctx, err), blocked: errorx.IsOfType(err, errBlocked)}
+		return &runResult{outcome: x.outcomeOfError(ctx, err), blocked: errorx.IsOfType(err, errBlocked) || errorx.IsOfType(err, errEvacuated)}
 	}
 	g.readNotice(p.Target, response.StatusCode, response.Header)
 	r := &runResult{load: g.parseLoad(response.Header), rateLimit: g.parseRateLimit(response.Header), duration: g.now() - started}
@@ -96,6 +97,8 @@
 	switch {
 	case errorx.IsOfType(err, backend.ErrNotSent) && ctxErr == nil:
 		return placement.OutcomeUnreachable
+	case errorx.IsOfType(err, errEvacuated):
+		return placement.OutcomeBlocked
 	case errorx.IsOfType(err, backend.ErrPoolExhausted), errorx.IsOfType(err, errBlocked):
 		return placement.OutcomeNotRun
 	case errorx.IsOfType(err, backend.ErrNotSent):
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -129,9 +129,10 @@
 		Peers          []host.Member
 		Latency        []meter.Summary
 		Unwritten      int64
+		Evacuated      []evacuationStatus
 	}{
 		self.Name, self.Domain, g.incarnation, self.Ready, self.Leaving, self.Note, g.members.Peers(),
-		g.histograms.Summaries(), g.requestLog.unwritten.Load() + g.records.Unwritten(),
+		g.histograms.Summaries(), g.requestLog.unwritten.Load() + g.records.Unwritten(), g.evacuationStatuses(),
 	})
 }
 
@@ -171,6 +172,7 @@
 		{"RelayedRequests", func() any { return s.relayed.Load() }},
 		{"RequestsForPeers", func() any { return s.relayedForPeers.Load() }},
 		{"StoreRestores", func() any { return s.restores.Load() }},
+		{"Evacuated", func() any { return g.evacuationStatuses() }},
 		{"TargetNotices", func() any { return s.notices.Load() }},
 		{"ReachChecks", func() any { return s.reachChecks.Load() }},
 		{"SlowReaders", func() any { return s.slowReaders.Load() }},
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -40,7 +40,7 @@
 	placer placer
 	// tried names the targets that the request was placed on, including those that could not be reached.
 	tried []string
-	// blocked is the number of these to which nothing was sent because they had said that they want no requests.
+	// blocked is the number of these to which nothing was sent because they were evacuated or had said that they want no requests.
 	blocked int
 	// mayHaveRun is set once a target may have begun to run the request.
 	mayHaveRun bool
@@ -140,7 +140,7 @@
 	switch r.outcome {
 	case placement.OutcomeAnswered:
 		return r.response
-	case placement.OutcomeNotRun, placement.OutcomeUnreachable, placement.OutcomeOtherServer:
+	case placement.OutcomeNotRun, placement.OutcomeUnreachable, placement.OutcomeOtherServer, placement.OutcomeBlocked:
 		if r.blocked {
 			x.blocked++
 		}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -1,5 +1,11 @@
 package gateway
 
+import (
+	"time"
+
+	"briarcroft/internal/record"
+)
+
 // ReadyHosts returns how many ready hosts the gateway knows, and which of them is the primary home of a service.
 func (g *Gateway) ReadyHosts(service string) (hosts int, home string) {
 	ranked := g.homeClient.rankedHomes(service)
@@ -15,3 +21,23 @@
 
 // RelayedRequests returns how many runs peers have relayed for the gateway.
 func (g *Gateway) RelayedRequests() int64 { return g.stats.relayed.Load() }
+
+// Evacuations returns the evacuated failure domains with the number of requests that the gateway has running there.
+func (g *Gateway) Evacuations() map[string]int {
+	running := map[string]int{}
+	for _, s := range g.evacuationStatuses() {
+		running[s.Domain] = s.Running
+	}
+	return running
+}
+
+// Recorded returns the details of the change records of a kind.
+func (g *Gateway) Recorded(kind record.Kind) []string {
+	var details []string
+	for _, r := range g.records.Since("", time.Time{}) {
+		if r.Kind == kind {
+			details = append(details, r.Evidence.Detail)
+		}
+	}
+	return details
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,6 +148,8 @@
 	rateLimits *ratelimit.Table
 	// notices holds what targets say of themselves in their responses.
 	notices *notice.Table
+	// evacuations holds which failure domains are evacuated.
+	evacuations evacuations
 	// malformedNotices limits the records about header fields of targets that cannot be read.
 	malformedNotices *rate.Limiter
 	// registered holds the registered targets by name.
@@ -228,6 +230,7 @@
 	g.quarantine = quarantine.New(quarantine.Config{Targets: crashesToQuarantine})
 	g.rateLimits = ratelimit.New()
 	g.notices, g.malformedNotices = notice.New(), rate.NewLimiter(malformedNoticesPerSecond, 1)
+	g.evacuations = evacuations{began: map[string]time.Duration{}, ended: map[string]time.Duration{}}
 	g.registered.Store(&map[string]roster.Target{})
 	g.homeServer = newHomeServer(g)
 	g.pools = newPools(g)
@@ -286,6 +289,7 @@
 	v := g.roster.View()
 	g.applyConfiguration(v.Configuration)
 	g.applyRegistered(v)
+	g.applyEvacuations(v)
 	g.recordTargetChanges(v)
 	g.rules.Store(newRuleIndex(v.Configuration))
 	g.homeServer.applyView(v)
@@ -313,7 +317,10 @@
 	})
 }
 
-// recordTargetChanges writes a change record for each target that was registered, began to drain or was removed. The
+// evacuatedState is the state of a target in an evacuated failure domain in change records.
+const evacuatedState = "Evacuated"
+
+// recordTargetChanges writes a change record for each target that was registered, began to drain, was evacuated or was removed. The
 // caller holds applyMu.
 func (g *Gateway) recordTargetChanges(v *roster.View) {
 	states := map[string]string{}
@@ -323,9 +330,13 @@
 			if t.Draining {
 				state = route.Draining.String()
 			}
+			cause := "Registered"
+			if t.Evacuated {
+				state, cause = evacuatedState, "Evacuation"
+			}
 			states[t.Name] = state
 			if old := g.targetStates[t.Name]; old != state {
-				g.records.Add(record.Record{Kind: record.TargetMoved, Service: service, Target: t.Name, From: old, To: state, Cause: "Registered", Note: g.chain.Number()})
+				g.records.Add(record.Record{Kind: record.TargetMoved, Service: service, Target: t.Name, From: old, To: state, Cause: cause, Note: g.chain.Number()})
 			}
 		}
 	}
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -222,6 +222,7 @@
 	registered := v.Targets[h.service]
 	targets := make([]placement.Target, 0, len(registered))
 	for _, t := range registered {
+		t.EvacuatedUntil = h.server.gateway.evacuations.endedAt(t.Domain)
 		targets = append(targets, t.Target)
 	}
 	if service, found := v.Configuration.Service(h.service); found {
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -62,6 +62,18 @@
 	return entry.Pool
 }
 
+// busy returns the number of this host's connections to a target that carry a request or are being opened for one.
+func (p *pools) busy(name, address string) int {
+	p.mu.Lock()
+	entry, found := p.byKey[poolKey{name, address}]
+	p.mu.Unlock()
+	if !found {
+		return 0
+	}
+	usage := entry.Usage()
+	return usage.Open - usage.Idle
+}
+
 // mayRecordTooLarge reports whether a record about a too large response of a target is due, and if so counts it as made.
 func (p *pools) mayRecordTooLarge(name, address string) bool {
 	now := p.gateway.now()
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -52,6 +52,10 @@
 // probe requests a target's health path and passes the result and the reported load to the placement state.
 func (h *serviceHome) probe(ctx context.Context, p placement.Placed) {
 	g := h.server.gateway
+	if g.evacuated(p.Target) {
+		h.use(func(home *placement.Home) { home.RecordProbe(g.now(), p.Target, placement.ProbeNotSent, nil) })
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	health, load, err := g.checkHealth(ctx, p, h.healthPath)
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -21,12 +21,15 @@
 	lostCheckInterval = 250 * time.Millisecond
 )
 
-// applyRegistered replaces the registered targets by those of a view.
+// applyRegistered replaces the registered targets by those of a view. Whether this host reaches evacuated ones makes no difference.
 func (g *Gateway) applyRegistered(v *roster.View) {
 	registered, names := map[string]roster.Target{}, map[string]bool{}
 	for _, targets := range v.Targets {
 		for _, t := range targets {
-			registered[t.Name], names[t.Name] = t, true
+			registered[t.Name] = t
+			if !t.Evacuated {
+				names[t.Name] = true
+			}
 		}
 	}
 	g.registered.Store(&registered)
@@ -82,7 +85,7 @@
 // a target answers, and when, depends on its load, and the handshake does not.
 func (g *Gateway) reaches(ctx context.Context, target string) bool {
 	t, found := g.findTarget(target)
-	if !found || g.said(target).Blocked(g.now()) {
+	if !found || g.maySend(target) != nil {
 		return true
 	}
 	checkCtx, cancel := context.WithTimeout(ctx, reachCheckTimeout)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -39,11 +39,11 @@
 )
 
 // send sends the request to a target and returns its response, of which the body was not read. It goes over this host's own
-// link, or through a peer if this host does not reach the target. Errors are those of backend.Pool.Do and errBlocked.
+// link, or through a peer if this host does not reach the target. Errors are those of backend.Pool.Do and maySend.
 func (x *exchange) send(ctx context.Context, from placer, p placement.Placed) (*http.Response, error) {
 	g := x.gateway
-	if g.said(p.Target).Blocked(g.now()) {
-		return nil, errBlocked.New("target %s has said that it wants no requests", p.Target)
+	if err := g.maySend(p.Target); err != nil {
+		return nil, err
 	}
 	if !g.reach.Direct(p.Target) {
 		if !g.reach.Lost() {
@@ -101,6 +101,10 @@
 // does not respond to a check either, it gives up and reports that the link hangs.
 func (x *exchange) sendDirectly(ctx context.Context, p placement.Placed) (response *http.Response, hangs bool, err error) {
 	g := x.gateway
+	if g.evacuated(p.Target) {
+		// The evacuation may have begun while peers were asked to relay.
+		return nil, false, errEvacuated.New("the failure domain of target %s is evacuated", p.Target)
+	}
 	directCtx, cancel := context.WithCancel(ctx)
 	var state atomic.Int32
 	var watch *time.Timer
@@ -139,6 +143,9 @@
 	}
 	err := error(backend.ErrNotSent.New("no peer relays to target %s", p.Target))
 	for _, peer := range g.relayPeers(from, p) {
+		if g.evacuated(p.Target) {
+			break
+		}
 		var response *http.Response
 		if response, err = g.relayThrough(ctx, peer, x.relayRequest(ctx, p)); !errorx.IsOfType(err, backend.ErrNotSent) || ctx.Err() != nil {
 			g.stats.relayed.Add(1)
@@ -351,7 +358,7 @@
 		return
 	}
 	target, found := g.findTarget(r.Target)
-	if !found || target.Draining || target.Address != r.Address || !g.reach.Direct(r.Target) || g.said(r.Target).Blocked(g.now()) {
+	if !found || target.Draining || target.Address != r.Address || !g.reach.Direct(r.Target) || g.maySend(r.Target) != nil {
 		if found {
 			go g.checkReach(g.background, r.Target)
 		}
--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -93,6 +93,8 @@
 	case OutcomeUnreachable:
 		t.recordFailure(now, h.mayEject(now))
 		h.recordDown(now, t)
+	case OutcomeBlocked:
+		t.blockedUntil = now + blockedPause
 	case OutcomeOtherServer:
 		t.otherServer = true
 	case OutcomeCanceled:
@@ -125,15 +127,18 @@
 	}
 }
 
-// mayEject reports whether one more target may be ejected: at least half of the targets must stay available.
+// mayEject reports whether one more target may be ejected: at least half of the targets that are not evacuated must stay available.
 func (h *Home) mayEject(now time.Duration) bool {
-	available := 0
+	available, evacuated := 0, 0
 	for _, t := range h.targets {
 		if t.available(now) {
 			available++
 		}
+		if t.Evacuated {
+			evacuated++
+		}
 	}
-	return 2*(available-1) >= len(h.targets)
+	return 2*(available-1) >= len(h.targets)-evacuated
 }
 
 // CancelQueued removes a request from the queue. Runs of the request continue until RunEnded.
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -137,12 +137,15 @@
 			// The target has written its store entry again: the new warm-up time counts from now.
 			t.warmUpUntil = now + registered.WarmUpLeft
 		}
+		if t.Evacuated && !registered.Evacuated {
+			t.probe.down, t.probe.unhealthy = false, false // outdated
+		}
 		t.Target = registered
 		next = append(next, t)
 		byName[registered.Name] = t
 	}
 	for _, t := range h.targets {
-		if byName[t.Name] != t && !t.Draining && !t.said.Leaving {
+		if byName[t.Name] != t && !t.Draining && !t.said.Leaving && !t.Evacuated {
 			h.recordLost(now, t)
 		}
 	}
--- a/internal/placement/notice.go
+++ b/internal/placement/notice.go
@@ -11,6 +11,10 @@
 // that wait then would otherwise all be sent there at once.
 const pauseRampTime = time.Second
 
+// blockedPause is how long a target is not used after a host did not send it a request because it is evacuated. By then this home
+// has usually learned the same.
+const blockedPause = 250 * time.Millisecond
+
 // TargetNotice reports what a target has said for the first time: that it leaves, or that it wants no requests for a time.
 type TargetNotice struct {
 	Target string
@@ -41,10 +45,11 @@
 	}
 }
 
-// openSlots returns how many slots of a target may be used: few at first after a pause.
+// openSlots returns how many slots of a target may be used: few at first after a pause or an evacuation.
 func (t *targetState) openSlots(now time.Duration) int {
-	since := now - t.said.PausedUntil
-	if t.said.PausedUntil == 0 || since >= pauseRampTime {
+	resumedAt := max(t.said.PausedUntil, t.EvacuatedUntil)
+	since := now - resumedAt
+	if resumedAt == 0 || since >= pauseRampTime {
 		return t.Slots
 	}
 	return max(1, int(float64(t.Slots)*float64(since)/float64(pauseRampTime)))
@@ -66,5 +71,20 @@
 	if _, pausing := h.pauseLeft(now); pausing {
 		return ReasonTargetsPausing
 	}
+	if h.allEvacuated() {
+		return ReasonTargetsEvacuated
+	}
 	return ReasonNoTargets
 }
+
+// allEvacuated reports whether there are targets that accept requests, and all of them are evacuated.
+func (h *Home) allEvacuated() bool {
+	any := false
+	for _, t := range h.targets {
+		if t.inService() {
+			return false
+		}
+		any = any || t.acceptsRequests()
+	}
+	return any
+}
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -97,6 +97,8 @@
 	ProbeNoResponse
 	// ProbeOtherServer means that another server responded at the target's address.
 	ProbeOtherServer
+	// ProbeNotSent means that the probe was not sent because the target is evacuated.
+	ProbeNotSent
 )
 
 // DueProbes returns the targets to probe now, as Placed values of which only Target and Address are set. For each of them
@@ -129,7 +131,7 @@
 // probeAllowed reports whether to probe a target now: if a request waits for it or, unless onlyAwaited is set, its probe
 // interval has passed. The probe then counts against the target's rate limit.
 func (h *Home) probeAllowed(now time.Duration, t *targetState, onlyAwaited bool) bool {
-	if t.probe.pending || t.Draining || t.said.Blocked(now) {
+	if t.probe.pending || t.Draining || t.Evacuated || t.said.Blocked(now) {
 		return false
 	}
 	rate := probeRate
@@ -223,7 +225,7 @@
 // checkProbeTimeouts marks targets as down whose probe has had no response for probeTimeout.
 func (h *Home) checkProbeTimeouts(now time.Duration) {
 	for _, t := range h.targets {
-		if t.probe.pending && now-t.probe.sentAt > probeTimeout {
+		if t.probe.pending && !t.Evacuated && now-t.probe.sentAt > probeTimeout {
 			h.recordDown(now, t)
 		}
 	}
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -111,6 +111,8 @@
 	// ReasonTargetsPausing means that no target is available, and that some will be when the time has passed for which they
 	// want no requests.
 	ReasonTargetsPausing Reason = "TargetsPausing"
+	// ReasonTargetsEvacuated means that the failure domains of all targets that accept requests are evacuated.
+	ReasonTargetsEvacuated Reason = "TargetsEvacuated"
 )
 
 // Outcome is the way in which a run on a target ended.
@@ -135,6 +137,9 @@
 	OutcomeCanceled
 	// OutcomeOtherServer means that another server responded at the target's address.
 	OutcomeOtherServer
+	// OutcomeBlocked means that the host did not send the request because it knows that the target is evacuated. Homes of the
+	// last release free the slot and record nothing.
+	OutcomeBlocked
 )
 
 // LoadReport is the load that a target reports in the headers of a response to a request or a probe.
--- a/internal/placement/returns.go
+++ b/internal/placement/returns.go
@@ -10,6 +10,8 @@
 	minRetryDelay = 50 * time.Millisecond
 	// noTargetsRetryDelay applies while the service has no available target.
 	noTargetsRetryDelay = 300 * time.Millisecond
+	// evacuatedRetryDelay applies while all targets are evacuated, which lasts until an operator ends it.
+	evacuatedRetryDelay = time.Second
 	// retryDelaySpread is the largest jitter, relative to the delay.
 	retryDelaySpread = 0.5
 )
@@ -35,6 +37,8 @@
 		delay = max(minRetryDelay, left)
 	case ReasonNoTargets:
 		delay = noTargetsRetryDelay
+	case ReasonTargetsEvacuated:
+		delay = evacuatedRetryDelay
 	case ReasonDeadlineCannotBeMet, ReasonRateLimited, ReasonRetryBudgetSpent:
 		if slots := h.availableCapacity(now, h.serviceTime(r)); slots > 0 {
 			delay = max(delay, time.Duration(float64(len(h.queue)+1)/slots*h.averagePace*float64(h.serviceTime(r))))
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -52,6 +52,10 @@
 	WarmUpLeft time.Duration
 	// Incarnation changes with each start of the target. State of an earlier incarnation is discarded.
 	Incarnation int64
+	// Evacuated is set while the target's failure domain is evacuated: it gets no requests and no probes. EvacuatedUntil is when
+	// the last evacuation of the domain ended on this host; zero means that there was none.
+	Evacuated      bool
+	EvacuatedUntil time.Duration
 }
 
 // targetState is the home's state of one target.
@@ -92,6 +96,8 @@
 	said notice.State
 	// otherServer is set while another server answers at the target's address.
 	otherServer bool
+	// blockedUntil is until when the target is not used because a host has not sent it a request; see OutcomeBlocked.
+	blockedUntil time.Duration
 }
 
 // decay returns the weight of a value of the given age, which falls exponentially from 1 to 0.
@@ -130,12 +136,16 @@
 	return load
 }
 
-// inService reports whether the target accepts new requests, or will when it has paused, and its address is still its own.
-func (t *targetState) inService() bool { return !t.Draining && !t.said.Leaving && !t.otherServer }
+// inService reports whether the target accepts new requests, or will when it has paused, may get them, and its address is still its
+// own.
+func (t *targetState) inService() bool { return t.acceptsRequests() && !t.Evacuated }
+
+// acceptsRequests reports whether the target would be in service if it were not evacuated.
+func (t *targetState) acceptsRequests() bool { return !t.Draining && !t.said.Leaving && !t.otherServer }
 
 // available reports whether the target is in service, not pausing, not ejected, not down and not doubtful, or due for a trial.
 func (t *targetState) available(now time.Duration) bool {
-	return t.inService() && now >= t.said.PausedUntil && now >= t.ejectedUntil && !t.probe.down && (!t.doubtful(now) || t.trialDue(now))
+	return t.inService() && now >= t.said.PausedUntil && now >= t.blockedUntil && now >= t.ejectedUntil && !t.probe.down && (!t.doubtful(now) || t.trialDue(now))
 }
 
 // doubtful reports whether probes say that the target is unhealthy and no request has shown the opposite lately.
@@ -207,6 +217,10 @@
 // recordFailure updates the state after a failed run, and ejects the target after failuresToEject consecutive failures if
 // mayEject is set.
 func (t *targetState) recordFailure(now time.Duration, mayEject bool) {
+	if t.Evacuated {
+		// Its machine may be shut down, which says nothing of the target.
+		return
+	}
 	t.failureRate = t.failureRate*decay(now-t.failureRateAt, failureDecayTime)*(1-failureGain) + failureGain
 	t.failureRateAt = now
 	t.consecutiveFailures++
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -43,6 +43,10 @@
 	// Evidence.Detail holds; Evidence.Peer is the host from which this one has learned it. Cause Malformed: it said something
 	// that cannot be read.
 	TargetNotice Kind = "TargetNotice"
+	// EvacuationBegan means that a failure domain, which Evidence.Detail names, is evacuated from now on as this host knows, and
+	// EvacuationEnded that it is no longer. Evidence.Detail also says how old the host's knowledge of the store was.
+	EvacuationBegan Kind = "EvacuationBegan"
+	EvacuationEnded Kind = "EvacuationEnded"
 	// ResponseTooLarge means that a target sent more bytes than a response may have and its connection was closed.
 	ResponseTooLarge Kind = "ResponseTooLarge"
 	// BudgetExhausted means that probes of targets are skipped because the budget for measuring is spent.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -47,6 +47,8 @@
 	Targets map[string][]Target
 	// PeerAddresses holds the addresses of entry hosts for traffic between hosts, by store key.
 	PeerAddresses map[string]string
+	// Evacuated holds the failure domains that are evacuated; the targets there are marked too.
+	Evacuated map[string]bool
 }
 
 // entryState is the latest known state of one key of the store.
@@ -365,12 +367,14 @@
 }
 
 func (r *Roster) buildView() *View {
-	v := &View{Configuration: r.configuration, Targets: map[string][]Target{}, PeerAddresses: map[string]string{}}
+	v := &View{Configuration: r.configuration, Targets: map[string][]Target{}, PeerAddresses: map[string]string{}, Evacuated: r.evacuated()}
 	for key, state := range r.entries {
 		switch decoded := state.decoded.(type) {
 		case TargetEntry:
 			if _, configured := r.configuration.Service(decoded.Target.Service); configured {
-				v.Targets[decoded.Target.Service] = append(v.Targets[decoded.Target.Service], decoded.Target)
+				t := decoded.Target
+				t.Evacuated = v.Evacuated[t.Domain]
+				v.Targets[t.Service] = append(v.Targets[t.Service], t)
 			}
 		case PeerEntry:
 			v.PeerAddresses[key] = decoded.Inner
@@ -382,6 +386,17 @@
 	return v
 }
 
+// evacuated returns the failure domains that are evacuated.
+func (r *Roster) evacuated() map[string]bool {
+	domains := map[string]bool{}
+	for _, state := range r.entries {
+		if entry, is := state.decoded.(EvacuationEntry); is {
+			domains[entry.Domain] = true
+		}
+	}
+	return domains
+}
+
 // Difference is what a replica that is complete up to one revision needs to be complete up to a later one.
 type Difference struct {
 	// Changes are in the order of their revisions.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -292,3 +292,38 @@
 		is.True(r.Confirmed().AsOf <= time.Second+hosts*way)
 	}
 }
+
+// TestEvacuation guards against targets of an evacuated failure domain that count as usable, whichever of the entries comes first, and
+// against an evacuation that is lost at once when the store comes back without it.
+func TestEvacuation(t *testing.T) {
+	is := is.New(t)
+	r := New(Config{OnRejectedEntry: func(string, error) {}, OnChange: func() {}, Decode: func(key string, _ []byte) (DecodedEntry, error) {
+		switch key {
+		case "config":
+			return ConfigurationEntry{note.Configuration{Number: 1, Services: []note.Service{{Name: "s"}}}}, nil
+		case "evacuate":
+			return EvacuationEntry{"b"}, nil
+		}
+		return TargetEntry{Target{Service: "s", Target: placement.Target{Name: key, Domain: key}}}, nil
+	}})
+	evacuated := func() map[string]bool {
+		found := map[string]bool{}
+		for _, t := range r.View().Targets["s"] {
+			found[t.Name] = t.Evacuated
+		}
+		return found
+	}
+	r.Apply(0, []platform.Change{put("config", "", 1), put("a", "", 2), put("b", "", 3)}, 3)
+	is.Equal(evacuated(), map[string]bool{"a": false, "b": false})
+	r.Apply(0, []platform.Change{put("evacuate", "", 4)}, 4)
+	is.Equal(evacuated(), map[string]bool{"a": false, "b": true})
+	r.Apply(0, []platform.Change{deletion("b", 5), put("b", "", 6)}, 6)
+	is.Equal(evacuated(), map[string]bool{"a": false, "b": true})
+	is.Equal(r.View().Evacuated, map[string]bool{"b": true})
+	now := time.Minute
+	revision := platform.Position(1, 3)
+	r.ApplySnapshot(now, []platform.Entry{{Key: "config", Revision: platform.Position(1, 1)}, {Key: "a", Revision: platform.Position(1, 2)}, {Key: "b", Revision: revision}}, revision)
+	is.Equal(evacuated(), map[string]bool{"a": false, "b": true})
+	r.Tick(now + StoreReturnGrace)
+	is.Equal(evacuated(), map[string]bool{"a": false, "b": false})
+}
--- a/internal/roster/target.go
+++ b/internal/roster/target.go
@@ -20,7 +20,7 @@
 	return cmp.Or(cmp.Compare(t.Incarnation, other.Incarnation), cmp.Compare(t.Sequence, other.Sequence)) > 0
 }
 
-// DecodedEntry is the content of one entry of the store: ConfigurationEntry, TargetEntry or PeerEntry.
+// DecodedEntry is the content of one entry of the store: ConfigurationEntry, TargetEntry, PeerEntry or EvacuationEntry.
 type DecodedEntry interface{ decodedEntry() }
 
 // ConfigurationEntry holds a configuration.
@@ -33,9 +33,13 @@
 // find one.
 type PeerEntry struct{ Inner string }
 
+// EvacuationEntry says that a failure domain is evacuated while the entry exists: its targets get no requests.
+type EvacuationEntry struct{ Domain string }
+
 func (ConfigurationEntry) decodedEntry() {}
 func (TargetEntry) decodedEntry()        {}
 func (PeerEntry) decodedEntry()          {}
+func (EvacuationEntry) decodedEntry()    {}
 
 // DecodeFunc decodes an entry of the store. It returns nil without an error for a key that it does not use.
 type DecodeFunc = func(key string, value []byte) (DecodedEntry, error)
