Limits for cold servers

Cause: a target that is cold crashes when it gets the requests that it takes when it is warm; whole failure domains come back cold. Change: a service's configuration says what a cold target takes (warmup-s, warmup-per-s). ratelimit.Table holds, beside the limits that targets name, the newest statement of how long each target stays cold: from its entry, its start, its health responses (X-Warmup-Ms) or the end of an evacuation. Hosts tell each other. The limiter of a target takes the lower limit; homes share it as before. Requests beyond it go to other targets or are refused at once (TargetsCold). A home probes cold targets four times a second, and warm ones after few requests. A home that is new no longer takes targets for slow because an entry of unknown age says how long they once were. TestColdTargetBoundIsKept fails (99 of 98 allowed) if homes save up for cold targets and keep that when they get the majority.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -173,6 +173,7 @@
 		{"RequestsForPeers", func() any { return s.relayedForPeers.Load() }},
 		{"StoreRestores", func() any { return s.restores.Load() }},
 		{"Evacuated", func() any { return g.evacuationStatuses() }},
+		{"ColdTargets", func() any { return g.rateLimits.ColdTargets(g.now()) }},
 		{"TargetNotices", func() any { return s.notices.Load() }},
 		{"ReachChecks", func() any { return s.reachChecks.Load() }},
 		{"SlowReaders", func() any { return s.slowReaders.Load() }},
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -49,8 +49,9 @@
 	return e.ended[domain]
 }
 
-// applyEvacuations records which evacuations have begun and ended with a view of the store. The caller holds applyMu.
-func (g *Gateway) applyEvacuations(v *roster.View) {
+// applyEvacuations records which evacuations have begun and ended with a view of the store, and returns the domains of those that have
+// ended. The caller holds applyMu.
+func (g *Gateway) applyEvacuations(v *roster.View) (ended []string) {
 	age := g.knowledgeAge()
 	added, removed := g.evacuations.apply(g.now(), v.Evacuated)
 	for kind, domains := range map[record.Kind][]string{record.EvacuationBegan: added, record.EvacuationEnded: removed} {
@@ -61,6 +62,7 @@
 			})
 		}
 	}
+	return removed
 }
 
 // evacuated reports whether a target must get no requests because its failure domain is evacuated. While any domain is, this includes
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,9 @@
 	// PauseHeader is the response header field of a refusal by which a backend server says for how many seconds it wants no
 	// requests from the host that it refuses.
 	PauseHeader string
+	// WarmUpHeader is the response header field by which a backend server says in health responses for how many milliseconds it stays
+	// cold; one that is warm omits it.
+	WarmUpHeader string
 	// Decode decodes entries of the store.
 	Decode roster.DecodeFunc
 	// PeerKey returns the store key under which a host registers its inner address.
@@ -177,6 +180,8 @@
 	// applyMu serializes applyView and guards targetStates, which holds the recorded state of each target by name.
 	applyMu      sync.Mutex
 	targetStates map[string]string
+	// warmUpEntries is guarded by applyMu too.
+	warmUpEntries warmUpEntries
 	// stopping is set once a graceful stop has begun.
 	stopping atomic.Bool
 	// inForceSince is when the note in force took effect, in Unix milliseconds.
@@ -219,7 +224,7 @@
 	g.heartbeats = &inner.Heartbeats{Table: g.members, Client: g.client, Now: g.now, NewRequest: func(n host.Gossip) *inner.HeartbeatRequest {
 		request := inner.NewHeartbeatRequest(c.Settings.Host.Name, n)
 		request.Quarantines = inner.EncodeQuarantines(g.quarantine.All(g.now()))
-		request.RateLimits = inner.EncodeRateLimits(g.rateLimits.Share(g.now()))
+		request.RateLimits = g.sharedRateLimits()
 		request.Notices = inner.EncodeNotices(g.notices.Share(g.now()))
 		request.Knowledge = g.knowledge()
 		return request
@@ -251,6 +256,11 @@
 	}
 }
 
+// sharedRateLimits returns what this host tells peers of the rate limits of targets and of cold targets.
+func (g *Gateway) sharedRateLimits() []*inner.RateLimit {
+	return append(inner.EncodeRateLimits(g.rateLimits.Share(g.now())), inner.EncodeWarmUps(g.rateLimits.ShareWarmUps(g.now()))...)
+}
+
 // now returns the time since the gateway was created, on the monotonic clock.
 func (g *Gateway) now() time.Duration { return time.Since(g.start) }
 
@@ -289,7 +299,7 @@
 	v := g.roster.View()
 	g.applyConfiguration(v.Configuration)
 	g.applyRegistered(v)
-	g.applyEvacuations(v)
+	g.recordWarmUps(v, g.applyEvacuations(v))
 	g.recordTargetChanges(v)
 	g.rules.Store(newRuleIndex(v.Configuration))
 	g.homeServer.applyView(v)
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -140,6 +140,7 @@
 			OnNotice:     func(n placement.TargetNotice) { s.gateway.recordNotice(n.Target, n.Notice, "") },
 			OnEjection:   func(e placement.Ejection) { s.recordEjection(service, e) },
 			OnRateLimit:  func(c placement.RateLimitChange) { s.recordRateLimit(service, c) },
+			OnWarmUp:     func(c placement.WarmUpChange) { s.recordWarmUp(service, c) },
 			OnQuarantine: func(fingerprint uint64, target string) { s.recordQuarantine(service, fingerprint, target) },
 		})
 		s.services[service] = h
@@ -227,6 +228,7 @@
 	}
 	if service, found := v.Configuration.Service(h.service); found {
 		h.healthPath = service.ReportPath
+		h.home.SetWarmUp(h.server.gateway.warmUp(service))
 	}
 	h.home.SetTargets(h.server.gateway.now(), targets)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -31,7 +31,7 @@
 	reply := inner.HandleHeartbeat(g.members, g.now(), r)
 	g.handlePeerState(r.Sender, r)
 	reply.Quarantines = inner.EncodeQuarantines(g.quarantine.All(g.now()))
-	reply.RateLimits = inner.EncodeRateLimits(g.rateLimits.Share(g.now()))
+	reply.RateLimits = g.sharedRateLimits()
 	reply.Notices = inner.EncodeNotices(g.notices.Share(g.now()))
 	reply.Knowledge = g.knowledge()
 	return reply, nil
@@ -50,6 +50,7 @@
 func (g *Gateway) handlePeerState(sender string, state peerState) {
 	g.quarantine.Merge(g.now(), inner.DecodeQuarantines(state.GetQuarantines()))
 	g.rateLimits.Merge(g.now(), inner.DecodeRateLimits(state.GetRateLimits()))
+	g.rateLimits.MergeWarmUps(g.now(), inner.DecodeWarmUps(state.GetRateLimits()))
 	for _, news := range g.notices.Merge(g.now(), inner.DecodeNotices(state.GetNotices())) {
 		g.recordNotice(news.Target, news.Notice, sender)
 	}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -81,6 +81,7 @@
 	if err != nil {
 		return placement.ProbeNoResponse, nil, backend.ErrPoolExhausted.New("the health path %q of target %s is invalid: %v; correct the configuration", path, p.Target, err)
 	}
+	sent := g.now()
 	response, err := g.pools.get(p.Target, p.Address).Do(r, backend.Options{})
 	if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
 		g.recordTooLarge(p)
@@ -96,6 +97,7 @@
 		return placement.ProbeOtherServer, nil, nil
 	}
 	g.readNotice(p.Target, response.StatusCode, response.Header)
+	g.readWarmUp(p.Target, sent, response)
 	load := g.parseLoad(response.Header)
 	switch {
 	case response.StatusCode == http.StatusOK, response.Header.Get(g.dialect.NotRunHeader) != "":
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -54,6 +54,8 @@
 	OnEjection func(Ejection)
 	// OnRateLimit is called when a target begins or stops to name a rate limit. It must not call the home. It may be nil.
 	OnRateLimit func(RateLimitChange)
+	// OnWarmUp is called when a target becomes cold or warm, unless this is a fallback home. It must not call the home. It may be nil.
+	OnWarmUp func(WarmUpChange)
 	// OnQuarantine is called when a request is put in quarantine because the given target has broken its connection. It must
 	// not call the home. It may be nil.
 	OnQuarantine func(fingerprint uint64, target string)
@@ -107,7 +109,12 @@
 	limitShare    LimitShare
 	limitsVersion uint64
 	anyLimited    bool
-	// limitedRuns counts the runs on targets that named a rate limit when they started, since TakeLimitedRuns.
+	// warmUp is what cold targets take, and nextWarm when the first of those that are cold now will be warm. coldReturnAt is when the
+	// last caller that was refused because all targets are cold was told to return.
+	warmUp       WarmUp
+	nextWarm     time.Duration
+	coldReturnAt time.Duration
+	// limitedRuns counts the runs on targets that named a rate limit or were cold when they started, since TakeLimitedRuns.
 	limitedRuns int64
 	// refusals is the number of refusals so far. It gives each retry delay a different jitter.
 	refusals uint64
@@ -117,7 +124,7 @@
 func New(c Config) *Home {
 	return &Home{
 		config: c, byName: map[string]*targetState{}, requests: map[RequestID]*Request{}, serviceTimes: map[string]float64{}, responseBytes: map[string]float64{},
-		averagePace: initialPace, nearlyFullSlowdown: initialNearlyFullSlowdown, lastRequestAt: -time.Hour, running: map[uint64]int{}, limitShare: LimitShare{Share: 1, Majority: true},
+		averagePace: initialPace, nearlyFullSlowdown: initialNearlyFullSlowdown, lastRequestAt: -time.Hour, running: map[uint64]int{}, limitShare: LimitShare{Share: 1, Majority: true}, nextWarm: math.MaxInt64,
 	}
 }
 
@@ -137,6 +144,9 @@
 			// The target has written its store entry again: the new warm-up time counts from now.
 			t.warmUpUntil = now + registered.WarmUpLeft
 		}
+		if h.warmUp.Rate > 0 {
+			t.warmUpUntil = 0 // targetState.cold knows better than an entry of unknown age
+		}
 		if t.Evacuated && !registered.Evacuated {
 			t.probe.down, t.probe.unhealthy = false, false // outdated
 		}
@@ -151,6 +161,9 @@
 	}
 	h.targets, h.byName = next, byName
 	h.limitsVersion, h.noticesVersion = 0, 0
+	if h.warmUp.Rate > 0 {
+		h.nextWarm = 0
+	}
 	h.Dispatch(now)
 }
 
@@ -321,6 +334,9 @@
 	case slots == 0:
 		h.refuse(now, r, h.noTargetsReason(now))
 		return true
+	case t == nil && h.allCold(now):
+		h.refuse(now, r, ReasonTargetsCold)
+		return true
 	case now+h.limitWait(now)+time.Duration(float64(ahead)/slots*h.averagePace*float64(h.serviceTime(r)))+h.serviceTime(r) > r.Deadline,
 		h.lateRank(now, r) == 1 && now+h.lateWait.estimate(now, lateAhead)+h.serviceTime(r) > r.Deadline:
 		h.refuse(now, r, h.lateReason(now))
@@ -430,6 +446,7 @@
 	}
 	t.runs = append(t.runs, started)
 	r.runs = append(r.runs, started)
+	t.unconfirmed++
 	for _, f := range started.fingerprints {
 		h.running[f]++
 	}
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -37,9 +37,13 @@
 
 // rateLimiter is the state of a home's share in the rate limit of one target.
 type rateLimiter struct {
-	// perSecond is the number of requests per second that the target takes from all hosts together; infinite if it names no
-	// limit.
+	// perSecond is the number of requests per second that the target takes from all hosts together: the limit that it names, or that
+	// of a cold target if that is lower. It is infinite if there is no limit.
 	perSecond float64
+	// named is set if the target names a limit, and cold if it is cold.
+	named, cold bool
+	// majority is set if the home had the majority when it last asked for leave to send a request.
+	majority bool
 	// credit is the number of requests that the home may send, as of updatedAt. permitAt is when a home without the majority
 	// got its permit.
 	credit    float64
@@ -51,7 +55,7 @@
 
 var unlimited = rateLimiter{perSecond: math.Inf(1)}
 
-// limited reports whether the target names a rate limit.
+// limited reports whether the target names a rate limit or is cold.
 func (l *rateLimiter) limited() bool { return !math.IsInf(l.perSecond, 1) }
 
 // rate returns the number of requests per second that a home with a share may send.
@@ -67,10 +71,18 @@
 		return true
 	}
 	rate, elapsed := l.rate(s), now-l.updatedAt
-	l.updatedAt = now
+	if l.cold && s.Majority && !l.majority {
+		// The home that had the majority before may have just sent what this one would have saved up.
+		l.credit, elapsed = 0, 0
+	}
+	l.updatedAt, l.majority = now, s.Majority
 	switch {
 	case s.Majority:
-		l.credit = min(max(1, rate*savedRate.Seconds()), l.credit+rate*elapsed.Seconds())
+		most := max(1, rate*savedRate.Seconds())
+		if l.cold {
+			most = 1
+		}
+		l.credit = min(most, l.credit+rate*elapsed.Seconds())
 	case l.credit < 1 || now-l.permitAt > permitLifetime:
 		l.credit = 0
 		if random() < 1-math.Exp(-rate*min(elapsed, permitLifetime).Seconds()) {
@@ -97,10 +109,10 @@
 
 // recordRateLimit records the rate limit that a target has named.
 func (h *Home) recordRateLimit(now time.Duration, t *targetState, perSecond float64) {
-	wasLimited := t.limiter.limited()
+	wasNamed := t.limiter.named
 	h.config.RateLimits.Record(now, t.limitKey(), perSecond)
 	h.applyRateLimits(now)
-	if t.limiter.limited() != wasLimited && h.config.OnRateLimit != nil {
+	if t.limiter.named != wasNamed && h.config.OnRateLimit != nil {
 		h.config.OnRateLimit(RateLimitChange{t.Name, perSecond})
 	}
 }
@@ -109,19 +121,20 @@
 	return ratelimit.Key{Target: t.Name, Incarnation: t.Incarnation}
 }
 
-// applyRateLimits takes over the limits that this host knows of if any has changed.
+// applyRateLimits takes over the limits that this host knows of if any has changed, or a cold target is warm.
 func (h *Home) applyRateLimits(now time.Duration) {
 	version := h.config.RateLimits.Version()
-	if version == h.limitsVersion {
+	if version == h.limitsVersion && now < h.nextWarm {
 		return
 	}
-	h.limitsVersion, h.anyLimited = version, false
+	h.limitsVersion, h.anyLimited, h.nextWarm = version, false, math.MaxInt64
 	for _, t := range h.targets {
-		perSecond := h.config.RateLimits.PerSecond(t.limitKey())
+		perSecond, coldLimit := h.config.RateLimits.PerSecond(t.limitKey()), h.applyWarmUp(now, t)
 		if !t.limiter.limited() {
 			t.limiter.credit, t.limiter.updatedAt, t.limiter.usedAt = 0, now, now
 		}
-		t.limiter.perSecond = perSecond
+		t.limiter.named, t.limiter.cold = !math.IsInf(perSecond, 1), t.cold()
+		t.limiter.perSecond = min(perSecond, coldLimit)
 		h.anyLimited = h.anyLimited || t.limiter.limited()
 	}
 }
@@ -160,13 +173,16 @@
 
 // lateReason returns why a request cannot meet its deadline.
 func (h *Home) lateReason(now time.Duration) Reason {
+	if h.allCold(now) {
+		return ReasonTargetsCold
+	}
 	if h.limitWait(now) > 0 {
 		return ReasonRateLimited
 	}
 	return ReasonDeadlineCannotBeMet
 }
 
-// limitedTargets returns the names of the targets that name a rate limit.
+// limitedTargets returns the names of the targets that name a rate limit or are cold.
 func (h *Home) limitedTargets() []string {
 	var names []string
 	if h.anyLimited {
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -105,6 +105,7 @@
 // the caller must call RecordProbe with the result. Each probe takes one from those that requests have brought; targets
 // for which a request waits come first.
 func (h *Home) DueProbes(now time.Duration) []Placed {
+	h.awaitWarmUpProbes(now)
 	var due []Placed
 	first := h.nextProbed
 	for _, onlyAwaited := range []bool{true, false} {
@@ -135,7 +136,7 @@
 		return false
 	}
 	rate := probeRate
-	if t.limiter.limited() {
+	if t.limiter.named {
 		rate = limitedProbeRate
 	}
 	return (t.probe.awaited || !onlyAwaited && h.probeDue(now, t)) && t.probe.spend(now, rate)
@@ -151,7 +152,7 @@
 	switch {
 	case !h.busy(now):
 		return false
-	case t.limiter.limited():
+	case t.limiter.named:
 		return now-max(t.probe.sentAt, t.paceAt) >= limitedProbeInterval
 	case t.probe.down || t.probe.unhealthy:
 		return now-t.probe.sentAt >= downProbeInterval
@@ -206,10 +207,12 @@
 	switch result {
 	case ProbeHealthy:
 		t.recordResponse(now)
+		t.unconfirmed = 0
 		t.probe.down, t.probe.unhealthy = false, false
 		t.otherServer = false
 	case ProbeUnhealthy:
 		t.recordResponse(now)
+		t.unconfirmed = 0
 		t.probe.recordUnhealthy(now)
 	case ProbeNoResponse:
 		h.recordDown(now, t)
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -111,6 +111,8 @@
 	// ReasonTargetsPausing means that no target is available, and that some will be when the time has passed for which they
 	// want no requests.
 	ReasonTargetsPausing Reason = "TargetsPausing"
+	// ReasonTargetsCold means that all available targets are cold and have no room for the request now.
+	ReasonTargetsCold Reason = "TargetsCold"
 	// ReasonTargetsEvacuated means that the failure domains of all targets that accept requests are evacuated.
 	ReasonTargetsEvacuated Reason = "TargetsEvacuated"
 )
--- a/internal/placement/returns.go
+++ b/internal/placement/returns.go
@@ -37,6 +37,8 @@
 		delay = max(minRetryDelay, left)
 	case ReasonNoTargets:
 		delay = noTargetsRetryDelay
+	case ReasonTargetsCold:
+		delay = h.coldReturn(now)
 	case ReasonTargetsEvacuated:
 		delay = evacuatedRetryDelay
 	case ReasonDeadlineCannotBeMet, ReasonRateLimited, ReasonRetryBudgetSpent:
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -50,6 +50,8 @@
 	Draining bool
 	// WarmUpLeft is how long it remains slow after its start, counted from the registration.
 	WarmUpLeft time.Duration
+	// WarmUpOmitted is set if the registration does not say how long it remains slow.
+	WarmUpOmitted bool
 	// Incarnation changes with each start of the target. State of an earlier incarnation is discarded.
 	Incarnation int64
 	// Evacuated is set while the target's failure domain is evacuated: it gets no requests and no probes. EvacuatedUntil is when
@@ -92,6 +94,10 @@
 	ejectionReported bool
 	probe            probeState
 	limiter          rateLimiter
+	// coldUntil is when the target, which is cold, will be warm; zero if it is not cold. unconfirmed is the number of runs since its
+	// last health response.
+	coldUntil   time.Duration
+	unconfirmed int
 	// said is what the target has said of itself.
 	said notice.State
 	// otherServer is set while another server answers at the target's address.
@@ -166,7 +172,7 @@
 		weight = 0
 	}
 	assumed := averagePace
-	if now < t.warmUpUntil {
+	if now < t.warmUpUntil || t.cold() {
 		// Only the assumed pace is corrected, because a reported pace includes the effect of warming up.
 		assumed *= warmUpSlowdown
 	}
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -1,5 +1,5 @@
-// Package ratelimit holds the rate limits that targets (backend servers) name in their responses. The homes of a host record
-// them, and hosts tell each other, so that a host that becomes a home knows them. It opens no connections and reads no clock:
+// Package ratelimit holds the rate limits that targets (backend servers) name in their responses, and how long targets stay cold, during
+// which they take few requests. The homes of a host record both, and hosts tell each other, so that a host that becomes a home knows them. It opens no connections and reads no clock:
 // callers pass in the time since the start of their host.
 package ratelimit
 
@@ -58,10 +58,15 @@
 	entries map[Key]entry
 	// lastShared is the last key that Share has returned.
 	lastShared Key
+	// warmUps holds the newest statement of each target that may become cold, warmUpCount their number and lastSharedWarmUp the last
+	// key that ShareWarmUps has returned.
+	warmUps          map[Key]warmUp
+	warmUpCount      atomic.Int64
+	lastSharedWarmUp Key
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{entries: map[Key]entry{}} }
+func New() *Table { return &Table{entries: map[Key]entry{}, warmUps: map[Key]warmUp{}} }
 
 // Record records the limit that a target has named in a response just now; infinite means that it named none, which is
 // recorded only if it did before.
@@ -133,11 +138,12 @@
 
 // Expire removes reports that are no longer valid. The caller must call it from time to time.
 func (t *Table) Expire(now time.Duration) {
-	if t.size.Load() == 0 {
+	if t.size.Load() == 0 && t.warmUpCount.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expireWarmUps(now)
 	for k, e := range t.entries {
 		if now-e.at >= lifetime {
 			delete(t.entries, k)
@@ -147,7 +153,8 @@
 	t.size.Store(int64(len(t.entries)))
 }
 
-// Version returns a number that changes whenever the limit of a target does.
+// Version returns a number that changes whenever the limit of a target or the end of its warm-up does. It does not change when a warm-up
+// ends in time.
 func (t *Table) Version() uint64 { return t.version.Load() }
 
 // PerSecond returns the limit of a target in requests per second, infinite if it names none.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -47,6 +47,8 @@
 	// EvacuationEnded that it is no longer. Evidence.Detail also says how old the host's knowledge of the store was.
 	EvacuationBegan Kind = "EvacuationBegan"
 	EvacuationEnded Kind = "EvacuationEnded"
+	// TargetCold means that a target has become cold (Cause Cold), for as long as Evidence.Detail says, or is warm (Warm).
+	TargetCold Kind = "TargetCold"
 	// ResponseTooLarge means that a target sent more bytes than a response may have and its connection was closed.
 	ResponseTooLarge Kind = "ResponseTooLarge"
 	// BudgetExhausted means that probes of targets are skipped because the budget for measuring is spent.
