--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -62,6 +64,16 @@
 	return requests, probes
 }
 
+// lastArrival returns when a target of the failure domains last received a request.
+func (f *fleet) lastArrival(domains []string) (last time.Time) {
+	for _, x := range f.targets {
+		if arrivals := arrivalsOfTarget(x); len(arrivals) > 0 && slices.Contains(domains, x.Zone) && arrivals[len(arrivals)-1].At.After(last) {
+			last = arrivals[len(arrivals)-1].At
+		}
+	}
+	return last
+}
+
 // TestEvacuation guards against requests, retries, second runs, relays and probes that reach targets of an evacuated failure domain,
 // against requests that are lost as it begins, and against targets that are not used again after it.
 func TestEvacuation(t *testing.T) {
@@ -88,6 +100,8 @@
 				f.store.SetFaults(fmt.Sprintf("h%d", i), standin.Faults{Unresponsive: true})
 			}
 		}},
+		{name: "every host alone", domains: []string{"b"}, before: func(f *fleet) { f.cutInto(13) }},
+		{name: "the store is slow", domains: []string{"b"}, before: func(f *fleet) { f.store.SetFaults("", standin.Faults{Delay: 500 * time.Millisecond}) }},
 		{name: "hosts start", domains: []string{"b"}, before: func(f *fleet) {
 			for i := range 3 {
 				f.start(fmt.Sprintf("h%d", 13+i), domainOf(i))
@@ -145,10 +159,16 @@
 					c.after(f)
 				}
 				time.Sleep(time.Until(written.Add(evacuationGoal)))
+				for name, n := range f.hosts {
+					if !c.lost || name != home {
+						f.is.Equal(slices.Sorted(maps.Keys(n.gateway.Evacuations())), c.domains)
+					}
+				}
 				_, probesBefore := f.received(written, c.domains...)
 				sending.Wait()
 				inForce := send(len(f.hosts), 3*time.Second)
 				requests, probes := f.received(written.Add(evacuationGoal), c.domains...)
+				t.Logf("the last request arrived there %v after the write", f.lastArrival(c.domains).Sub(written).Round(time.Millisecond))
 				f.is.Equal(requests, 0)
 				f.is.Equal(probes, probesBefore)
 				if len(c.domains) == len(all) {
@@ -261,6 +281,68 @@
 	})
 }
 
+// TestEvacuationAtScale guards against hosts of a large fleet that learn late of an evacuation or its end, also while half of them have lost
+// the store.
+func TestEvacuationAtScale(t *testing.T) {
+	const hosts = 106
+	withFleet(t, hosts, 0, func(f *fleet) {
+		for i := range hosts / 2 {
+			f.store.SetFaults(fmt.Sprintf("h%d", i), storeUnavailable)
+		}
+		for round := range 3 {
+			f.evacuate("b")
+			time.Sleep(evacuationGoal)
+			for _, n := range f.hosts {
+				f.is.Equal(len(n.gateway.Evacuations()), 1)
+			}
+			f.takeBack("b")
+			time.Sleep(evacuationGoal)
+			for _, n := range f.hosts {
+				f.is.Equal(len(n.gateway.Evacuations()), 0)
+			}
+			time.Sleep(time.Duration(round) * time.Second)
+		}
+	})
+}
+
+// TestEvacuationKeepsProbeLimit guards against the probes that evacuated targets do not get being sent to the others, by hosts that each
+// act as a home.
+func TestEvacuationKeepsProbeLimit(t *testing.T) {
+	const hosts, duration = 13, 8 * time.Second
+	withFleet(t, hosts, 0, func(f *fleet) {
+		f.spreadTargets(2)
+		f.evacuate("a", "c")
+		f.cutInto(hosts)
+		time.Sleep(evacuationGoal)
+		since := time.Now()
+		_, before := f.received(since, "b")
+		f.load(100, duration)
+		_, probes := f.received(since, "b")
+		perTarget := float64(probes-before) / 2 / duration.Seconds()
+		t.Logf("%.1f probes per target and second", perTarget)
+		f.is.True(perTarget <= probesPerSecond)
+	})
+}
+
+// TestWarmTargetsReturnFromEvacuation guards against targets that are limited for long after an evacuation although they are warm.
+func TestWarmTargetsReturnFromEvacuation(t *testing.T) {
+	withFleet(t, 13, 0, func(f *fleet) {
+		f.configureWarmUp(2)
+		f.spreadTargets(3)
+		f.evacuate("b")
+		time.Sleep(evacuationGoal)
+		f.sendSteadily("evacuated", 150, time.Second)
+		f.takeBack("b")
+		f.sendSteadily("returning", 150, 2*time.Second)
+		since := time.Now()
+		replies := f.sendSteadily("back", 150, time.Second)
+		requests, _ := f.received(since, "b")
+		f.is.Equal(count(replies, http.StatusOK), len(replies))
+		t.Logf("%d of %d requests went to the domain in the third second", requests, len(replies))
+		f.is.True(requests > len(replies)/5)
+	})
+}
+
 // sendMixed sends safe and unsafe requests at a steady rate to the given hosts in turn, and returns the replies.
 func (f *fleet) sendMixed(hosts []string, requestsPerSecond int, duration time.Duration) []reply {
 	f.lastPhase++
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -10,6 +10,7 @@
 
 	"briarcroft/internal/backend"
 	"briarcroft/internal/placement"
+	"briarcroft/internal/roster"
 
 	"github.com/joomcode/errorx"
 )
@@ -32,7 +33,7 @@
 	if ranked := c.rankedHomes(service); len(ranked) > 0 && ranked[0].Name == home {
 		wanted = placement.ProbesPerRequest
 	}
-	targets, hosts := len(g.roster.View().Targets[service]), g.fleetSize()
+	targets, hosts := probedTargets(g.roster.View(), service), g.fleetSize()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a := c.allowances[service]
@@ -43,6 +44,20 @@
 	return a.Take(g.now(), targets, hosts, wanted)
 }
 
+// probedTargets returns the number of targets of a service that get probes; those that are evacuated get none.
+func probedTargets(v *roster.View, service string) int {
+	targets, count := v.Targets[service], 0
+	if len(v.Evacuated) == 0 {
+		return len(targets)
+	}
+	for i := range targets {
+		if !targets[i].Evacuated {
+			count++
+		}
+	}
+	return count
+}
+
 // fleetSize returns the number of hosts that may be running. A host that has just started and reaches no other one may know
 // from the store that there are others.
 func (g *Gateway) fleetSize() int {
