--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -259,7 +259,7 @@
 	}
 	for _, p := range h.home.DueProbes(g.now()) {
 		sent.Add(1)
-		go h.probe(g.background, p)
+		go h.probe(g.background, p, h.healthPath)
 	}
 }
 
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -65,7 +65,7 @@
 }
 
 // probe requests a target's health path and passes the result and the reported load to the placement state.
-func (h *serviceHome) probe(ctx context.Context, p placement.Placed) {
+func (h *serviceHome) probe(ctx context.Context, p placement.Placed, healthPath string) {
 	g := h.server.gateway
 	if g.evacuated(p.Target) {
 		h.use(func(home *placement.Home) { home.RecordProbe(g.now(), p.Target, placement.ProbeNotSent, nil) })
@@ -73,7 +73,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	health, load, err := g.checkHealth(ctx, p, h.healthPath)
+	health, load, err := g.checkHealth(ctx, p, healthPath)
 	switch {
 	case err == nil:
 		g.recordInReach(p.Target)
