--- /dev/null
+++ b/internal/quota/counts.go
@@ -0,0 +1,39 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Counts are the counters of one account on one host.
+type Counts struct {
+	Account                            string
+	Granted, Spent, Emergency, Refused int64
+}
+
+func (w *Wallet) count(account string) *Counts {
+	c := w.counts[account]
+	if c == nil {
+		c = &Counts{Account: account}
+		w.counts[account] = c
+	}
+	return c
+}
+
+// Refusals returns the counters of up to most accounts, those with the most refusals first.
+func (w *Wallet) Refusals(most int) []Counts {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	all := make([]Counts, 0, len(w.counts))
+	for _, c := range w.counts {
+		all = append(all, *c)
+	}
+	slices.SortFunc(all, compareCounts)
+	return all[:min(most, len(all))]
+}
+
+// compareCounts orders counters from many refusals to few.
+func compareCounts(a, b Counts) int {
+	return cmp.Or(cmp.Compare(b.Refused, a.Refused), cmp.Compare(b.Spent, a.Spent), strings.Compare(a.Account, b.Account))
+}
