Allowances in use by homes, over the new call Quota, and fair shares of accounts in the queue

Cause: an account that sends many times its usual load took the slots of others, and nothing kept its allowance over all hosts.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"briarcroft/internal/operator"
+	"briarcroft/internal/quota"
 	"briarcroft/internal/record"
 
 	"github.com/jessevdk/go-flags"
@@ -15,12 +16,13 @@
 type explainCommand struct {
 	*baseCommand
 	hostsOptions
-	Target string        `long:"target" description:"show only records that concern this target or all targets"`
-	Since  time.Duration `long:"since" default:"1h" description:"how far back to look"`
-	Why    bool          `long:"why" description:"show when the target was not eligible for requests, and why"`
-	From   string        `long:"from" description:"start of the period to explain, as 2006-01-02T15:04:05Z; replaces --since"`
-	To     string        `long:"to" description:"end of the period, as 2006-01-02T15:04:05Z; now if left out"`
-	JSON   bool          `long:"json" description:"print the records, or with --why the intervals, as JSON"`
+	Target  string        `long:"target" description:"show only records that concern this target or all targets"`
+	Account string        `long:"account" description:"show what hosts, as homes, have granted and refused of the allowance of this client account"`
+	Since   time.Duration `long:"since" default:"1h" description:"how far back to look"`
+	Why     bool          `long:"why" description:"show when the target was not eligible for requests, and why"`
+	From    string        `long:"from" description:"start of the period to explain, as 2006-01-02T15:04:05Z; replaces --since"`
+	To      string        `long:"to" description:"end of the period, as 2006-01-02T15:04:05Z; now if left out"`
+	JSON    bool          `long:"json" description:"print the records, or with --why the intervals, as JSON"`
 }
 
 // Execute implements flags.Commander.
@@ -31,6 +33,9 @@
 	}
 	client, closeClient := operator.New(operator.Config{Hosts: c.Hosts, Timeout: c.Timeout})
 	defer closeClient()
+	if c.Account != "" {
+		return c.printAccount(client.Account(context.Background(), c.Account))
+	}
 	if c.Why {
 		// The records of all times are requested: the one that tells the target's state at the start of the period can be
 		// older than the period.
@@ -47,6 +52,33 @@
 	return c.reportMissing(e)
 }
 
+// printAccount prints what hosts say of the allowance of an account; it returns ErrFindings if a host has not answered.
+func (c *explainCommand) printAccount(hosts []operator.AccountCounts) error {
+	if c.JSON {
+		return c.printJSON(hosts)
+	}
+	var total quota.Counts
+	missing := 0
+	for _, h := range hosts {
+		if h.Error != "" {
+			fmt.Fprintf(c.err, "no counters from %s: %s\n", h.Address, h.Error)
+			missing++
+			continue
+		}
+		limit := "no allowance in its configuration"
+		if h.Known {
+			limit = fmt.Sprintf("allowance %g/s, burst %g", h.Rate, h.Burst)
+		}
+		fmt.Fprintf(c.out, "%s: %s; granted %d, spent %d (%d emergency), refused %d\n", h.Address, limit, h.Granted, h.Spent, h.Emergency, h.Refused)
+		total.Spent, total.Refused = total.Spent+h.Spent, total.Refused+h.Refused
+	}
+	fmt.Fprintf(c.out, "account %q on %d hosts: spent %d, refused %d since they started\n", c.Account, len(hosts)-missing, total.Spent, total.Refused)
+	if missing > 0 {
+		return ErrFindings.New("%d hosts gave no counters", missing)
+	}
+	return nil
+}
+
 // timeRange returns the period that --since, --from and --to select.
 func (c *explainCommand) timeRange(now time.Time) (record.TimeRange, error) {
 	period := record.TimeRange{From: now.Add(-c.Since), To: now}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -50,7 +50,11 @@
 
 // refusalResponse returns the response to a request that no target has run or will run.
 func refusalResponse(r placement.Refused) *callerResponse {
-	return localResponse(http.StatusServiceUnavailable, string(r.Reason), r.RetryAfter)
+	status := http.StatusServiceUnavailable
+	if r.Reason == placement.ReasonAllowanceSpent {
+		status = http.StatusTooManyRequests
+	}
+	return localResponse(status, string(r.Reason), r.RetryAfter)
 }
 
 // writeResponse sends a response and reports whether all of it was sent.
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -106,6 +106,7 @@
 	mux.HandleFunc("GET /Note", g.serveNote)
 	mux.HandleFunc("GET /Status", g.serveStatus)
 	mux.Handle("GET /Explain", g.records)
+	mux.HandleFunc("GET /Allowance", g.serveAllowance)
 	return serveHTTP(ctx, l, mux)
 }
 
@@ -129,9 +130,10 @@
 		Peers          []host.Member
 		Latency        []meter.Summary
 		Unwritten      int64
+		Allowances     *allowanceStatus `json:",omitempty"`
 	}{
 		self.Name, self.Domain, g.incarnation, self.Ready, self.Leaving, self.Note, g.members.Peers(),
-		g.histograms.Summaries(), g.requestLog.unwritten.Load() + g.records.Unwritten(),
+		g.histograms.Summaries(), g.requestLog.unwritten.Load() + g.records.Unwritten(), g.allowanceStatus(),
 	})
 }
 
@@ -180,6 +182,7 @@
 		{"InnerBytesSent", func() any { return g.client.BytesSent() }},
 		{"Latencies", func() any { return g.histograms.Summaries() }},
 		{"Queued", func() any { return g.homeServer.queuedByService() }},
+		{"Allowances", func() any { return g.allowanceStatus() }},
 	} {
 		vars.Set(v.name, expvar.Func(v.value))
 	}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,6 +48,8 @@
 	listen, inner, ready, directory string
 	stop, force                     context.CancelFunc
 	done                            chan error
+	// stopped is set once the gateway has been ended by crash.
+	stopped atomic.Bool
 }
 
 // domainOf returns the failure domain of the i-th host, one of three.
@@ -148,7 +151,8 @@
 	store, closeStore := platform.NewStore(platform.StoreConfig{URL: "http://" + storeAddress, Timeout: time.Second, Dial: dial})
 	g, closeGateway := gateway.New(gateway.Config{
 		Settings: s, Dialect: platform.Dialect(), Store: store, Logger: zerolog.Nop(), Dial: dial,
-		Listen: func(_, address string) (net.Listener, error) { return f.net.Listen(name, address), nil },
+		BootTime: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
+		Listen:   func(_, address string) (net.Listener, error) { return f.net.Listen(name, address), nil },
 	})
 	stop, cancelStop := context.WithCancel(context.Background())
 	force, cancelForce := context.WithCancel(context.Background())
@@ -167,6 +171,7 @@
 // crash ends a gateway at once and drops its connections.
 func (f *fleet) crash(name string) {
 	n := f.hosts[name]
+	n.stopped.Store(true)
 	f.net.Crash(name)
 	n.force()
 	<-n.done
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,6 +113,8 @@
 	Listen func(network, address string) (net.Listener, error)
 	// Dial opens connections to backend servers and peers; nil means TCP.
 	Dial socket.DialFunc
+	// BootTime is a clock that goes on while the host is suspended; nil means CLOCK_BOOTTIME.
+	BootTime func() time.Duration
 }
 
 // Gateway is one entry host. Its exported methods are safe for concurrent use.
@@ -142,6 +144,7 @@
 	// peersAhead holds a peer that knows more of the store than this host.
 	peersAhead *ring.Queue[peerAhead]
 	homeServer *homeServer
+	allowances *allowances
 	// quarantine lists the requests that are refused because they crash targets.
 	quarantine *quarantine.List
 	// rateLimits holds the rate limits that targets name.
@@ -229,6 +232,8 @@
 	g.rateLimits = ratelimit.New()
 	g.notices, g.malformedNotices = notice.New(), rate.NewLimiter(malformedNoticesPerSecond, 1)
 	g.registered.Store(&map[string]roster.Target{})
+	g.allowances = newAllowances(c, g.incarnation)
+	g.allowances.wallet.SetPlace(g.emergencyPlace)
 	g.homeServer = newHomeServer(g)
 	g.pools = newPools(g)
 	g.reach = reach.New()
@@ -287,6 +292,7 @@
 	g.applyConfiguration(v.Configuration)
 	g.applyRegistered(v)
 	g.recordTargetChanges(v)
+	g.allowances.setAccounts(v.Configuration)
 	g.rules.Store(newRuleIndex(v.Configuration))
 	g.homeServer.applyView(v)
 	g.pools.applyView(v)
@@ -356,7 +362,7 @@
 	}
 	tasks := duty.NewGroup()
 	defer tasks.Stop()
-	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runStoreChecks, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks} {
+	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runStoreChecks, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks, g.runElection, g.runTokenRequests} {
 		tasks.Go(task)
 	}
 	failed := make(chan error, len(listeners))
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -137,10 +137,12 @@
 		h = &serviceHome{server: s, service: service}
 		h.home = placement.New(placement.Config{
 			Random: rand.New(rand.NewPCG(s.gateway.incarnation, uint64(len(s.services)))), Budget: s.retryBudget(), Quarantine: s.gateway.quarantine, RateLimits: s.gateway.rateLimits, Notices: s.gateway.notices, OnVerdict: s.sendVerdict,
-			OnNotice:     func(n placement.TargetNotice) { s.gateway.recordNotice(n.Target, n.Notice, "") },
-			OnEjection:   func(e placement.Ejection) { s.recordEjection(service, e) },
-			OnRateLimit:  func(c placement.RateLimitChange) { s.recordRateLimit(service, c) },
-			OnQuarantine: func(fingerprint uint64, target string) { s.recordQuarantine(service, fingerprint, target) },
+			Allowances: s.gateway.allowances.wallet, BootTime: s.gateway.allowances.bootTime,
+			OnTokenWanted: func() { s.gateway.allowances.tokenWanted.Push(struct{}{}) },
+			OnNotice:      func(n placement.TargetNotice) { s.gateway.recordNotice(n.Target, n.Notice, "") },
+			OnEjection:    func(e placement.Ejection) { s.recordEjection(service, e) },
+			OnRateLimit:   func(c placement.RateLimitChange) { s.recordRateLimit(service, c) },
+			OnQuarantine:  func(fingerprint uint64, target string) { s.recordQuarantine(service, fingerprint, target) },
 		})
 		s.services[service] = h
 		h.applyView(s.gateway.roster.View())
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -177,6 +177,9 @@
 		s.truncated.Add(1)
 	case response.reason == "":
 		s.answered.Add(1)
+	case response.reason == string(placement.ReasonAllowanceSpent):
+		s.refused.Add(1)
+		g.allowances.refused.Add(1)
 	case response.status == 503:
 		s.refused.Add(1)
 	case response.status == 404:
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -19,6 +19,7 @@
 	"briarcroft/internal/entry"
 	"briarcroft/internal/note"
 	"briarcroft/internal/platform"
+	"briarcroft/internal/quota"
 	"briarcroft/internal/record"
 
 	"github.com/joomcode/errorx"
@@ -103,6 +104,27 @@
 	return e
 }
 
+// AccountCounts is what one host says of the allowance of an account.
+type AccountCounts struct {
+	// Address is the address that was queried. Error is set if the host has not answered.
+	Address string
+	quota.AccountState
+	Error string `json:",omitempty"`
+}
+
+// Account returns what every host says of the allowance of an account, in the order of Config.Hosts.
+func (c *Client) Account(ctx context.Context, account string) []AccountCounts {
+	counts := make([]AccountCounts, len(c.config.Hosts))
+	query := url.Values{"Account": {account}}
+	c.forEachHost(func(i int, host string) {
+		counts[i].Address = host
+		if err := c.getJSON(ctx, host, "/Allowance?"+query.Encode(), &counts[i].AccountState); err != nil {
+			counts[i].Error = err.Error()
+		}
+	})
+	return counts
+}
+
 // Addresses returns the response of the first host that answers GET /Addresses for a service and a caller's failure
 // domain. Errors are ErrHostRequest.
 func (c *Client) Addresses(ctx context.Context, service, domain string) (address.Response, error) {
--- a/internal/placement/hedge.go
+++ b/internal/placement/hedge.go
@@ -55,7 +55,11 @@
 	if !lastChance && (ageRatio < hedgeAgeRatio || !inTime && h.lateRank(now, r) == 0) {
 		return
 	}
+	if !h.reserveHedgeToken(now, r) {
+		return
+	}
 	if !h.config.Budget.Spend(now, hedgeReserve) {
+		h.returnToken(r)
 		return
 	}
 	r.hedged = true
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -14,6 +14,8 @@
 import (
 	"slices"
 	"time"
+
+	"briarcroft/internal/quota"
 )
 
 // RequestID identifies a request at its home.
@@ -60,6 +62,11 @@
 	queued      bool
 	// answered is set once a run has been answered.
 	answered bool
+	// allowance is the request's part of its account's allowance. fairStart and fairLate order it among the requests of other
+	// accounts; see sortFairly.
+	allowance tokenState
+	fairStart float64
+	fairLate  int
 }
 
 // Verdict is a decision of the home about a request: Placed, Queued, Refused or Hedge.
@@ -111,6 +118,8 @@
 	// ReasonTargetsPausing means that no target is available, and that some will be when the time has passed for which they
 	// want no requests.
 	ReasonTargetsPausing Reason = "TargetsPausing"
+	// ReasonAllowanceSpent means that the account has no room in its allowance now.
+	ReasonAllowanceSpent Reason = "AllowanceSpent"
 )
 
 // Outcome is the way in which a run on a target ended.
@@ -162,6 +171,8 @@
 	slowdown float64
 	// nearlyFull is set if the run took one of the target's last slots.
 	nearlyFull bool
+	// token is that of the account's allowance with which the run was placed.
+	token quota.Token
 }
 
 // fingerprints returns the request's own fingerprint and the shared ones.
--- a/internal/placement/returns.go
+++ b/internal/placement/returns.go
@@ -27,6 +27,8 @@
 	_, fraction := math.Modf(float64(h.refusals) * goldenRatio)
 	delay := minRetryDelay
 	switch reason {
+	case ReasonAllowanceSpent:
+		return r.allowance.retryAfter
 	case ReasonQuarantined:
 		quarantined, _ := h.quarantined(now, r)
 		return quarantined.Remaining
--- a/internal/quota/counts.go
+++ b/internal/quota/counts.go
@@ -33,6 +33,26 @@
 	return all[:min(most, len(all))]
 }
 
+// AccountState is what a host knows of the allowance of one account.
+type AccountState struct {
+	Counts
+	// Known is set if the host's configuration limits the account.
+	Known bool
+	Limit
+}
+
+// Account returns the state of one account.
+func (w *Wallet) Account(account string) AccountState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	limit, known := w.limits[account]
+	s := AccountState{Counts: Counts{Account: account}, Known: known, Limit: limit}
+	if c := w.counts[account]; c != nil {
+		s.Counts = *c
+	}
+	return s
+}
+
 // compareCounts orders counters from many refusals to few.
 func compareCounts(a, b Counts) int {
 	return cmp.Or(cmp.Compare(b.Refused, a.Refused), cmp.Compare(b.Spent, a.Spent), strings.Compare(a.Account, b.Account))
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -40,8 +40,11 @@
 	w.failedAt[host] = now
 }
 
-// maxDemands is the largest number of accounts in one request.
-const maxDemands = 2000
+// maxDemands is the largest number of accounts in one request, and maxTokens that of tokens in one grant.
+const (
+	maxDemands = 2000
+	maxTokens  = 1 << 20
+)
 
 // Due returns the time until the next request is due; it is zero if one is due now, and false if none is expected.
 func (w *Wallet) Due(now time.Duration) (time.Duration, bool) {
@@ -96,16 +99,13 @@
 	}
 }
 
-// NextRequest returns the request to send to the holder now.
+// NextRequest returns the request to send to the holder now. One without demands need not be sent.
 func (w *Wallet) NextRequest(now time.Duration) Request {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.credit = max(0, w.requestCredit(now)-1)
 	w.requestedAt = now
 	w.sequence++
-	if w.askedFirst == 0 {
-		w.askedFirst = now
-	}
 	r := Request{Sender: w.config.Host, Incarnation: w.config.Incarnation, Sequence: w.sequence, Term: w.term}
 	for _, account := range slices.Sorted(maps.Keys(w.purses)) {
 		if len(r.Demands) == maxDemands {
@@ -117,6 +117,9 @@
 			r.Demands = append(r.Demands, d)
 		}
 	}
+	if w.askedFirst == 0 && len(r.Demands) > 0 {
+		w.askedFirst = now
+	}
 	return r
 }
 
@@ -186,7 +189,7 @@
 		if g.Wait > 0 {
 			p.spentUntil = now + min(g.Wait, Lifetime)
 		}
-		if tokens := int(math.Floor(g.Tokens)); tokens > 0 && now < sent+Lifetime {
+		if tokens := int(min(maxTokens, math.Floor(g.Tokens))); tokens > 0 && now < sent+Lifetime {
 			w.count(g.Account).Granted += int64(tokens)
 			p.stocks = append(p.stocks, stock{left: tokens, expires: sent + Lifetime, term: r.Term})
 		}
