--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -86,7 +86,7 @@
 
 // requestCredit returns how many requests may be sent before their usual time.
 func (w *Wallet) requestCredit(now time.Duration) float64 {
-	return min(requestBurst, w.credit+float64(now-w.requestedAt)/float64(RequestInterval))
+	return min(requestBurst, w.credit+float64(now-w.requestedAt)/float64(creditInterval))
 }
 
 // expire forgets accounts that have not been used lately.
--- a/internal/quota/wallet.go
+++ b/internal/quota/wallet.go
@@ -11,15 +11,16 @@
 	// stockTime is for how much of the recent demand a home keeps tokens, so that requests rarely wait for one.
 	stockTime = 300 * time.Millisecond
 	// demandDecay is the time constant of the average of the demand.
-	demandDecay = 2 * time.Second
+	demandDecay = 3 * time.Second
 	// minStockDemand is the demand in requests per second from which a home keeps a token at all.
-	minStockDemand = 0.3
+	minStockDemand = 0.15
 	// renewAfter is the age from which the tokens of a lease are returned and requested anew.
 	renewAfter = Lifetime * 3 / 4
 	// RequestInterval is the usual time between two requests to the holder, and minRequestInterval that while requests wait for
-	// tokens. The latter are limited to requestBurst at once, and to one in RequestInterval over longer times.
-	RequestInterval    = 100 * time.Millisecond
-	minRequestInterval = 10 * time.Millisecond
+	// tokens. The latter are limited to requestBurst at once, and to one in creditInterval over longer times.
+	RequestInterval    = 200 * time.Millisecond
+	minRequestInterval = 5 * time.Millisecond
+	creditInterval     = 70 * time.Millisecond
 	requestBurst       = 20
 	// lostRequestInterval replaces RequestInterval while no holder answers.
 	lostRequestInterval = 50 * time.Millisecond
