A refusal that arrives while its target's entry is gone still names a pause

Callers' side: targets that asked for rest got 3 or 4 requests of a host in it (TestSlowRefusalNamesPause, about 1 run in 40). Cause: readNotice looked up the target's incarnation when the response arrived; if the entry was gone for a moment, the pause was lost. Change: the key is taken before the request is sent, also for probes and relays. TestRefusalWhileEntryIsGone failed before (6 arrivals where 2 are allowed) and passes (0).

TestSlowRefusalNamesPause counted from the first arrival plus the delay. Traces of 11 failing runs of 60 show that the refusals of those runs were never sent: a hedge had won and the host had closed the connection, so the target had answered nobody.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"briarcroft/internal/backend"
+	"briarcroft/internal/notice"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/record"
 
@@ -52,12 +53,13 @@
 // runOn sends the request to one target and reports the end of the run to the home that placed it.
 func (x *exchange) runOn(ctx context.Context, from placer, p placement.Placed) *runResult {
 	started := x.gateway.now()
-	r := x.roundTrip(ctx, from, p)
+	key, _ := x.gateway.noticeKey(p.Target)
+	r := x.roundTrip(ctx, from, p, key)
 	if r.duration == 0 {
 		r.duration = x.gateway.now() - started
 	}
 	x.gateway.stats.attempts.Add(1)
-	end := placement.RunEnd{Target: p.Target, Outcome: r.outcome, Duration: r.duration, Load: r.load, RateLimit: r.rateLimit, Notice: x.gateway.noticeOf(p.Target)}
+	end := placement.RunEnd{Target: p.Target, Outcome: r.outcome, Duration: r.duration, Load: r.load, RateLimit: r.rateLimit, Notice: x.gateway.noticeOf(key)}
 	if r.response != nil {
 		end.Bytes = len(r.response.body)
 	}
@@ -65,8 +67,9 @@
 	return r
 }
 
-// roundTrip sends the request to the target that a home has chosen and reads the response.
-func (x *exchange) roundTrip(ctx context.Context, from placer, p placement.Placed) *runResult {
+// roundTrip sends the request to the target that a home has chosen and reads the response. Notices of the target are recorded
+// under the key.
+func (x *exchange) roundTrip(ctx context.Context, from placer, p placement.Placed, key notice.Key) *runResult {
 	g := x.gateway
 	started := g.now()
 	response, err := x.send(ctx, from, p)
@@ -76,7 +79,7 @@
 		}
 		return &runResult{outcome: x.outcomeOfError(ctx, err), blocked: errorx.IsOfType(err, errBlocked)}
 	}
-	g.readNotice(p.Target, response.StatusCode, response.Header)
+	g.readNotice(key, response.StatusCode, response.Header)
 	r := &runResult{load: g.parseLoad(response.Header), rateLimit: g.parseRateLimit(response.Header), duration: g.now() - started}
 	if response.Header.Get(g.dialect.NotRunHeader) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		r.outcome = placement.OutcomeNotRun
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -17,30 +17,36 @@
 // malformedNoticesPerSecond limits the records about header fields that cannot be read.
 const malformedNoticesPerSecond = 0.2
 
+// noticeKey returns the key of a registered target, or false if it is not registered. Callers take it before they send a request,
+// because the target's entry may be gone for a moment when the response arrives.
+func (g *Gateway) noticeKey(target string) (notice.Key, bool) {
+	t, found := g.findTarget(target)
+	return notice.Key{Target: target, Incarnation: t.Incarnation}, found
+}
+
 // said returns what a registered target has said of itself to this host or others.
 func (g *Gateway) said(target string) notice.State {
-	t, found := g.findTarget(target)
+	k, found := g.noticeKey(target)
 	if !found {
 		return notice.State{}
 	}
-	return g.notices.State(notice.Key{Target: target, Incarnation: t.Incarnation})
+	return g.notices.State(k)
 }
 
 // noticeOf returns what is known of a target in the form of a response that says so now.
-func (g *Gateway) noticeOf(target string) notice.Notice {
-	s := g.said(target)
+func (g *Gateway) noticeOf(k notice.Key) notice.Notice {
+	s := g.notices.State(k)
 	return notice.Notice{Leaving: s.Leaving, Pause: max(0, s.PausedUntil-g.now())}
 }
 
 // readNotice records what a target says of itself in the header of a response.
-func (g *Gateway) readNotice(target string, status int, header http.Header) {
+func (g *Gateway) readNotice(k notice.Key, status int, header http.Header) {
 	n, malformed := g.parseNotice(status, header)
 	if malformed != "" && g.malformedNotices.Allow() {
-		g.records.Add(record.Record{Kind: record.TargetNotice, Target: target, Cause: "Malformed", Note: g.chain.Number(), Evidence: record.Evidence{Detail: malformed}})
+		g.records.Add(record.Record{Kind: record.TargetNotice, Target: k.Target, Cause: "Malformed", Note: g.chain.Number(), Evidence: record.Evidence{Detail: malformed}})
 	}
-	t, found := g.findTarget(target)
-	if found && g.notices.Record(g.now(), notice.Key{Target: target, Incarnation: t.Incarnation}, n) {
-		g.recordNotice(target, n, "")
+	if g.notices.Record(g.now(), k, n) {
+		g.recordNotice(k.Target, n, "")
 	}
 }
 
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -25,6 +25,11 @@
 // sendToHosts sends requests at a steady rate to the running hosts in turn, with attempt IDs that begin with the host's name,
 // and returns the replies by ID.
 func (f *fleet) sendToHosts(requestsPerSecond int, duration time.Duration) map[string]reply {
+	return f.sendMix(requestsPerSecond, duration, 3)
+}
+
+// sendMix is like sendToHosts with one unsafe request among the given number.
+func (f *fleet) sendMix(requestsPerSecond int, duration time.Duration, unsafeEvery int) map[string]reply {
 	var hosts []string
 	for i := range len(f.hosts) {
 		hosts = append(hosts, fmt.Sprintf("h%d", i))
@@ -38,7 +43,7 @@
 			name := hosts[i%len(hosts)]
 			id := fmt.Sprintf("%s-%d-%d", name, f.lastPhase, i)
 			method, path := http.MethodGet, "/lookup/"+id
-			if i%3 == 0 {
+			if i%unsafeEvery == 0 {
 				method, path = http.MethodPost, "/order/"+id
 			}
 			r := f.call(name, method, path, id)
@@ -66,21 +71,32 @@
 // arrivalsBetween returns the arrivals at a target from each host, from a time after the host's first one until another time
 // after that.
 func arrivalsBetween(x *standin.Target, since time.Time, from, until time.Duration) map[string]int {
+	counts := map[string]int{}
+	x.Update(func(t *standin.Target) { counts = countAfterFirst(t.ArrivalLog, t.ArrivalLog, since, from, until) })
+	return counts
+}
+
+// arrivalsAfterRefusal is like arrivalsBetween, but the times count from the first refusal that the target sent to the host.
+func arrivalsAfterRefusal(x *standin.Target, since time.Time, from, until time.Duration) map[string]int {
+	counts := map[string]int{}
+	x.Update(func(t *standin.Target) { counts = countAfterFirst(t.RefusalLog, t.ArrivalLog, since, from, until) })
+	return counts
+}
+
+// countAfterFirst counts arrivals by host, from a time after the host's first entry in starts until another time after that.
+func countAfterFirst(starts, arrivals []standin.Arrival, since time.Time, from, until time.Duration) map[string]int {
 	counts, first := map[string]int{}, map[string]time.Time{}
-	x.Update(func(t *standin.Target) {
-		for _, a := range t.ArrivalLog {
-			name, _, _ := strings.Cut(a.AttemptID, "-")
-			if a.At.Before(since) {
-				continue
-			}
-			if first[name].IsZero() {
-				first[name] = a.At
-			}
-			if age := a.At.Sub(first[name]); age >= from && age < until {
-				counts[name]++
-			}
+	for _, s := range starts {
+		if name, _, _ := strings.Cut(s.AttemptID, "-"); first[name].IsZero() && !s.At.Before(since) {
+			first[name] = s.At
 		}
-	})
+	}
+	for _, a := range arrivals {
+		name, _, _ := strings.Cut(a.AttemptID, "-")
+		if age := a.At.Sub(first[name]); !first[name].IsZero() && age >= from && age < until {
+			counts[name]++
+		}
+	}
 	return counts
 }
 
@@ -159,12 +175,14 @@
 func TestSlowRefusalNamesPause(t *testing.T) {
 	const pause = 4 * time.Second
 	for _, c := range []struct {
-		name     string
-		delay    time.Duration
-		entryOut time.Duration
+		name        string
+		delay       time.Duration
+		entryOut    time.Duration
+		unsafeEvery int
 	}{
-		{"entry is gone for a moment", 300 * time.Millisecond, 500 * time.Millisecond},
-		{"run was given up", 600 * time.Millisecond, 0},
+		{"entry is gone for a moment", 300 * time.Millisecond, 500 * time.Millisecond, 3},
+		{"entry is gone for a moment, unsafe requests", 300 * time.Millisecond, 500 * time.Millisecond, 1},
+		{"run was given up", 600 * time.Millisecond, 0, 3},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withFleet(t, 3, 4, func(f *fleet) {
@@ -178,9 +196,11 @@
 					time.AfterFunc(200*time.Millisecond, func() { f.store.Delete("servers/t0") })
 					time.AfterFunc(200*time.Millisecond+c.entryOut, func() { f.register(paused, "ready") })
 				}
-				f.sendToHosts(100, pause)
-				during := arrivalsBetween(paused, said, c.delay+pauseReaction, c.delay+pause)
-				t.Logf("arrivals by host after %v: %v", pauseReaction, during)
+				f.sendMix(100, pause, c.unsafeEvery)
+				refused := 0
+				paused.Update(func(t *standin.Target) { refused = len(t.RefusalLog) })
+				during := arrivalsAfterRefusal(paused, said, pauseReaction, pause)
+				t.Logf("refusals sent: %d; arrivals by host %v after the first: %v", refused, pauseReaction, during)
 				for _, count := range during {
 					f.is.True(count <= maxInPause)
 				}
@@ -189,6 +209,23 @@
 	}
 }
 
+// TestRefusalWhileEntryIsGone guards against losing the pause that a refusal names if it arrives while the target's entry is gone.
+func TestRefusalWhileEntryIsGone(t *testing.T) {
+	withFleet(t, 1, 1, func(f *fleet) {
+		refusing := f.targets["t0"]
+		refusing.Update(func(t *standin.Target) { t.RefuseRuns, t.RefusalDelay, t.RetryAfter = true, 300*time.Millisecond, "4" })
+		said := time.Now()
+		time.AfterFunc(100*time.Millisecond, func() { f.store.Delete("servers/t0") })
+		f.call("h0", http.MethodPost, "/order/first", "h0-first")
+		f.register(refusing, "ready")
+		time.Sleep(time.Second)
+		f.sendMix(20, time.Second, 1)
+		during := arrivalsAfterRefusal(refusing, said, pauseReaction, 4*time.Second)
+		t.Logf("arrivals by host %v after the refusal: %v", pauseReaction, during)
+		f.is.True(during["h0"] <= maxInPause)
+	})
+}
+
 // TestAllTargetsWantNoRequests checks that requests are refused at once while all targets have said that they want none, with the
 // time at which one takes requests again, and that they are served then.
 func TestAllTargetsWantNoRequests(t *testing.T) {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -77,6 +77,7 @@
 	if err != nil {
 		return placement.ProbeNoResponse, nil, backend.ErrPoolExhausted.New("the health path %q of target %s is invalid: %v; correct the configuration", path, p.Target, err)
 	}
+	key, registered := g.noticeKey(p.Target)
 	response, err := g.pools.get(p.Target, p.Address).Do(r, backend.Options{})
 	if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
 		g.recordTooLarge(p)
@@ -91,7 +92,9 @@
 	if name := response.Header.Get(g.dialect.InstanceHeader); name != "" && name != p.Target {
 		return placement.ProbeOtherServer, nil, nil
 	}
-	g.readNotice(p.Target, response.StatusCode, response.Header)
+	if registered {
+		g.readNotice(key, response.StatusCode, response.Header)
+	}
 	load := g.parseLoad(response.Header)
 	switch {
 	case response.StatusCode == http.StatusOK, response.Header.Get(g.dialect.NotRunHeader) != "":
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -13,6 +13,7 @@
 	"briarcroft/internal/backend"
 	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
+	"briarcroft/internal/notice"
 	"briarcroft/internal/placement"
 
 	"github.com/joomcode/errorx"
@@ -374,7 +375,7 @@
 		return
 	}
 	g.recordInReach(r.Target)
-	g.readNotice(r.Target, response.StatusCode, response.Header)
+	g.readNotice(notice.Key{Target: r.Target, Incarnation: target.Incarnation}, response.StatusCode, response.Header)
 	defer response.Body.Close()
 	if send(&inner.RelayReply{Kind: inner.RelayKind_RelayHead, Status: int32(response.StatusCode), Headers: encodeHeader(response.Header), Length: response.ContentLength}) {
 		relayBody(response.Body, send)
