Client accounts: keys, authentication and priority

Cause: a configuration may name client accounts, and requests must then carry one of their keys. Change: accounts in notes ([Account NAME], [Withdraw] Accounts, Diff, checks) and in the platform's configuration (tenants, public).

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -153,6 +153,8 @@
 		{"Attempts", func() any { return s.attempts.Load() }},
 		{"Probes", func() any { return s.primaryProbes.Load() + s.fallbackProbes.Load() }},
 		{"Quarantined", func() any { return s.quarantined.Load() }},
+		{"UnknownKeys", func() any { return s.unknownKeys.Load() }},
+		{"ConfigurationTooOld", func() any { return s.tooOld.Load() }},
 		{"PrimaryProbes", func() any { return s.primaryProbes.Load() }},
 		{"FallbackProbes", func() any { return s.fallbackProbes.Load() }},
 		{"PrimaryLimitedRuns", func() any { return s.primaryLimitedRuns.Load() }},
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"briarcroft/internal/account"
 	"briarcroft/internal/note"
 	"briarcroft/internal/placement"
 )
@@ -32,6 +33,9 @@
 	request *request
 	rule    note.Rule
 	service string
+	// account is the client account that sent the request, by its credential; it is nil without accounts and on public rules.
+	account    *account.Account
+	credential account.Credential
 	// goal is the latency goal of the rule, and deadline is when the caller stops waiting.
 	goal     time.Duration
 	deadline time.Duration
@@ -84,6 +88,10 @@
 	if !found {
 		return localResponse(http.StatusNotFound, "NoRule", 0)
 	}
+	x.rule = rule
+	if response := x.authenticate(index); response != nil {
+		return response
+	}
 	x.ruleFound = true
 	x.applyRule(rule)
 	if q, found := g.quarantine.Lookup(g.now(), append([]uint64{x.fingerprint}, x.sharedFingerprints...)...); found {
@@ -96,9 +104,8 @@
 	return x.placeAndRun(ctx)
 }
 
-// applyRule chooses the service and computes the latency goal and the deadline.
+// applyRule chooses the service of the request's rule and computes the latency goal and the deadline.
 func (x *exchange) applyRule(rule note.Rule) {
-	x.rule = rule
 	x.service = x.gateway.split.choose(rule)
 	limit := rule.Deadline
 	if limit == 0 {
@@ -252,7 +259,7 @@
 
 func (x *exchange) placementRequest(p placer) *placement.Request {
 	return &placement.Request{
-		Class: x.rule.Class, Priority: x.rule.Priority, Goal: x.goal, Deadline: x.deadline, Repeatable: x.repeatable(),
+		Class: x.rule.Class, Account: x.accountName(), AccountPriority: x.accountPriority(), Priority: x.rule.Priority, Goal: x.goal, Deadline: x.deadline, Repeatable: x.repeatable(),
 		Tried: x.tried, Fingerprint: x.fingerprint, SharedFingerprints: x.sharedFingerprints, Domain: x.gateway.settings.Host.Domain,
 		Probes: x.gateway.homeClient.takeProbes(x.service, p.name()),
 	}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -38,8 +39,15 @@
 	lastAddress int
 	// lastPhase numbers the calls of sendToHosts.
 	lastPhase int
+	// logger is that of the gateways that start from now on.
+	logger zerolog.Logger
+	// tenants are the client accounts in the configurations that configure writes.
+	tenants []tenant
 }
 
+// tenant is one tenant of the platform's configuration.
+type tenant map[string]any
+
 // node is one gateway with its addresses. Calling stop stops it gracefully, and force at once.
 type node struct {
 	gateway                         *gateway.Gateway
@@ -56,7 +64,7 @@
 // gateways, after the gateways have found each other.
 func withFleet(t *testing.T, hosts, targets int, run func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{is: is.New(t), net: fakenet.New(), store: standin.New(), hosts: map[string]*node{}, targets: map[string]*standin.Target{}}
+		f := &fleet{is: is.New(t), logger: zerolog.Nop(), net: fakenet.New(), store: standin.New(), hosts: map[string]*node{}, targets: map[string]*standin.Target{}}
 		defer f.close()
 		f.configure(1, safeRule("lookup", "/lookup/"), unsafeRule("order", "/order/"))
 		for i := range targets {
@@ -118,7 +126,7 @@
 // configure writes a configuration to the store, as the operator does, and returns its size in bytes.
 func (f *fleet) configure(version int, rules ...rule) int {
 	value, err := json.Marshal(map[string]any{
-		"version": fmt.Sprintf("%08x", version), "routes": rules,
+		"tenants": f.tenants, "version": fmt.Sprintf("%08x", version), "routes": rules,
 		"services": []any{map[string]any{"name": "stock", "health-path": "/health", "max-connections": 100}, map[string]any{"name": "other", "health-path": "/health", "max-connections": 100}},
 		"limits":   map[string]any{"max-header-bytes": 4096, "max-body-bytes": 1 << 20, "header-timeout-ms": 2000, "idle-timeout-ms": 15000},
 	})
@@ -147,7 +155,7 @@
 	storeAddress := f.serve("store", "", f.store.HandlerFor(name))
 	store, closeStore := platform.NewStore(platform.StoreConfig{URL: "http://" + storeAddress, Timeout: time.Second, Dial: dial})
 	g, closeGateway := gateway.New(gateway.Config{
-		Settings: s, Dialect: platform.Dialect(), Store: store, Logger: zerolog.Nop(), Dial: dial,
+		Settings: s, Dialect: platform.Dialect(), Store: store, Logger: f.logger, Dial: dial,
 		Listen: func(_, address string) (net.Listener, error) { return f.net.Listen(name, address), nil },
 	})
 	stop, cancelStop := context.WithCancel(context.Background())
@@ -203,12 +211,18 @@
 
 // callFrom sends one request on a new connection from the address of the given caller.
 func (f *fleet) callFrom(caller, host, method, path, id string) reply {
+	return f.callWith(caller, host, method, path, id, nil)
+}
+
+// callWith is callFrom with further header fields.
+func (f *fleet) callWith(caller, host, method, path, id string, header http.Header) reply {
 	started := time.Now()
 	transport := &http.Transport{DialContext: f.net.Dialer(caller), DisableKeepAlives: true}
 	defer transport.CloseIdleConnections()
 	r, err := http.NewRequest(method, "http://"+f.hosts[host].listen+path, nil)
 	f.is.NoErr(err)
 	r.Host = "www.example"
+	maps.Copy(r.Header, header)
 	r.Header.Set("X-Attempt-Id", id)
 	r.Header.Set("X-Deadline-Ms", "1000")
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,9 @@
 	// PauseHeader is the response header field of a refusal by which a backend server says for how many seconds it wants no
 	// requests from the host that it refuses.
 	PauseHeader string
+	// CredentialHeader is the request header field with the key of the caller's client account, and AccountHeader the one by which
+	// backend servers learn the name of the account.
+	CredentialHeader, AccountHeader string
 	// Decode decodes entries of the store.
 	Decode roster.DecodeFunc
 	// PeerKey returns the store key under which a host registers its inner address.
@@ -287,7 +290,7 @@
 	g.applyConfiguration(v.Configuration)
 	g.applyRegistered(v)
 	g.recordTargetChanges(v)
-	g.rules.Store(newRuleIndex(v.Configuration))
+	g.rules.Store(newRuleIndex(v.Configuration, g.rules.Load()))
 	g.homeServer.applyView(v)
 	g.pools.applyView(v)
 	g.updateReady()
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -158,7 +158,7 @@
 }
 
 // sameSlice reports whether two slices are the same one and not only equal.
-func sameSlice(a, b []host.Member) bool {
+func sameSlice[T any](a, b []T) bool {
 	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
 }
 
--- a/internal/gateway/rules.go
+++ b/internal/gateway/rules.go
@@ -6,19 +6,30 @@
 	"strings"
 	"sync"
 
+	"briarcroft/internal/account"
 	"briarcroft/internal/note"
 )
 
 // ruleIndex finds the rule of a request: by its host, then by the longest matching path prefix. It also holds the
-// limits and the number of the configuration that the rules belong to.
+// limits, the client accounts and the number of the configuration that the rules belong to.
 type ruleIndex struct {
 	byHost map[string][]note.Rule
 	limits note.Limits
 	number int
+	// accounts finds client accounts by key; it is nil if the configuration has none, and accountList is what it was made of.
+	accounts    *account.Index
+	accountList []note.Account
 }
 
-func newRuleIndex(c note.Configuration) *ruleIndex {
-	x := &ruleIndex{byHost: map[string][]note.Rule{}, number: c.Number}
+// newRuleIndex returns the index for a configuration. It takes over the index of the accounts from the previous one if they are the
+// same, as hashing 10,000 keys takes milliseconds and each change of a target leads here.
+func newRuleIndex(c note.Configuration, previous *ruleIndex) *ruleIndex {
+	x := &ruleIndex{byHost: map[string][]note.Rule{}, number: c.Number, accountList: c.Accounts}
+	if sameSlice(previous.accountList, c.Accounts) {
+		x.accounts = previous.accounts
+	} else {
+		x.accounts = account.NewIndex(c.Accounts)
+	}
 	if c.Limits != nil {
 		x.limits = *c.Limits
 	}
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -44,7 +44,7 @@
 	is := is.New(t)
 	index := newRuleIndex(note.Configuration{Rules: []note.Rule{
 		{Name: "short", Host: "h", Path: "/a/"}, {Name: "long", Host: "h", Path: "/a/b/"}, {Name: "other", Host: "i", Path: "/a/"},
-	}})
+	}}, &ruleIndex{})
 	cases := []struct {
 		host, path, want string
 	}{
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -36,6 +36,8 @@
 	homesTried, hedges       int
 	queued, sent, late       bool
 	duration, remaining      time.Duration
+	// account is the name of the client account, and key the fingerprint of a key that was refused; they are empty if there is none.
+	account, key string
 	// verdict is the last verdict about the request, with the estimates that it was based on.
 	verdict placement.Verdict
 	// relayedBy is the peer that relayed a run; it is empty if none did.
@@ -110,6 +112,12 @@
 	if entry.relayedBy != "" {
 		e.Str("RelayedBy", entry.relayedBy)
 	}
+	if entry.account != "" {
+		e.Str("Account", entry.account)
+	}
+	if entry.key != "" {
+		e.Str("KeyFingerprint", entry.key)
+	}
 	e.
 		Time("At", entry.at).Str("Request", entry.id).Str("Rule", entry.rule).Str("Service", entry.service).Str("Home", entry.home).
 		Str("Targets", entry.targets).Str("Outcome", entry.outcome).Str("Reason", entry.reason).Int("Status", entry.status).Int("Note", entry.note).
@@ -139,6 +147,9 @@
 	notices atomic.Int64
 	// quarantined counts the requests that this host, as a home, has put in quarantine.
 	quarantined atomic.Int64
+	// unknownKeys counts requests without a valid key, and tooOld those that were refused because a key may have been added or
+	// withdrawn without this host knowing.
+	unknownKeys, tooOld atomic.Int64
 	// primaryProbes and fallbackProbes count health probes by the role in which they were sent.
 	primaryProbes, fallbackProbes atomic.Int64
 	// primaryLimitedRuns and fallbackLimitedRuns count runs placed on targets that name a rate limit, by the home's role.
@@ -196,6 +207,7 @@
 		entry.caller, entry.path, entry.fingerprint = x.request.callerAddress, x.request.path[:min(len(x.request.path), maxLoggedPath)], x.fingerprint
 		entry.sharedFingerprints = x.sharedFingerprints
 	}
+	entry.account, entry.key = x.accountName(), x.refusedKey()
 	if peer := x.relayedBy.Load(); peer != nil {
 		entry.relayedBy = *peer
 	}
--- a/internal/note/configuration.go
+++ b/internal/note/configuration.go
@@ -41,6 +41,9 @@
 	if next.Rules, err = mergeEntries(c.Rules, n.Rules, n.Withdraw.Rules, "Rule", ruleName); err != nil {
 		return c, err
 	}
+	if next.Accounts, err = mergeEntries(c.Accounts, n.Accounts, n.Withdraw.Accounts, "Account", accountName); err != nil {
+		return c, err
+	}
 	if isEmpty(n) {
 		return c, ErrInvalid.New("the note changes nothing; add, change or withdraw something")
 	}
@@ -56,7 +59,7 @@
 
 func isEmpty(n Note) bool {
 	w := n.Withdraw
-	return len(n.Services)+len(n.Targets)+len(n.Rules)+len(w.Services)+len(w.Targets)+len(w.Rules) == 0
+	return len(n.Services)+len(n.Targets)+len(n.Rules)+len(n.Accounts)+len(w.Services)+len(w.Targets)+len(w.Rules)+len(w.Accounts) == 0
 }
 
 // mergeEntries returns the old entries without the withdrawn ones and with the added ones, each of which replaces an old
@@ -103,7 +106,7 @@
 				r.Name, r.Service, r.Service)
 		}
 	}
-	return nil
+	return CheckAccounts(c.Accounts)
 }
 
 // Service returns the service with the given name.
--- a/internal/note/diff.go
+++ b/internal/note/diff.go
@@ -12,6 +12,7 @@
 	n.Services, n.Withdraw.Services = diffEntries(old.Services, next.Services, serviceName)
 	n.Targets, n.Withdraw.Targets = diffEntries(old.Targets, next.Targets, targetName)
 	n.Rules, n.Withdraw.Rules = diffEntries(old.Rules, next.Rules, ruleName)
+	n.Accounts, n.Withdraw.Accounts = diffEntries(old.Accounts, next.Accounts, accountName)
 	return n
 }
 
@@ -55,9 +56,11 @@
 	add("set", "services", entryNames(n.Services, serviceName))
 	add("set", "targets", entryNames(n.Targets, targetName))
 	add("set", "rules", entryNames(n.Rules, ruleName))
+	add("set", "accounts", entryNames(n.Accounts, accountName))
 	add("withdrew", "services", n.Withdraw.Services)
 	add("withdrew", "targets", n.Withdraw.Targets)
 	add("withdrew", "rules", n.Withdraw.Rules)
+	add("withdrew", "accounts", n.Withdraw.Accounts)
 	return strings.Join(parts, "; ")
 }
 
--- a/internal/note/note.go
+++ b/internal/note/note.go
@@ -92,19 +92,6 @@
 	Public bool `json:",omitempty"`
 }
 
-// Account is a client account: a customer whose requests carry one of its keys.
-type Account struct {
-	Name string `ini:"-"`
-	// Keys are secret. They must not appear in logs, records or pages.
-	Keys []string
-	// Priority orders queued requests before the priority of their rule; lower numbers are placed first.
-	Priority int
-	// Rate is the number of requests per second that the account may send over all entry hosts, and Burst the number that it may
-	// send beyond that at once; a rate of zero means no limit.
-	Rate  float64
-	Burst float64
-}
-
 // Share is the part of a rule's requests that goes to one service, relative to the weights of the rule's other shares.
 type Share struct {
 	Service string
@@ -125,10 +112,11 @@
 	Services []string
 	Targets  []string
 	Rules    []string
+	Accounts []string `json:",omitempty"`
 }
 
-// Note is one release note as its operator wrote it. Its services, targets and rules replace entries of the same name or
-// are added.
+// Note is one release note as its operator wrote it. Its services, targets, rules and accounts replace entries of the same name
+// or are added.
 type Note struct {
 	// Follows is the number of the note that this one was written against, which must still be the newest when it is
 	// published; 0 for the first.
@@ -138,6 +126,7 @@
 	Services []Service
 	Targets  []Target
 	Rules    []Rule
+	Accounts []Account `json:",omitempty"`
 	Withdraw Withdrawal
 }
 
--- a/internal/note/parse.go
+++ b/internal/note/parse.go
@@ -47,7 +47,7 @@
 		return n.parseHead(d, section)
 	case "Withdraw":
 		return d.Decode(section, &n.Withdraw)
-	case "Service", "Target", "Rule":
+	case "Service", "Target", "Rule", "Account":
 		if name == "" || strings.ContainsAny(name, " ,/\"") {
 			return d.FieldError(section, "", "needs one name of letters, digits, - . and _, as in ["+kind+" lookup-1]")
 		}
@@ -59,8 +59,10 @@
 		return n.parseTarget(d, section, name)
 	case "Rule":
 		return n.parseRule(d, section, name)
+	case "Account":
+		return n.parseAccount(d, section, name)
 	}
-	return d.FieldError(section, "", "is unknown; allowed: Note, Service NAME, Target NAME, Rule NAME, Withdraw")
+	return d.FieldError(section, "", "is unknown; allowed: Note, Service NAME, Target NAME, Rule NAME, Account NAME, Withdraw")
 }
 
 func (n *Note) parseHead(d *document.Document, section string) error {
@@ -135,5 +137,23 @@
 	return nil
 }
 
+func (n *Note) parseAccount(d *document.Document, section, name string) error {
+	var fields struct {
+		Keys     []string
+		Priority int
+		Rate     float64
+		Burst    float64
+	}
+	if err := d.Decode(section, &fields); err != nil {
+		return err
+	}
+	a := Account{Name: name, Keys: fields.Keys, Priority: fields.Priority, Rate: fields.Rate, Burst: fields.Burst}
+	if problem := a.problem(); problem != "" {
+		return d.FieldError(section, "", problem)
+	}
+	n.Accounts = append(n.Accounts, a)
+	return nil
+}
+
 // maxDeadline is the longest deadline that a rule may have.
 const maxDeadline = 5 * time.Minute
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -242,7 +242,9 @@
 
 // queuedBefore reports whether a queued request is placed before a new one in the worst case, which is that the new one
 // becomes late.
-func queuedBefore(other, r *Request) bool { return other.Priority <= r.Priority }
+func queuedBefore(other, r *Request) bool {
+	return cmp.Or(cmp.Compare(other.AccountPriority, r.AccountPriority), cmp.Compare(other.Priority, r.Priority)) <= 0
+}
 
 // serviceTime returns the expected duration of a run of the request at a pace of 1.
 func (h *Home) serviceTime(r *Request) time.Duration {
@@ -278,11 +280,12 @@
 	h.queue = remaining
 }
 
-// compareQueued orders the queue by priority, and then puts requests that can still meet their goal before late ones.
+// compareQueued orders the queue by the priority of the account, then by that of the rule, and then puts requests that can still meet their goal before late ones.
 // Within each group the latest goal comes first: under overload, the earliest goal first would serve every request at the
 // last moment and make all of them late.
 func (h *Home) compareQueued(now time.Duration, a, b *Request) int {
 	return cmp.Or(
+		cmp.Compare(a.AccountPriority, b.AccountPriority),
 		cmp.Compare(a.Priority, b.Priority),
 		cmp.Compare(h.lateRank(now, a), h.lateRank(now, b)),
 		cmp.Compare(b.Goal, a.Goal),
