--- /dev/null
+++ b/internal/placement/order.go
@@ -0,0 +1,102 @@
+package placement
+
+import (
+	"cmp"
+	"time"
+)
+
+const (
+	// goalMargin is the safety factor on the expected duration of a run when it is compared with the goal.
+	goalMargin = 1.15
+	// lateFreeShare is the share of slots that late requests leave free for requests that can still meet their goal: a
+	// late request is placed only while more than this share is free.
+	lateFreeShare = 0.7
+)
+
+// cannotServe reports whether a new request must be refused, because no target is available or the request is not
+// expected to end before its deadline, and returns the reason.
+func (h *Home) cannotServe(now time.Duration, r *Request) (Reason, bool) {
+	h.applyNotices()
+	slots := h.availableSlots(now)
+	if slots == 0 {
+		return h.noTargetsReason(now), true
+	}
+	if now+h.queueWait(now, r)+h.serviceTime(r) > r.Deadline {
+		return h.lateReason(now), true
+	}
+	return "", false
+}
+
+// queueWait estimates how long a new request will wait behind the queued requests that are placed before it.
+func (h *Home) queueWait(now time.Duration, r *Request) time.Duration {
+	ahead := 0
+	for _, other := range h.queue {
+		if other != r && queuedBefore(other, r) {
+			ahead++
+		}
+	}
+	slots, serviceTime := 0.0, h.serviceTime(r)
+	for _, t := range h.targets {
+		if t.inService() && !t.probe.down {
+			slots += h.capacity(t, serviceTime)
+		}
+	}
+	wait := h.limitWait(now)
+	if slots == 0 || ahead == 0 {
+		return wait
+	}
+	return wait + time.Duration(float64(ahead)/slots*h.averagePace*float64(serviceTime))
+}
+
+// queuedBefore reports whether a queued request is placed before a new one in the worst case, which is that the new one
+// becomes late.
+func queuedBefore(other, r *Request) bool { return other.Priority <= r.Priority }
+
+// compareQueued orders the queue by priority, and then puts requests that can still meet their goal before late ones.
+// Within each group the latest goal comes first: under overload, the earliest goal first would serve every request at the
+// last moment and make all of them late.
+func (h *Home) compareQueued(now time.Duration, a, b *Request) int {
+	return cmp.Or(
+		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(h.lateRank(now, a), h.lateRank(now, b)),
+		cmp.Compare(b.Goal, a.Goal),
+	)
+}
+
+// lateRank returns 1 for a late request, which is not expected to meet its goal even on a target with a pace of 1, and
+// 0 for any other.
+func (h *Home) lateRank(now time.Duration, r *Request) int {
+	if now+time.Duration(goalMargin*float64(h.serviceTime(r))) > r.Goal {
+		return 1
+	}
+	return 0
+}
+
+// shouldPlaceNow reports whether to place a request on the best free target now, rather than keep it queued for a faster
+// target or for requests that are not late.
+func (h *Home) shouldPlaceNow(now time.Duration, r *Request, expected time.Duration) bool {
+	if now+time.Duration(float64(expected)*goalMargin) <= r.Goal {
+		return true
+	}
+	if h.lateRank(now, r) == 0 {
+		// A faster target may get a free slot in time to meet the goal.
+		return false
+	}
+	return now+expected < r.Deadline && h.freeSlotShare(now, h.serviceTime(r)) > lateFreeShare
+}
+
+// freeSlotShare returns the share of the slots of available targets that are free, where a rate limit counts as fewer slots.
+func (h *Home) freeSlotShare(now, serviceTime time.Duration) float64 {
+	slots, used := 0.0, 0.0
+	for _, t := range h.targets {
+		if t.available(now) {
+			capacity := h.capacity(t, serviceTime)
+			slots += capacity
+			used += min(capacity, float64(t.load(now)))
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	return 1 - used/slots
+}
