Overload.AgeOrder: goal by the age of requests, late work by what work in time needs

Cause: a request that came back after a refusal was taken for a new one, so its goal had passed for the caller; and late requests were placed only while 7 in 10 slots were free, so that they were refused again and again though there was room. Change: with [Overload] AgeOrder the goal counts from the first attempt, work in time goes before late work of any priority, and late work gets the slots that the measured demand of work in time leaves, with a margin of one standard deviation. Off by default.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -35,7 +35,9 @@
 	// goal is the latency goal of the rule, and deadline is when the caller stops waiting.
 	goal     time.Duration
 	deadline time.Duration
-	pending  *pendingRequest
+	// age is how long before its arrival the caller first sent the request; it is 0 without Overload.AgeOrder.
+	age     time.Duration
+	pending *pendingRequest
 	// placer is the home that the request was last sent to for placement; it is nil before the first call of place.
 	placer placer
 	// tried names the targets that the request was placed on, including those that could not be reached.
@@ -96,7 +98,7 @@
 	return x.placeAndRun(ctx)
 }
 
-// applyRule chooses the service and computes the latency goal and the deadline.
+// applyRule chooses the service and computes the latency goal, which counts from the caller's first attempt, and the deadline.
 func (x *exchange) applyRule(rule note.Rule) {
 	x.rule = rule
 	x.service = x.gateway.split.choose(rule)
@@ -109,8 +111,11 @@
 	}
 	x.deadline = x.request.arrived + limit
 	x.goal = x.deadline
+	if x.gateway.settings.Overload.AgeOrder {
+		x.age = x.gateway.ages.Observe(x.gateway.now(), rule.Name, x.request.callerAddress, x.request.timeout)
+	}
 	if rule.Goal > 0 {
-		x.goal = min(x.deadline, x.request.arrived+rule.Goal)
+		x.goal = min(x.deadline, x.request.arrived-x.age+rule.Goal)
 	}
 }
 
@@ -252,6 +257,7 @@
 
 func (x *exchange) placementRequest(p placer) *placement.Request {
 	return &placement.Request{
+		Age:   x.submissionAge(),
 		Class: x.rule.Class, Priority: x.rule.Priority, Goal: x.goal, Deadline: x.deadline, Repeatable: x.repeatable(),
 		Tried: x.tried, Fingerprint: x.fingerprint, SharedFingerprints: x.sharedFingerprints, Domain: x.gateway.settings.Host.Domain,
 		Probes: x.gateway.homeClient.takeProbes(x.service, p.name()),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"sync/atomic"
 	"time"
 
+	"briarcroft/internal/age"
 	"briarcroft/internal/duty"
 	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
@@ -159,11 +160,13 @@
 	relaysForPeers atomic.Int64
 	homeClient     *homeClient
 	rules          atomic.Pointer[ruleIndex]
-	split          trafficSplit
-	histograms     *meter.Histograms
-	stats          stats
-	followers      followers
-	storeWatch     watchState
+	// ages holds what callers name as their remaining time. It is used only with Overload.AgeOrder.
+	ages       *age.Table
+	split      trafficSplit
+	histograms *meter.Histograms
+	stats      stats
+	followers  followers
+	storeWatch watchState
 	// lastKnowledge is the number of this host's last call that showed what the store holds.
 	lastKnowledge atomic.Uint64
 	// passedOn is the AsOf of the knowledge of the store that was last passed on to followers.
@@ -227,6 +230,7 @@
 	g.rules.Store(&ruleIndex{})
 	g.quarantine = quarantine.New(quarantine.Config{Targets: crashesToQuarantine})
 	g.rateLimits = ratelimit.New()
+	g.ages = age.New()
 	g.notices, g.malformedNotices = notice.New(), rate.NewLimiter(malformedNoticesPerSecond, 1)
 	g.registered.Store(&map[string]roster.Target{})
 	g.homeServer = newHomeServer(g)
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -32,7 +32,9 @@
 // Config configures a Home.
 type Config struct {
 	Random *rand.Rand
-	Budget RetryBudget
+	// AgeOrder makes order, refusals and retry delays go by the age of requests; see Request.Age.
+	AgeOrder bool
+	Budget   RetryBudget
 	// Quarantine lists requests that crash targets. All homes of a host share one.
 	Quarantine *quarantine.List
 	// RateLimits holds the rate limits that targets name. All homes of a host share one.
@@ -103,6 +105,12 @@
 	anyLimited    bool
 	// limitedRuns counts the runs on targets that named a rate limit when they started, since TakeLimitedRuns.
 	limitedRuns int64
+	// demand measures what work in time needs. It is used only with Config.AgeOrder.
+	demand demandMeter
+	// room is the room for late work in the present Dispatch, once it is known.
+	room *room
+	// lateRuns is the number of runs that were late when they started.
+	lateRuns int
 	// refusals is the number of refusals so far. It gives each retry delay a different jitter.
 	refusals uint64
 }
@@ -165,6 +173,8 @@
 		return
 	}
 	h.requests[r.ID] = r
+	h.room = nil
+	h.recordDemand(now, r)
 	if reason, refused := h.cannotServe(now, r); refused {
 		h.refuse(now, r, reason)
 		return
@@ -204,7 +214,7 @@
 	if seconds := h.serviceTimes[r.Class]; seconds > 0 {
 		return time.Duration(seconds * float64(time.Second))
 	}
-	return time.Duration(initialGoalShare * float64(max(0, r.Goal-r.submittedAt)))
+	return time.Duration(initialGoalShare * float64(max(0, r.goalLength())))
 }
 
 // Dispatch places queued requests for which a suitable target has a free slot, and refuses those that can no longer meet
@@ -219,6 +229,7 @@
 	slices.SortStableFunc(h.queue, func(a, b *Request) int { return h.compareQueued(now, a, b) })
 	remaining := h.queue[:0]
 	ahead, lateAhead := 0, 0
+	h.room = nil
 	for _, r := range h.queue {
 		if h.placeOrRefuse(now, r, ahead, lateAhead) {
 			r.queued = false
@@ -248,13 +259,11 @@
 		h.config.OnVerdict(r, newPlaced(now, t, e))
 		return true
 	}
-	slots := h.availableCapacity(now, h.serviceTime(r))
-	switch {
-	case slots == 0:
+	if h.availableCapacity(now, h.serviceTime(r)) == 0 {
 		h.refuse(now, r, h.noTargetsReason(now))
 		return true
-	case now+h.limitWait(now)+time.Duration(float64(ahead)/slots*h.averagePace*float64(h.serviceTime(r)))+h.serviceTime(r) > r.Deadline,
-		h.lateRank(now, r) == 1 && now+h.lateWait.estimate(now, lateAhead)+h.serviceTime(r) > r.Deadline:
+	}
+	if h.turnTooLate(now, r, ahead, lateAhead) {
 		h.refuse(now, r, h.lateReason(now))
 		return true
 	}
@@ -328,6 +337,7 @@
 
 func (h *Home) startRun(now time.Duration, r *Request, t *targetState, e runEstimate) {
 	started := &run{request: r, target: t, startedAt: now, fingerprints: r.fingerprints(), expected: e.expected, slowdown: e.slowdown, nearlyFull: e.nearlyFull}
+	h.recordStart(now, started)
 	if t.doubtful(now) {
 		t.probe.startTrial(now)
 	}
@@ -347,6 +357,9 @@
 func (h *Home) removeRun(ended *run) {
 	ended.target.removeRun(ended)
 	ended.request.removeRun(ended)
+	if ended.late {
+		h.lateRuns--
+	}
 	for _, f := range ended.fingerprints {
 		if h.running[f]--; h.running[f] == 0 {
 			delete(h.running, f)
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -9,7 +9,7 @@
 	// goalMargin is the safety factor on the expected duration of a run when it is compared with the goal.
 	goalMargin = 1.15
 	// lateFreeShare is the share of slots that late requests leave free for requests that can still meet their goal: a
-	// late request is placed only while more than this share is free.
+	// late request is placed only while more than this share is free. With Config.AgeOrder, room decides instead.
 	lateFreeShare = 0.7
 )
 
@@ -29,12 +29,16 @@
 
 // queueWait estimates how long a new request will wait behind the queued requests that are placed before it.
 func (h *Home) queueWait(now time.Duration, r *Request) time.Duration {
+	late := h.config.AgeOrder && h.lateRank(now, r) == 1
 	ahead := 0
 	for _, other := range h.queue {
-		if other != r && queuedBefore(other, r) {
+		if other != r && h.queuedBefore(now, other, r, late) {
 			ahead++
 		}
 	}
+	if late {
+		return h.limitWait(now) + h.currentRoom(now).turn(ahead, h.lateRunTime(r))
+	}
 	slots, serviceTime := 0.0, h.serviceTime(r)
 	for _, t := range h.targets {
 		if t.inService() && !t.probe.down {
@@ -48,19 +52,31 @@
 	return wait + time.Duration(float64(ahead)/slots*h.averagePace*float64(serviceTime))
 }
 
-// queuedBefore reports whether a queued request is placed before a new one in the worst case, which is that the new one
-// becomes late.
-func queuedBefore(other, r *Request) bool { return other.Priority <= r.Priority }
+// queuedBefore reports whether a queued request is placed before a new one in the worst case. Without AgeOrder that is that the
+// new one becomes late. With it, the requests before a late one are those that are late too, and late requests are never placed
+// before one in time.
+func (h *Home) queuedBefore(now time.Duration, other, r *Request, late bool) bool {
+	if h.config.AgeOrder && (h.lateRank(now, other) == 1) != late {
+		return false
+	}
+	return comparePriority(other, r) <= 0
+}
 
-// compareQueued orders the queue by priority, and then puts requests that can still meet their goal before late ones.
-// Within each group the latest goal comes first: under overload, the earliest goal first would serve every request at the
-// last moment and make all of them late.
+// comparePriority orders requests by the priority of the account and then that of the rule.
+func comparePriority(a, b *Request) int {
+	return cmp.Or(cmp.Compare(a.AccountPriority, b.AccountPriority), cmp.Compare(a.Priority, b.Priority))
+}
+
+// compareQueued orders the queue by priority, and then puts requests that can still meet their goal before late ones. With
+// AgeOrder, lateness goes before priority: a late response is worth a tenth of one in time, and priorities differ by less. Within
+// each group the latest goal comes first: under overload, the earliest goal first would serve every request at the last moment and
+// make all of them late.
 func (h *Home) compareQueued(now time.Duration, a, b *Request) int {
-	return cmp.Or(
-		cmp.Compare(a.Priority, b.Priority),
-		cmp.Compare(h.lateRank(now, a), h.lateRank(now, b)),
-		cmp.Compare(b.Goal, a.Goal),
-	)
+	lateness := cmp.Compare(h.lateRank(now, a), h.lateRank(now, b))
+	if h.config.AgeOrder {
+		return cmp.Or(lateness, comparePriority(a, b), cmp.Compare(b.Goal, a.Goal))
+	}
+	return cmp.Or(comparePriority(a, b), lateness, cmp.Compare(b.Goal, a.Goal))
 }
 
 // lateRank returns 1 for a late request, which is not expected to meet its goal even on a target with a pace of 1, and
@@ -82,7 +98,25 @@
 		// A faster target may get a free slot in time to meet the goal.
 		return false
 	}
-	return now+expected < r.Deadline && h.freeSlotShare(now, h.serviceTime(r)) > lateFreeShare
+	if now+expected >= r.Deadline {
+		return false
+	}
+	if h.config.AgeOrder {
+		return h.currentRoom(now).allowsLate()
+	}
+	return h.freeSlotShare(now, h.serviceTime(r)) > lateFreeShare
+}
+
+// turnTooLate reports whether the turn of a queued request is expected too late for its deadline. The number of queued requests
+// ahead of it is ahead, of which lateAhead are late.
+func (h *Home) turnTooLate(now time.Duration, r *Request, ahead, lateAhead int) bool {
+	late := h.lateRank(now, r) == 1
+	if h.config.AgeOrder && late {
+		return now+h.limitWait(now)+h.currentRoom(now).turn(lateAhead, h.lateRunTime(r))+h.serviceTime(r) > r.Deadline
+	}
+	wait := time.Duration(float64(ahead) / h.availableCapacity(now, h.serviceTime(r)) * h.averagePace * float64(h.serviceTime(r)))
+	return now+h.limitWait(now)+wait+h.serviceTime(r) > r.Deadline ||
+		late && now+h.lateWait.estimate(now, lateAhead)+h.serviceTime(r) > r.Deadline
 }
 
 // freeSlotShare returns the share of the slots of available targets that are free, where a rate limit counts as fewer slots.
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -162,8 +162,13 @@
 	slowdown float64
 	// nearlyFull is set if the run took one of the target's last slots.
 	nearlyFull bool
+	// late is set if the request was late at the start.
+	late bool
 }
 
+// goalLength returns the time from the caller's first attempt to the goal.
+func (r *Request) goalLength() time.Duration { return r.Goal - r.submittedAt + r.Age }
+
 // fingerprints returns the request's own fingerprint and the shared ones.
 func (r *Request) fingerprints() []uint64 {
 	return append([]uint64{r.Fingerprint}, r.SharedFingerprints...)
