Plan of flows between failure domains, behind [Placement] DomainPlan

Cause: the penalty for traffic between failure domains loses against pace and noise from one moment to the next, so that large responses cross although the targets of their own domain could answer in time.

Change: with the setting, a home plans per class and failure domain which share of the demand its own targets cannot take for longer than noise lasts; only that share goes elsewhere, classes with the fewest bytes first. Other requests of classes with 20 KB and more stay on a slower target of their domain or wait for a slot there while their goal stays within reach. A home with the plan also learns slowdowns that load reports do not show.

--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -137,6 +137,7 @@
 		h = &serviceHome{server: s, service: service}
 		h.home = placement.New(placement.Config{
 			Random: rand.New(rand.NewPCG(s.gateway.incarnation, uint64(len(s.services)))), Budget: s.retryBudget(), Quarantine: s.gateway.quarantine, RateLimits: s.gateway.rateLimits, Notices: s.gateway.notices, OnVerdict: s.sendVerdict,
+			DomainPlan:   s.gateway.settings.Placement.DomainPlan,
 			OnNotice:     func(n placement.TargetNotice) { s.gateway.recordNotice(n.Target, n.Notice, "") },
 			OnEjection:   func(e placement.Ejection) { s.recordEjection(service, e) },
 			OnRateLimit:  func(c placement.RateLimitChange) { s.recordRateLimit(service, c) },
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -7,6 +7,7 @@
 package model
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -25,10 +26,14 @@
 	Slow
 	// Mute means that the server runs requests but sends no response to a share of them, muteFaultDropShare.
 	Mute
+	// Paced means that neighbors slow the server down all the time, by Workload.NoisyPace.
+	Paced
+	// Gone means that the server cannot be reached.
+	Gone
 )
 
 // String implements fmt.Stringer.
-func (k FaultKind) String() string { return [...]string{"NoFault", "Slow", "Mute"}[k] }
+func (k FaultKind) String() string { return [...]string{"NoFault", "Slow", "Mute", "Paced", "Gone"}[k] }
 
 // Severity of the faults.
 const (
@@ -71,6 +76,14 @@
 	Fault                 FaultKind
 	FaultShare            float64
 	FaultFrom, FaultUntil time.Duration
+	// Domains holds the number of servers of each failure domain, in order; empty means that there is one domain. Each sends
+	// the same number of requests on average. A domain's part of the requests rises and falls by the factor 1 ± Wave over
+	// wavePeriod, and requests arrive Clump at a time from one domain.
+	Domains []int
+	Wave    float64
+	Clump   int
+	// ResponseBytes is the mean size of a response. Sizes are exponentially distributed.
+	ResponseBytes float64
 	// Repeatable is set if a request may run more than once, so that it may be hedged.
 	Repeatable bool
 	// Seed is the seed of all random numbers in the simulation.
@@ -105,6 +118,8 @@
 	ExtraAttempts float64
 	// LateRefusalShare is the share of refused requests whose refusal came after more than half of the caller's timeout.
 	LateRefusalShare float64
+	// CrossShare is the share of the bytes of responses that crossed between failure domains.
+	CrossShare float64
 }
 
 // lateUtility is the utility of a response after the latency goal.
@@ -122,6 +137,8 @@
 	extraAttempts int
 	probes        int
 	lateRefusals  int
+	// bytes counts those of responses, and crossBytes those that came from another failure domain than the request.
+	bytes, crossBytes float64
 }
 
 // Simulate simulates a policy under a workload. The same arguments give the same result.
@@ -173,18 +190,55 @@
 	if s.now >= s.workload.Duration {
 		return
 	}
-	s.schedule(time.Duration(s.random.ExpFloat64()/s.arrivalRate()*float64(time.Second)), func() {
-		s.lastID++
-		j := &job{id: s.lastID, arrivedAt: s.now, goal: s.now + s.workload.LatencyGoal, deadline: s.now + s.workload.CallerTimeout,
-			serviceTime: drawServiceTime(s.random, s.workload)}
-		if s.now >= warmUpDuration {
-			s.result.Requests++
+	clump := max(1, s.workload.Clump)
+	s.schedule(time.Duration(s.random.ExpFloat64()/s.arrivalRate()*float64(clump)*float64(time.Second)), func() {
+		domain := s.drawDomain()
+		for range clump {
+			s.lastID++
+			j := &job{id: s.lastID, arrivedAt: s.now, goal: s.now + s.workload.LatencyGoal, deadline: s.now + s.workload.CallerTimeout,
+				serviceTime: drawServiceTime(s.random, s.workload), domain: domain}
+			if len(s.workload.Domains) > 0 {
+				j.bytes = s.workload.ResponseBytes * s.random.ExpFloat64()
+			}
+			if s.now >= warmUpDuration {
+				s.result.Requests++
+			}
+			b.submit(j)
 		}
-		b.submit(j)
 		s.scheduleArrivals(b)
 	})
 }
 
+// wavePeriod is the time in which the demand of a failure domain rises and falls once.
+const wavePeriod = 8 * time.Second
+
+// drawDomain returns the failure domain of the host to which a request comes. The waves of the domains are evenly shifted
+// against each other, so that the demand of all of them together stays the same.
+func (s *simulation) drawDomain() int {
+	domains := float64(len(s.workload.Domains))
+	if domains == 0 {
+		return 0
+	}
+	for {
+		domain := s.random.IntN(len(s.workload.Domains))
+		phase := 2 * math.Pi * (s.now.Seconds()/wavePeriod.Seconds() + float64(domain)/domains)
+		if s.random.Float64()*(1+s.workload.Wave) < 1+s.workload.Wave*math.Sin(phase) {
+			return domain
+		}
+	}
+}
+
+// recordBytes counts the bytes of a response that a server sends.
+func (s *simulation) recordBytes(j *job, from *server) {
+	if j.arrivedAt < warmUpDuration {
+		return
+	}
+	s.bytes += j.bytes
+	if from.domain != j.domain {
+		s.crossBytes += j.bytes
+	}
+}
+
 // recordResponse records that a response has reached the caller.
 func (s *simulation) recordResponse(j *job) {
 	if j.finished {
@@ -229,6 +283,9 @@
 	if r.Refused > 0 {
 		r.LateRefusalShare = float64(s.lateRefusals) / float64(r.Refused)
 	}
+	if s.bytes > 0 {
+		r.CrossShare = s.crossBytes / s.bytes
+	}
 	r.P50 = time.Duration(s.latencies.ValueAtQuantile(50)) * time.Microsecond
 	r.P99 = time.Duration(s.latencies.ValueAtQuantile(99)) * time.Microsecond
 	r.Probes = float64(s.probes) / float64(s.workload.Targets) / s.totalDuration().Seconds()
--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -27,6 +27,8 @@
 type Home struct {
 	// Hedges allows hedging: a second run on another server if the first takes longer than expected.
 	Hedges bool
+	// DomainPlan makes the home plan how much traffic crosses between failure domains.
+	DomainPlan bool
 }
 
 // LeastInFlight sends each request immediately to the server with the fewest requests in flight. Requests arrive at
@@ -41,6 +43,9 @@
 
 // Name implements Policy.
 func (h Home) Name() string {
+	if h.DomainPlan {
+		return "HomeDomainPlan"
+	}
 	if h.Hedges {
 		return "Home"
 	}
@@ -215,6 +220,8 @@
 	probesPerTarget = 30
 	// homeTickInterval is the period at which Home.Tick is called.
 	homeTickInterval = 10 * time.Millisecond
+	// goneTimeout is how long a host waits for a connection to a server that cannot be reached.
+	goneTimeout = 300 * time.Millisecond
 )
 
 // homeBalancer runs Home. It simulates the messages between the entry hosts, the home and the servers, and their delays.
@@ -237,11 +244,11 @@
 	}
 	b.home = placement.New(placement.Config{
 		Random: rand.New(rand.NewPCG(sim.workload.Seed, 9)), Budget: budget, Quarantine: quarantine.New(quarantine.Config{Targets: len(sim.servers)}),
-		RateLimits: ratelimit.New(), Notices: notice.New(), OnVerdict: b.onVerdict,
+		RateLimits: ratelimit.New(), Notices: notice.New(), OnVerdict: b.onVerdict, DomainPlan: p.DomainPlan,
 	})
 	var targets []placement.Target
 	for _, t := range sim.servers {
-		targets = append(targets, placement.Target{Name: t.name, Address: t.name, Slots: sim.workload.Slots})
+		targets = append(targets, placement.Target{Name: t.name, Address: t.name, Domain: domainName(t.domain), Slots: sim.workload.Slots})
 	}
 	slices.SortFunc(targets, func(a, b placement.Target) int { return cmp.Compare(a.Name, b.Name) })
 	b.home.SetTargets(0, targets)
@@ -260,6 +267,10 @@
 	for _, p := range b.home.DueProbes(b.sim.now) {
 		server := b.serverByName(p.Target)
 		b.sim.probes++
+		if server.fault == Gone {
+			b.sim.schedule(goneTimeout, func() { b.home.RecordProbe(b.sim.now, server.name, placement.ProbeNoResponse, nil) })
+			continue
+		}
 		b.sim.schedule(b.sim.workload.NetworkDelay, func() {
 			report := server.loadReport()
 			b.sim.schedule(b.sim.workload.NetworkDelay, func() {
@@ -287,7 +298,7 @@
 // requestPlacement submits a request to the home.
 func (b *homeBalancer) requestPlacement(j *job, tried []string) {
 	b.home.Submit(b.sim.now, &placement.Request{
-		ID: placement.RequestID{Number: j.id}, Class: "model", Goal: j.goal, Deadline: j.deadline, Repeatable: b.sim.workload.Repeatable, Tried: tried,
+		ID: placement.RequestID{Number: j.id}, Class: "model", Goal: j.goal, Deadline: j.deadline, Repeatable: b.sim.workload.Repeatable, Tried: tried, Domain: domainName(j.domain),
 		Probes: b.allowance.Take(b.sim.now, len(b.sim.servers), 1, placement.ProbesPerRequest),
 	})
 	b.sendProbes()
@@ -317,6 +328,13 @@
 		return
 	}
 	sentAt := b.sim.now
+	if server.fault == Gone {
+		b.sim.schedule(goneTimeout, func() {
+			b.reportRunEnd(j, target, placement.OutcomeUnreachable, 0, nil)
+			b.sim.schedule(b.sim.workload.NetworkDelay, func() { b.requestPlacement(j, []string{target}) })
+		})
+		return
+	}
 	r := &run{job: j}
 	r.onResponse = func(bool) {
 		report := server.loadReport()
@@ -338,10 +356,13 @@
 	b.runs[j.id] = append(b.runs[j.id], r)
 }
 
+// domainName returns the name of a failure domain.
+func domainName(domain int) string { return string(rune('a' + domain)) }
+
 // reportRunEnd reports the end of a run to the home, which receives it after the network delay.
 func (b *homeBalancer) reportRunEnd(j *job, target string, outcome placement.Outcome, duration time.Duration, report *placement.LoadReport) {
 	b.sim.schedule(b.sim.workload.NetworkDelay, func() {
-		b.home.RunEnded(b.sim.now, placement.RunEnd{ID: placement.RequestID{Number: j.id}, Target: target, Outcome: outcome, Duration: duration, Load: report})
+		b.home.RunEnded(b.sim.now, placement.RunEnd{ID: placement.RequestID{Number: j.id}, Target: target, Outcome: outcome, Duration: duration, Bytes: int(j.bytes), Load: report})
 		b.sendProbes()
 	})
 }
--- a/internal/model/server.go
+++ b/internal/model/server.go
@@ -17,6 +17,9 @@
 	goal, deadline time.Duration
 	// serviceTime is the time in seconds that the request takes on an undisturbed server.
 	serviceTime float64
+	// domain is the failure domain of the host to which the request comes, and bytes the size of its response.
+	domain int
+	bytes  float64
 	// finished is set once the caller has received a response or a refusal.
 	finished bool
 }
@@ -26,6 +29,8 @@
 	sim   *simulation
 	name  string
 	index int
+	// domain is the failure domain.
+	domain int
 	// pace is the factor by which noisy neighbors lengthen service times at present, at least 1.
 	pace    float64
 	running []*run
@@ -82,6 +87,7 @@
 	r.finished = true
 	dropped := s.fault == Mute && s.sim.random.Float64() < muteFaultDropShare
 	if !dropped {
+		s.sim.recordBytes(r.job, s)
 		r.onResponse(true)
 	}
 	s.release(r)
@@ -117,7 +123,7 @@
 func (s *server) redrawPace() {
 	workload := s.sim.workload
 	s.pace = 1
-	if s.sim.random.Float64() < workload.NoisyShare {
+	if s.sim.random.Float64() < workload.NoisyShare || s.fault == Paced {
 		s.pace = workload.NoisyPace
 	}
 	s.sim.schedule(time.Duration(s.sim.random.ExpFloat64()*float64(workload.NoiseInterval)), s.redrawPace)
@@ -125,8 +131,13 @@
 
 func newServers(sim *simulation) []*server {
 	var servers []*server
+	domain, last := 0, 0
 	for i := range sim.workload.Targets {
-		s := &server{sim: sim, name: fmt.Sprintf("t%02d", i), index: i}
+		if domains := sim.workload.Domains; domain < len(domains) && i >= last+domains[domain] {
+			last += domains[domain]
+			domain++
+		}
+		s := &server{sim: sim, name: fmt.Sprintf("t%02d", i), index: i, domain: domain}
 		s.redrawPace()
 		servers = append(servers, s)
 	}
--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -73,7 +73,8 @@
 		t.recordSuccess(now)
 		h.config.Quarantine.RecordSuccess(now, ended.fingerprints...)
 		h.recordDuration(r, ended, end.Duration)
-		h.responseBytes[r.Class] += (float64(end.Bytes) - h.responseBytes[r.Class]) * responseBytesGain
+		h.recordUnreported(now, ended, end.Duration, false)
+		h.recordResponseBytes(r.Class, end.Bytes)
 	case OutcomeFailed:
 		t.recordFailure(now, h.mayEject(now))
 	case OutcomeTimedOut:
@@ -96,6 +97,7 @@
 	case OutcomeOtherServer:
 		t.otherServer = true
 	case OutcomeCanceled:
+		h.recordUnreported(now, ended, now-ended.startedAt, true)
 		h.recordUnanswered(now, ended)
 	}
 }
--- a/internal/placement/hedge.go
+++ b/internal/placement/hedge.go
@@ -19,7 +19,7 @@
 // queued, another target has a free slot and the retry budget allows it. This limits the latency that a target causes
 // when it becomes slow or drops a request.
 func (h *Home) startHedges(now time.Duration) {
-	if len(h.queue) > 0 || h.config.Budget.Remaining(now) < 1+hedgeReserve {
+	if len(h.queue) > h.awaitingDomain() || h.config.Budget.Remaining(now) < 1+hedgeReserve {
 		return
 	}
 	for _, t := range h.targets {
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -57,6 +56,8 @@
 	// OnQuarantine is called when a request is put in quarantine because the given target has broken its connection. It must
 	// not call the home. It may be nil.
 	OnQuarantine func(fingerprint uint64, target string)
+	// DomainPlan makes the home plan how much traffic crosses between failure domains.
+	DomainPlan bool
 }
 
 // Ejection reports that a target was ejected after consecutive failures or, if Ejected is false, that its ejection ended.
@@ -111,14 +112,20 @@
 	limitedRuns int64
 	// refusals is the number of refusals so far. It gives each retry delay a different jitter.
 	refusals uint64
+	// plan decides which requests may go to another failure domain; it is nil unless Config.DomainPlan is set.
+	plan *domainPlan
 }
 
 // New returns a home without targets.
 func New(c Config) *Home {
-	return &Home{
+	h := &Home{
 		config: c, byName: map[string]*targetState{}, requests: map[RequestID]*Request{}, serviceTimes: map[string]float64{}, responseBytes: map[string]float64{},
 		averagePace: initialPace, nearlyFullSlowdown: initialNearlyFullSlowdown, lastRequestAt: -time.Hour, running: map[uint64]int{}, limitShare: LimitShare{Share: 1, Majority: true},
 	}
+	if c.DomainPlan {
+		h.plan = newDomainPlan()
+	}
+	return h
 }
 
 // SetRetrySlack sets the number of extra attempts per window that are allowed beyond the retry budget's ratio.
@@ -175,6 +182,9 @@
 		h.refuse(now, r, reason)
 		return
 	}
+	if h.plan != nil {
+		h.planArrival(now, r)
+	}
 	r.queued = true
 	h.queue = append(h.queue, r)
 	h.Dispatch(now)
@@ -258,6 +268,10 @@
 	h.applyRateLimits(now)
 	h.applyNotices()
 	h.refuseQuarantined(now)
+	if h.plan != nil {
+		h.updatePlan(now)
+		h.countAwaitingDomain()
+	}
 	if len(h.queue) == 0 {
 		return
 	}
@@ -331,66 +345,6 @@
 	return Placed{Target: t.Name, Address: t.Address, Expected: e.expected, KnowledgeAge: now - t.paceAt}
 }
 
-// runEstimate is the expected duration of a run that starts on a target now.
-type runEstimate struct {
-	expected time.Duration
-	// slowdown is the expected duration relative to the service time of the request's class. nearlyFull is set if the run
-	// would take one of the target's last slots.
-	slowdown   float64
-	nearlyFull bool
-}
-
-// pickTarget returns the target with the lowest expected duration, adjusted for load and for traffic between failure
-// domains, and the estimate for a run there. It considers available targets with a free slot that are not in excluded and
-// whose rate limit allows a run, and returns nil if there is none.
-func (h *Home) pickTarget(now time.Duration, r *Request, excluded []string) (*targetState, runEstimate) {
-	var best *targetState
-	var chosen runEstimate
-	score := math.Inf(1)
-	start := 0
-	if len(h.targets) > 0 {
-		start = h.config.Random.IntN(len(h.targets))
-	}
-	serviceTime := float64(h.serviceTime(r))
-	for i := range h.targets {
-		t := h.targets[(start+i)%len(h.targets)]
-		if !t.available(now) || t.load(now) >= t.openSlots(now) || slices.Contains(excluded, t.Name) || !h.mayRunOn(now, t) || !r.Repeatable && t.doubtful(now) {
-			continue
-		}
-		factor, nearlyFull := t.slowdown(now, h.averagePace, h.nearlyFullSlowdown)
-		candidate := factor * h.crossDomainFactor(t, r) * (1 + loadPenalty*float64(t.load(now))/float64(t.Slots))
-		if h.anyLimited {
-			candidate *= t.limitCheckFactor(now)
-		}
-		if candidate < score {
-			best, chosen, score = t, runEstimate{time.Duration(serviceTime * factor), factor, nearlyFull}, candidate
-		}
-	}
-	return best, chosen
-}
-
-// Penalties that decide between targets of similar expected duration.
-const (
-	// loadPenalty is the penalty of a full target. It spreads requests over the targets.
-	loadPenalty = 0.1
-	// crossDomainBytes is the response size for which a target in another failure domain would count as twice as slow
-	// without the limit of maxCrossDomainPenalty. Traffic between failure domains is billed by the byte.
-	crossDomainBytes = 256 << 10
-	// maxCrossDomainPenalty limits the penalty, so that requests with large responses still go to a target in another
-	// failure domain if it is much faster.
-	maxCrossDomainPenalty = 0.5
-	// responseBytesGain is the weight of one response in the moving average of the response size of a class.
-	responseBytesGain = 0.05
-)
-
-// crossDomainFactor returns the factor by which the traffic between failure domains makes a target less attractive.
-func (h *Home) crossDomainFactor(t *targetState, r *Request) float64 {
-	if t.Domain == r.Domain {
-		return 1
-	}
-	return 1 + min(maxCrossDomainPenalty, h.responseBytes[r.Class]/crossDomainBytes)
-}
-
 // shouldPlaceNow reports whether to place a request on the best free target now, rather than keep it queued for a faster
 // target or for requests that are not late.
 func (h *Home) shouldPlaceNow(now time.Duration, r *Request, expected time.Duration) bool {
@@ -421,7 +375,7 @@
 }
 
 func (h *Home) startRun(now time.Duration, r *Request, t *targetState, e runEstimate) {
-	started := &run{request: r, target: t, startedAt: now, fingerprints: r.fingerprints(), expected: e.expected, slowdown: e.slowdown, nearlyFull: e.nearlyFull}
+	started := &run{request: r, target: t, startedAt: now, fingerprints: r.fingerprints(), expected: e.expected, slowdown: e.slowdown, nearlyFull: e.nearlyFull, unreported: t.unreported.factor(now)}
 	if t.doubtful(now) {
 		t.probe.startTrial(now)
 	}
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,368 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Parameters of the plan of flows.
+const (
+	// planInterval is the time between two computations of the plan.
+	planInterval = 100 * time.Millisecond
+	// planTime is the time constant of the moving averages of demand and pace. It is longer than the 300 ms for which noise
+	// slows a target, and than a burst of requests that a queue levels out.
+	planTime = time.Second
+	// planLoad is the share of what a failure domain can take up to which its own demand stays there. The rest is kept for
+	// noise.
+	planLoad = 0.85
+	// minFlowRate is the rate in requests per second below which a flow is forgotten.
+	minFlowRate = 0.01
+)
+
+// domainPlan decides how much of the demand of each failure domain goes to targets of other failure domains: what its own
+// targets cannot take for longer than noise lasts. The requests that go are those with the fewest bytes for the work that
+// they take along.
+//
+// It answers a load of 50 requests a second with responses of 110 KB, equal from three failure domains with 5, 6 and 3
+// targets of 3 slots, where a third of the targets is at times four times as slow for 300 ms. Without a plan two thirds of
+// the responses cross between failure domains, although each can serve its own.
+//
+// Work is measured in slots of a pace of 1 that are always in use.
+type domainPlan struct {
+	flows      map[flowKey]*flow
+	domains    map[string]*domainLoad
+	computedAt time.Duration
+}
+
+// flowKey names the demand for one class of requests from the hosts of one failure domain.
+type flowKey struct{ domain, class string }
+
+// flow is a demand and the part of it that goes to other failure domains.
+type flow struct {
+	// arrivals counts new requests since the last computation. rate is its moving average per second.
+	arrivals int
+	rate     float64
+	// work is the work that the flow brings.
+	work float64
+	// crossing is the share that goes to other failure domains, from 0 to 1. credit is the number of requests that may go,
+	// of those that came.
+	crossing, credit float64
+}
+
+// domainLoad is what the targets of a failure domain can take and what they get.
+type domainLoad struct {
+	// slots is the number of slots that can be in use on available targets without slowing them down.
+	slots float64
+	// speed is the moving average of the inverse of the pace of these slots; 0 before the first computation.
+	speed float64
+	// work is the work that the domain's own hosts bring. capacity is the work that its targets can take beside planLoad.
+	work, capacity float64
+	// waiting is the number of requests that wait for a slot in this domain.
+	waiting int
+}
+
+func newDomainPlan() *domainPlan {
+	return &domainPlan{flows: map[flowKey]*flow{}, domains: map[string]*domainLoad{}, computedAt: -time.Hour}
+}
+
+// domain returns the state of a failure domain.
+func (p *domainPlan) domain(name string) *domainLoad {
+	d := p.domains[name]
+	if d == nil {
+		d = &domainLoad{}
+		p.domains[name] = d
+	}
+	return d
+}
+
+// arrival counts a new request and reports whether it may go to another failure domain.
+func (p *domainPlan) arrival(k flowKey) bool {
+	f := p.flows[k]
+	if f == nil {
+		f = &flow{}
+		p.flows[k] = f
+	}
+	f.arrivals++
+	f.credit += f.crossing
+	if f.credit < 1 {
+		return false
+	}
+	f.credit--
+	return true
+}
+
+// due reports whether the plan is to be computed.
+func (p *domainPlan) due(now time.Duration) bool { return now-p.computedAt >= planInterval }
+
+// domainSupply is what the available targets of a failure domain have at present: slots, and of these the sum of the
+// inverses of their paces.
+type domainSupply struct{ slots, speed float64 }
+
+// compute plans anew. Supplies are by failure domain; serviceTime returns the service time of a class in seconds, and bytes
+// its mean response size.
+func (p *domainPlan) compute(now time.Duration, supplies map[string]domainSupply, serviceTime, bytes func(class string) float64) {
+	elapsed := now - p.computedAt
+	gain := 1 - decay(elapsed, planTime)
+	p.computedAt = now
+	for name, d := range p.domains {
+		if _, found := supplies[name]; !found {
+			d.slots, d.capacity = 0, 0
+		}
+		d.work = 0
+	}
+	for name, supply := range supplies {
+		d := p.domain(name)
+		d.slots = supply.slots
+		if supply.slots > 0 {
+			speed := supply.speed / supply.slots
+			if d.speed == 0 {
+				d.speed = speed
+			}
+			d.speed += (speed - d.speed) * gain
+		}
+		d.capacity = planLoad * d.slots * d.speed
+	}
+	keys := make([]flowKey, 0, len(p.flows))
+	for k, f := range p.flows {
+		f.rate += (float64(f.arrivals)/elapsed.Seconds() - f.rate) * gain
+		f.arrivals = 0
+		if f.rate < minFlowRate {
+			delete(p.flows, k)
+			continue
+		}
+		f.work = f.rate * serviceTime(k.class)
+		p.domain(k.domain).work += f.work
+		keys = append(keys, k)
+	}
+	// The cheapest come first: those with the fewest bytes in a second of work.
+	slices.SortFunc(keys, func(a, b flowKey) int {
+		return cmp.Or(
+			cmp.Compare(bytes(a.class)/serviceTime(a.class), bytes(b.class)/serviceTime(b.class)),
+			cmp.Compare(a.class, b.class), cmp.Compare(a.domain, b.domain),
+		)
+	})
+	excess := make(map[string]float64, len(p.domains))
+	for name, d := range p.domains {
+		excess[name] = max(0, d.work-d.capacity)
+	}
+	for _, k := range keys {
+		f := p.flows[k]
+		moved := min(f.work, excess[k.domain])
+		excess[k.domain] -= moved
+		f.crossing = 0
+		if f.work > 0 {
+			f.crossing = moved / f.work
+		}
+		if f.crossing == 0 {
+			f.credit = 0
+		}
+	}
+}
+
+// receives reports whether a failure domain has room for requests from others.
+func (p *domainPlan) receives(name string) bool {
+	d := p.domains[name]
+	return d != nil && d.work < d.capacity
+}
+
+// Parameters of requests that stay in their failure domain.
+const (
+	// stayBytes is the mean response size from which the requests of a class stay in their failure domain as long as that
+	// leaves their goal within reach.
+	stayBytes = 20 << 10
+	// stayMargin is the safety factor on the expected duration of a run on a slower target of the own failure domain.
+	stayMargin = 2.2
+	// stayReserve is how many service times before its goal a request stops waiting for a slot in its own failure domain. A
+	// run at a pace of maxFactor, begun then, is still in time.
+	stayReserve = 7.0
+	// stayWaiting is the number of requests, as a share of the slots of a failure domain, above which no further one waits
+	// for a slot there.
+	stayWaiting = 0.5
+	// smallCrossFactor is the penalty for traffic between failure domains for classes with small responses. It is too low
+	// to choose a slowed or nearly full target.
+	smallCrossFactor = 1.15
+	// noSpareFactor is a further penalty for targets in a failure domain that has no room for requests from others.
+	noSpareFactor = 1.1
+)
+
+// planArrival counts a new request in the plan of flows.
+func (h *Home) planArrival(now time.Duration, r *Request) {
+	h.updatePlan(now)
+	if len(r.Tried) == 0 {
+		r.mayCross = h.plan.arrival(flowKey{r.Domain, r.Class})
+	}
+}
+
+// updatePlan computes the plan of flows if it is due.
+func (h *Home) updatePlan(now time.Duration) {
+	if !h.plan.due(now) {
+		return
+	}
+	var work, rate float64
+	for k, f := range h.plan.flows {
+		work += f.rate * h.serviceTimes[k.class]
+		rate += f.rate
+	}
+	supplies := map[string]domainSupply{}
+	for _, t := range h.targets {
+		if !t.available(now) {
+			continue
+		}
+		s := supplies[t.Domain]
+		usable := max(1, math.Floor(nearlyFullShare*float64(t.Slots)))
+		factor, _ := t.slowdown(now, h.averagePace, 1)
+		factor *= t.unreported.factor(now)
+		speed := usable / max(minFactor, factor)
+		if t.limiter.limited() && rate > 0 {
+			// The rate limit in work, with the mean service time of the requests of late.
+			speed = min(speed, t.limiter.rate(h.limitShare)*work/rate)
+		}
+		s.slots += usable
+		s.speed += speed
+		supplies[t.Domain] = s
+	}
+	h.plan.compute(now, supplies,
+		func(class string) float64 { return max(1e-3, h.serviceTimes[class]) },
+		func(class string) float64 { return h.responseBytes[class] })
+}
+
+// plannedFactor returns the factor by which the traffic between failure domains makes a target less attractive, with a
+// plan of flows.
+func (h *Home) plannedFactor(t *targetState, r *Request) float64 {
+	factor := 1.0
+	if !h.plan.receives(t.Domain) {
+		factor = noSpareFactor
+	}
+	if r.mayCross {
+		return factor
+	}
+	bytes, known := h.responseBytes[r.Class]
+	if !known {
+		return 1 + maxCrossDomainPenalty
+	}
+	return factor * max(smallCrossFactor, 1+min(maxCrossDomainPenalty, bytes/crossDomainBytes))
+}
+
+// choosePlanned chooses between the best target in the failure domain of the request and the best one in another. It
+// returns none if the request should wait for a slot in its own.
+func (h *Home) choosePlanned(now time.Duration, r *Request, own, other candidate) candidate {
+	best := own
+	if other.better(own) {
+		best = other
+	}
+	if r.queued {
+		h.setAwaitsDomain(r, false)
+	}
+	if r.mayCross || h.responseBytes[r.Class] < stayBytes || best.target == nil {
+		return best
+	}
+	inTime := func(c candidate, margin float64) bool {
+		return c.target != nil && now+time.Duration(margin*float64(c.estimate.expected)) <= r.Goal
+	}
+	switch {
+	case inTime(own, stayMargin):
+		return own
+	case h.mayAwaitDomain(now, r):
+		if r.queued {
+			h.setAwaitsDomain(r, true)
+		}
+		return candidate{}
+	case own.target != nil && !inTime(other, goalMargin):
+		// Going elsewhere would not help.
+		return own
+	}
+	return best
+}
+
+// mayAwaitDomain reports whether a request may wait for a slot in its own failure domain.
+func (h *Home) mayAwaitDomain(now time.Duration, r *Request) bool {
+	d := h.plan.domains[r.Domain]
+	if d == nil || d.slots == 0 || now+time.Duration(stayReserve*float64(h.serviceTime(r))) > r.Goal {
+		return false
+	}
+	return float64(d.waiting) < stayWaiting*d.slots
+}
+
+// setAwaitsDomain records whether a queued request waits for a slot in its own failure domain.
+func (h *Home) setAwaitsDomain(r *Request, awaits bool) {
+	if h.plan == nil || awaits == r.awaitsDomain {
+		return
+	}
+	r.awaitsDomain = awaits
+	if awaits {
+		h.plan.domain(r.Domain).waiting++
+	} else {
+		h.plan.domain(r.Domain).waiting--
+	}
+}
+
+// countAwaitingDomain counts the queued requests that wait for a slot in their own failure domain, as some have left the
+// queue.
+func (h *Home) countAwaitingDomain() {
+	for _, d := range h.plan.domains {
+		d.waiting = 0
+	}
+	for _, r := range h.queue {
+		if r.awaitsDomain {
+			h.plan.domain(r.Domain).waiting++
+		}
+	}
+}
+
+// awaitingDomain returns the number of queued requests that wait for a slot in their own failure domain though there may be
+// free ones elsewhere.
+func (h *Home) awaitingDomain() int {
+	if h.plan == nil {
+		return 0
+	}
+	sum := 0
+	for _, d := range h.plan.domains {
+		sum += d.waiting
+	}
+	return sum
+}
+
+// Parameters of unreportedSlowdown.
+const (
+	// unreportedGain is the weight of one run in the moving average, and unreportedDecayTime the decay time without runs.
+	unreportedGain      = 0.2
+	unreportedDecayTime = 3 * time.Second
+	// minUnreported is the least slowdown that counts: less may be chance, as service times vary by a third or so.
+	minUnreported = 1.5
+)
+
+// unreportedSlowdown is the moving average of how much longer runs on a target take than its load reports suggest. Only a
+// home with a plan of flows uses it, because such a home sends requests to targets that are not the fastest.
+type unreportedSlowdown struct {
+	excess float64
+	at     time.Duration
+}
+
+// record counts a run that took the given multiple of what the load reports suggested.
+func (u *unreportedSlowdown) record(now time.Duration, ratio float64) {
+	excess := max(0, min(2*maxFactor, ratio)-1)
+	u.excess = u.excess*decay(now-u.at, unreportedDecayTime)*(1-unreportedGain) + excess*unreportedGain
+	u.at = now
+}
+
+// factor returns the factor by which the next run is expected to take longer than the load reports suggest.
+func (u *unreportedSlowdown) factor(now time.Duration) float64 {
+	if f := 1 + u.excess*decay(now-u.at, unreportedDecayTime); f >= minUnreported {
+		return f
+	}
+	return 1
+}
+
+// recordUnreported compares the duration of a run with what the load reports of its target suggested. Of a canceled run only
+// the least duration is known, so it counts only if it is long.
+func (h *Home) recordUnreported(now time.Duration, ended *run, duration time.Duration, canceled bool) {
+	if h.plan == nil || ended.expected <= 0 {
+		return
+	}
+	ratio := float64(duration) / float64(ended.expected) * ended.unreported
+	if !canceled || ratio > overdueRatio {
+		ended.target.unreported.record(now, ratio)
+	}
+}
--- /dev/null
+++ b/internal/placement/plan_test.go
@@ -0,0 +1,164 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"briarcroft/internal/notice"
+	"briarcroft/internal/quarantine"
+	"briarcroft/internal/ratelimit"
+
+	"github.com/matryer/is"
+)
+
+// newPlannedHome returns a home with a plan of flows, with targets of three slots in the given failure domains, named after
+// their domain and index. Class "large" is known to have responses of 110 KB and class "c" of 1 KB; both take 100 ms.
+func newPlannedHome(domains ...string) *testHome {
+	f := &testHome{verdicts: map[uint64][]Verdict{}, now: time.Minute}
+	f.home = New(Config{
+		Random: rand.New(rand.NewPCG(1, 1)), Budget: ampleBudget, Quarantine: quarantine.New(quarantine.Config{Targets: crashesToQuarantine}),
+		RateLimits: ratelimit.New(), Notices: notice.New(), DomainPlan: true,
+		OnVerdict: func(r *Request, v Verdict) { f.verdicts[r.ID.Number] = append(f.verdicts[r.ID.Number], v) },
+	})
+	var list []Target
+	for i, domain := range domains {
+		list = append(list, Target{Name: fmt.Sprintf("%s%d", domain, i), Address: "10.0.0.1:80", Domain: domain, Slots: 3})
+	}
+	f.home.SetTargets(f.now, list)
+	f.reportPace(1)
+	for class, bytes := range map[string]int{"large": 110 << 10, "c": 1 << 10} {
+		f.home.recordResponseBytes(class, bytes)
+		f.home.serviceTimes[class] = 0.1
+	}
+	return f
+}
+
+// submitLarge submits a request of class "large" of failure domain a with the given time until its goal.
+func (f *testHome) submitLarge(goal time.Duration) uint64 {
+	return f.submit(func(r *Request) {
+		r.Class, r.Goal, r.Deadline = "large", f.now+goal, f.now+10*time.Second
+	})
+}
+
+// TestLargeResponsesStay slows the only target in the failure domain of a request down: the request must stay there while its
+// goal leaves time for that, and go to the other domain otherwise. Without the plan it always went.
+func TestLargeResponsesStay(t *testing.T) {
+	for _, test := range []struct {
+		class  string
+		goal   time.Duration
+		target string
+	}{
+		{"large", 1500 * time.Millisecond, "a0"},
+		{"large", 500 * time.Millisecond, "b1"},
+		{"c", 1500 * time.Millisecond, "b1"},
+	} {
+		t.Run(fmt.Sprint(test.class, test.goal), func(t *testing.T) {
+			is := is.New(t)
+			f := newPlannedHome("a", "b")
+			f.home.RecordProbe(f.now, "a0", ProbeHealthy, &LoadReport{Slots: 3, Pace: 4})
+			number := f.submit(func(r *Request) { r.Class, r.Goal, r.Deadline = test.class, f.now+test.goal, f.now+10*time.Second })
+			is.Equal(f.placedOn(number), test.target)
+		})
+	}
+}
+
+// TestSmallResponsesPreferTheirDomain submits requests with small responses to two equal targets: they must go to the one in
+// their own failure domain until it is nearly full.
+func TestSmallResponsesPreferTheirDomain(t *testing.T) {
+	is := is.New(t)
+	f := newPlannedHome("b", "a")
+	for _, want := range []string{"a1", "a1", "b0"} {
+		is.Equal(f.placedOn(f.submit(nil)), want)
+	}
+}
+
+// TestWaitsForOwnDomain fills the only target in the failure domain of a request: the request must wait, take the first slot
+// that becomes free there, and go to the other domain while its goal can still be met there.
+func TestWaitsForOwnDomain(t *testing.T) {
+	is := is.New(t)
+	f := newPlannedHome("a", "b")
+	for range 3 {
+		is.Equal(f.placedOn(f.submitLarge(1500*time.Millisecond)), "a0")
+	}
+	first := f.submitLarge(1500 * time.Millisecond)
+	is.Equal(f.lastVerdict(first), Queued{})
+	f.endRun(1, OutcomeAnswered)
+	is.Equal(f.placedOn(first), "a0")
+	second := f.submitLarge(1500 * time.Millisecond)
+	submitted := f.now
+	for f.placedOn(second) == "" && f.now < submitted+1500*time.Millisecond {
+		f.now += tickInterval
+		f.home.Tick(f.now)
+		f.home.RecordProbe(f.now, "b1", ProbeHealthy, &LoadReport{Slots: 3, Pace: 1})
+	}
+	is.Equal(f.placedOn(second), "b1")
+	is.True(f.now-submitted <= time.Second)
+}
+
+// TestNoWaitForLostDomain ejects the only target in the failure domain of a request: the request must go to the other domain
+// at once.
+func TestNoWaitForLostDomain(t *testing.T) {
+	is := is.New(t)
+	f := newPlannedHome("a", "b", "b")
+	f.home.RecordProbe(f.now, "a0", ProbeNoResponse, nil)
+	is.True(f.placedOn(f.submitLarge(1500*time.Millisecond)) != "")
+}
+
+// TestPlan computes plans for a demand that lasts: only what the targets of a failure domain cannot take must cross, and
+// classes with the fewest bytes first.
+func TestPlan(t *testing.T) {
+	// Each class takes 100 ms, so that 10 requests a second keep one slot busy.
+	bytes := map[string]float64{"large": 110 << 10, "small": 1 << 10}
+	for _, test := range []struct {
+		name     string
+		demand   map[flowKey]int
+		supplies map[string]domainSupply
+		crossing map[flowKey]float64
+	}{
+		{
+			"enough", map[flowKey]int{{"a", "large"}: 50, {"b", "large"}: 50},
+			map[string]domainSupply{"a": {10, 10}, "b": {6, 6}}, map[flowKey]float64{{"a", "large"}: 0, {"b", "large"}: 0},
+		},
+		{
+			"too few slots", map[flowKey]int{{"a", "large"}: 100, {"b", "large"}: 50},
+			map[string]domainSupply{"a": {10, 10}, "b": {20, 20}}, map[flowKey]float64{{"a", "large"}: 0.15, {"b", "large"}: 0},
+		},
+		{
+			"slow", map[flowKey]int{{"a", "large"}: 50, {"b", "large"}: 50},
+			map[string]domainSupply{"a": {10, 2.5}, "b": {20, 20}}, map[flowKey]float64{{"a", "large"}: 0.575, {"b", "large"}: 0},
+		},
+		{
+			"small first", map[flowKey]int{{"a", "large"}: 50, {"a", "small"}: 50},
+			map[string]domainSupply{"a": {10, 10}, "b": {20, 20}}, map[flowKey]float64{{"a", "large"}: 0, {"a", "small"}: 0.3},
+		},
+		{
+			"lost", map[flowKey]int{{"a", "large"}: 50, {"b", "large"}: 50},
+			map[string]domainSupply{"b": {20, 20}}, map[flowKey]float64{{"a", "large"}: 1, {"b", "large"}: 0},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newDomainPlan()
+			crossed, arrived := map[flowKey]int{}, map[flowKey]int{}
+			for now := time.Duration(0); now < 20*time.Second; now += planInterval {
+				for k, perSecond := range test.demand {
+					for range perSecond / 10 {
+						if p.arrival(k) && now >= 10*time.Second {
+							crossed[k]++
+						}
+						if now >= 10*time.Second {
+							arrived[k]++
+						}
+					}
+				}
+				p.compute(now+planInterval, test.supplies, func(string) float64 { return 0.1 }, func(class string) float64 { return bytes[class] })
+			}
+			for k, want := range test.crossing {
+				if got := float64(crossed[k]) / float64(arrived[k]); got < want-0.01 || got > want+0.01 {
+					t.Errorf("%v: %.3f of the requests cross, not %.3f", k, got, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -153,7 +153,7 @@
 		return now-max(t.probe.sentAt, t.paceAt) >= limitedProbeInterval
 	case t.probe.down || t.probe.unhealthy:
 		return now-t.probe.sentAt >= downProbeInterval
-	case len(h.queue) > 0 && t.available(now) && t.load(now) < t.Slots:
+	case len(h.queue) > h.awaitingDomain() && t.available(now) && t.load(now) < t.Slots:
 		// Requests are queued although the target has free slots: it was too slow at its last load report.
 		return now-max(t.probe.sentAt, t.paceAt) >= queuedProbeInterval
 	}
@@ -190,6 +190,7 @@
 		t.probe.awaited = !t.probe.pending && now-t.paceAt >= maxPaceAge
 		h.awaitsProbes = h.awaitsProbes || t.probe.awaited
 	}
+	h.setAwaitsDomain(r, false)
 	return true
 }
 
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -60,6 +60,9 @@
 	queued      bool
 	// answered is set once a run has been answered.
 	answered bool
+	// mayCross is set if the plan of flows sends the request to another failure domain, and awaitsDomain while the request is
+	// queued for a slot in its own. Both are set only with Config.DomainPlan.
+	mayCross, awaitsDomain bool
 }
 
 // Verdict is a decision of the home about a request: Placed, Queued, Refused or Hedge.
@@ -162,6 +165,8 @@
 	slowdown float64
 	// nearlyFull is set if the run took one of the target's last slots.
 	nearlyFull bool
+	// unreported is the part of slowdown that the target's load reports did not show.
+	unreported float64
 }
 
 // fingerprints returns the request's own fingerprint and the shared ones.
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -92,6 +92,8 @@
 	said notice.State
 	// otherServer is set while another server answers at the target's address.
 	otherServer bool
+	// unreported is kept only with a plan of flows.
+	unreported unreportedSlowdown
 }
 
 // decay returns the weight of a value of the given age, which falls exponentially from 1 to 0.
