Traffic between hosts by kind, and joined announcements of store changes

Cause: nothing told how many bytes hosts send each other across failure domains, or for what. Each host has a follower in another domain that only wants to know up to which revision the store is known, and got a message for each change.

Change: the client of peers counts messages and bytes by kind of call and by whether the peer is in another failure domain (InnerTraffic on the metrics page). With [Placement] DomainPlan, changes within 250 ms are announced together.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -178,6 +178,7 @@
 		{"Note", func() any { return g.chain.Number() }},
 		{"UnwrittenLines", func() any { return g.requestLog.unwritten.Load() + g.records.Unwritten() }},
 		{"InnerBytesSent", func() any { return g.client.BytesSent() }},
+		{"InnerTraffic", func() any { return g.client.Traffic() }},
 		{"Latencies", func() any { return g.histograms.Summaries() }},
 		{"Queued", func() any { return g.homeServer.queuedByService() }},
 	} {
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "briarcroft/internal/inner"
+
 // ReadyHosts returns how many ready hosts the gateway knows, and which of them is the primary home of a service.
 func (g *Gateway) ReadyHosts(service string) (hosts int, home string) {
 	ranked := g.homeClient.rankedHomes(service)
@@ -15,3 +17,6 @@
 
 // RelayedRequests returns how many runs peers have relayed for the gateway.
 func (g *Gateway) RelayedRequests() int64 { return g.stats.relayed.Load() }
+
+// Traffic returns the traffic with peers on the connections that the gateway has opened.
+func (g *Gateway) Traffic() []inner.TrafficCount { return g.client.Traffic() }
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -38,6 +38,8 @@
 	lastAddress int
 	// lastPhase numbers the calls of sendToHosts.
 	lastPhase int
+	// changeSettings changes the settings of gateways; it may be nil.
+	changeSettings func(*settings.Settings)
 }
 
 // node is one gateway with its addresses. Calling stop stops it gracefully, and force at once.
@@ -55,8 +57,13 @@
 // withFleet runs a test in virtual time (testing/synctest) with a store, a configuration, targets of one service and
 // gateways, after the gateways have found each other.
 func withFleet(t *testing.T, hosts, targets int, run func(f *fleet)) {
+	withSettings(t, nil, hosts, targets, run)
+}
+
+// withSettings does the same with gateways whose settings change has changed.
+func withSettings(t *testing.T, change func(*settings.Settings), hosts, targets int, run func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{is: is.New(t), net: fakenet.New(), store: standin.New(), hosts: map[string]*node{}, targets: map[string]*standin.Target{}}
+		f := &fleet{is: is.New(t), net: fakenet.New(), store: standin.New(), hosts: map[string]*node{}, targets: map[string]*standin.Target{}, changeSettings: change}
 		defer f.close()
 		f.configure(1, safeRule("lookup", "/lookup/"), unsafeRule("order", "/order/"))
 		for i := range targets {
@@ -143,6 +150,9 @@
 	if first := f.hosts["h0"]; first != nil && first != n {
 		s.Peers.Seeds = []string{first.inner}
 	}
+	if f.changeSettings != nil {
+		f.changeSettings(&s)
+	}
 	dial := f.net.Dialer(name)
 	storeAddress := f.serve("store", "", f.store.HandlerFor(name))
 	store, closeStore := platform.NewStore(platform.StoreConfig{URL: "http://" + storeAddress, Timeout: time.Second, Dial: dial})
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"briarcroft/internal/inner"
 	"briarcroft/internal/platform"
@@ -114,8 +115,11 @@
 		if stream.Context().Err() != nil {
 			return stream.Context().Err()
 		}
-		if !ok {
+		switch {
+		case !ok:
 			u = keepAliveUpdate
+		case r.AnnounceOnly && g.settings.Placement.DomainPlan:
+			u = joinAnnouncements(stream.Context(), updates, u)
 		}
 		if err := g.sendUpdate(r, stream, u); err != nil {
 			return err
@@ -124,6 +128,25 @@
 	return inner.ErrPeerFailed.New("host %s could not keep up; following again from its last revision", g.settings.Host.Name)
 }
 
+// announceInterval is for how long changes are announced together to a follower that wants no changes. Each host has such a
+// follower in another failure domain, and with hundreds of targets there are tens of changes a second.
+const announceInterval = 250 * time.Millisecond
+
+// joinAnnouncements returns one update in place of the given one and of all that follow within announceInterval. It has only what
+// is announced.
+func joinAnnouncements(ctx context.Context, updates *ring.Queue[*encodedUpdate], u *encodedUpdate) *encodedUpdate {
+	ctx, cancel := context.WithTimeout(ctx, announceInterval)
+	defer cancel()
+	joined := &encodedUpdate{storeUpdate: storeUpdate{returned: u.returned}}
+	for {
+		next, ok := updates.Pop(ctx)
+		if !ok {
+			return joined
+		}
+		joined.returned = joined.returned || next.returned
+	}
+}
+
 // keepAliveUpdate is sent while nothing changes, and as soon as there is newer knowledge of the store.
 var keepAliveUpdate = &encodedUpdate{}
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -205,7 +205,7 @@
 	var closeRecords, closeClient, closeLog func()
 	g.requestLog, closeLog = newRequestLog(c.Logger)
 	g.records, closeRecords = record.NewLog(record.LogConfig{Host: c.Settings.Host.Name, Incarnation: g.incarnation, Capacity: maxRecords, Logger: c.Logger})
-	g.client, closeClient = inner.NewClient(inner.ClientConfig{Dial: c.Dial})
+	g.client, closeClient = inner.NewClient(inner.ClientConfig{Dial: c.Dial, OtherDomain: g.isInOtherDomain})
 	g.members = host.NewMemberTable(host.Config{
 		Self: host.Member{
 			Name: c.Settings.Host.Name, Listen: c.Settings.Host.Listen, Inner: c.Settings.Host.PeerAddress(),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -141,3 +141,13 @@
 		g.records.Add(record.FromMembershipEvent(e, g.chain.Number()))
 	}
 }
+
+// isInOtherDomain reports whether the host with an inner address is in another failure domain. It is false for unknown hosts.
+func (g *Gateway) isInOtherDomain(inner string) bool {
+	for _, m := range g.members.Live(g.now()) {
+		if m.Inner == inner {
+			return m.Domain != g.settings.Host.Domain
+		}
+	}
+	return false
+}
--- a/internal/inner/client.go
+++ b/internal/inner/client.go
@@ -44,6 +44,8 @@
 	TLS *tls.Config
 	// Dial opens connections; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// OtherDomain reports whether the peer at an inner address is in another failure domain; nil means that none is.
+	OtherDomain func(address string) bool
 }
 
 // Client calls peers over pooled connections.
@@ -53,6 +55,7 @@
 	// sent and received count bytes over all connections.
 	sent     atomic.Int64
 	received atomic.Int64
+	traffic  traffic
 }
 
 // NewClient returns a client and a function that closes its connections.
@@ -68,7 +71,7 @@
 
 // Peer returns the RPC client of the peer at an inner address; a connection is opened with the first call.
 func (c *Client) Peer(ctx context.Context, address string) DRPCPeerClient {
-	return NewDRPCPeerClient(c.pool.Get(ctx, address, c.dial))
+	return NewDRPCPeerClient(meteredConn{c.pool.Get(ctx, address, c.dial), c.trafficWith(address)})
 }
 
 // callWithRetry makes a unary call. If the peer does not reply within firstTimeout, it closes the peer's idle
@@ -125,7 +128,7 @@
 	if err != nil {
 		return nil, ErrPeerFailed.New("cannot connect to peer %s (%v); the next heartbeat tries again", address, err)
 	}
-	conn = &countedConn{conn, &c.sent, &c.received}
+	conn = &countedConn{conn, &c.sent, &c.received, &c.trafficWith(address)[trafficConnections]}
 	if c.config.TLS != nil {
 		conn = tls.Client(conn, c.config.TLS)
 	}
@@ -136,12 +139,14 @@
 type countedConn struct {
 	net.Conn
 	sent, received *atomic.Int64
+	traffic        *trafficCounter
 }
 
 // Read implements net.Conn.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
+	c.traffic.received.Add(int64(n))
 	return n, err
 }
 
@@ -149,6 +154,7 @@
 func (c *countedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.sent.Add(int64(n))
+	c.traffic.sent.Add(int64(n))
 	return n, err
 }
 
