--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"briarcroft/internal/inner"
 	"briarcroft/internal/record"
 )
 
@@ -41,3 +42,5 @@
 	}
 	return details
 }
+// Traffic returns the traffic with peers on the connections that the gateway has opened.
+func (g *Gateway) Traffic() []inner.TrafficCount { return g.client.Traffic() }
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -43,6 +43,8 @@
 	logger zerolog.Logger
 	// tenants are the client accounts in the configurations that configure writes.
 	tenants []tenant
+	// changeSettings changes the settings of gateways; it may be nil.
+	changeSettings func(*settings.Settings)
 }
 
 // tenant is one tenant of the platform's configuration.
@@ -63,8 +65,13 @@
 // withFleet runs a test in virtual time (testing/synctest) with a store, a configuration, targets of one service and
 // gateways, after the gateways have found each other.
 func withFleet(t *testing.T, hosts, targets int, run func(f *fleet)) {
+	withSettings(t, nil, hosts, targets, run)
+}
+
+// withSettings does the same with gateways whose settings change has changed.
+func withSettings(t *testing.T, change func(*settings.Settings), hosts, targets int, run func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{is: is.New(t), logger: zerolog.Nop(), net: fakenet.New(), store: standin.New(), hosts: map[string]*node{}, targets: map[string]*standin.Target{}}
+		f := &fleet{is: is.New(t), logger: zerolog.Nop(), net: fakenet.New(), store: standin.New(), hosts: map[string]*node{}, targets: map[string]*standin.Target{}, changeSettings: change}
 		defer f.close()
 		f.configure(1, safeRule("lookup", "/lookup/"), unsafeRule("order", "/order/"))
 		for i := range targets {
@@ -151,6 +158,9 @@
 	if first := f.hosts["h0"]; first != nil && first != n {
 		s.Peers.Seeds = []string{first.inner}
 	}
+	if f.changeSettings != nil {
+		f.changeSettings(&s)
+	}
 	dial := f.net.Dialer(name)
 	storeAddress := f.serve("store", "", f.store.HandlerFor(name))
 	store, closeStore := platform.NewStore(platform.StoreConfig{URL: "http://" + storeAddress, Timeout: time.Second, Dial: dial})
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -98,6 +98,8 @@
 	otherServer bool
 	// blockedUntil is until when the target is not used because a host has not sent it a request; see OutcomeBlocked.
 	blockedUntil time.Duration
+	// unreported is kept only with a plan of flows.
+	unreported unreportedSlowdown
 }
 
 // decay returns the weight of a value of the given age, which falls exponentially from 1 to 0.
