--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -42,5 +42,6 @@
 	}
 	return details
 }
+
 // Traffic returns the traffic with peers on the connections that the gateway has opened.
 func (g *Gateway) Traffic() []inner.TrafficCount { return g.client.Traffic() }
