--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -131,9 +131,10 @@
 		Latency        []meter.Summary
 		Unwritten      int64
 		Allowances     *allowanceStatus `json:",omitempty"`
+		Evacuated      []evacuationStatus
 	}{
 		self.Name, self.Domain, g.incarnation, self.Ready, self.Leaving, self.Note, g.members.Peers(),
-		g.histograms.Summaries(), g.requestLog.unwritten.Load() + g.records.Unwritten(), g.allowanceStatus(),
+		g.histograms.Summaries(), g.requestLog.unwritten.Load() + g.records.Unwritten(), g.allowanceStatus(), g.evacuationStatuses(),
 	})
 }
 
@@ -155,6 +156,8 @@
 		{"Attempts", func() any { return s.attempts.Load() }},
 		{"Probes", func() any { return s.primaryProbes.Load() + s.fallbackProbes.Load() }},
 		{"Quarantined", func() any { return s.quarantined.Load() }},
+		{"UnknownKeys", func() any { return s.unknownKeys.Load() }},
+		{"ConfigurationTooOld", func() any { return s.tooOld.Load() }},
 		{"PrimaryProbes", func() any { return s.primaryProbes.Load() }},
 		{"FallbackProbes", func() any { return s.fallbackProbes.Load() }},
 		{"PrimaryLimitedRuns", func() any { return s.primaryLimitedRuns.Load() }},
@@ -173,6 +176,8 @@
 		{"RelayedRequests", func() any { return s.relayed.Load() }},
 		{"RequestsForPeers", func() any { return s.relayedForPeers.Load() }},
 		{"StoreRestores", func() any { return s.restores.Load() }},
+		{"Evacuated", func() any { return g.evacuationStatuses() }},
+		{"ColdTargets", func() any { return g.rateLimits.ColdTargets(g.now()) }},
 		{"TargetNotices", func() any { return s.notices.Load() }},
 		{"ReachChecks", func() any { return s.reachChecks.Load() }},
 		{"SlowReaders", func() any { return s.slowReaders.Load() }},
@@ -180,6 +185,7 @@
 		{"Note", func() any { return g.chain.Number() }},
 		{"UnwrittenLines", func() any { return g.requestLog.unwritten.Load() + g.records.Unwritten() }},
 		{"InnerBytesSent", func() any { return g.client.BytesSent() }},
+		{"InnerTraffic", func() any { return g.client.Traffic() }},
 		{"Latencies", func() any { return g.histograms.Summaries() }},
 		{"Queued", func() any { return g.homeServer.queuedByService() }},
 		{"Allowances", func() any { return g.allowanceStatus() }},
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"time"
 
+	"briarcroft/internal/inner"
 	"briarcroft/internal/note"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/quota"
+	"briarcroft/internal/record"
 )
 
 // ReadyHosts returns how many ready hosts the gateway knows, and which of them is the primary home of a service.
@@ -65,3 +67,26 @@
 	now := g.allowances.bootTime()
 	return g.allowances.holder.Stats(now), g.allowances.wallet.Lost(now)
 }
+
+// Evacuations returns the evacuated failure domains with the number of requests that the gateway has running there.
+func (g *Gateway) Evacuations() map[string]int {
+	running := map[string]int{}
+	for _, s := range g.evacuationStatuses() {
+		running[s.Domain] = s.Running
+	}
+	return running
+}
+
+// Recorded returns the details of the change records of a kind.
+func (g *Gateway) Recorded(kind record.Kind) []string {
+	var details []string
+	for _, r := range g.records.Since("", time.Time{}) {
+		if r.Kind == kind {
+			details = append(details, r.Evidence.Detail)
+		}
+	}
+	return details
+}
+
+// Traffic returns the traffic with peers on the connections that the gateway has opened.
+func (g *Gateway) Traffic() []inner.TrafficCount { return g.client.Traffic() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"sync/atomic"
 	"time"
 
+	"briarcroft/internal/age"
 	"briarcroft/internal/duty"
 	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
@@ -88,6 +89,12 @@
 	// PauseHeader is the response header field of a refusal by which a backend server says for how many seconds it wants no
 	// requests from the host that it refuses.
 	PauseHeader string
+	// CredentialHeader is the request header field with the key of the caller's client account, and AccountHeader the one by which
+	// backend servers learn the name of the account.
+	CredentialHeader, AccountHeader string
+	// WarmUpHeader is the response header field by which a backend server says in health responses for how many milliseconds it stays
+	// cold; one that is warm omits it.
+	WarmUpHeader string
 	// Decode decodes entries of the store.
 	Decode roster.DecodeFunc
 	// PeerKey returns the store key under which a host registers its inner address.
@@ -151,6 +158,8 @@
 	rateLimits *ratelimit.Table
 	// notices holds what targets say of themselves in their responses.
 	notices *notice.Table
+	// evacuations holds which failure domains are evacuated.
+	evacuations evacuations
 	// malformedNotices limits the records about header fields of targets that cannot be read.
 	malformedNotices *rate.Limiter
 	// registered holds the registered targets by name.
@@ -162,11 +171,13 @@
 	relaysForPeers atomic.Int64
 	homeClient     *homeClient
 	rules          atomic.Pointer[ruleIndex]
-	split          trafficSplit
-	histograms     *meter.Histograms
-	stats          stats
-	followers      followers
-	storeWatch     watchState
+	// ages holds what callers name as their remaining time. It is used only with Overload.AgeOrder.
+	ages       *age.Table
+	split      trafficSplit
+	histograms *meter.Histograms
+	stats      stats
+	followers  followers
+	storeWatch watchState
 	// lastKnowledge is the number of this host's last call that showed what the store holds.
 	lastKnowledge atomic.Uint64
 	// passedOn is the AsOf of the knowledge of the store that was last passed on to followers.
@@ -178,6 +189,8 @@
 	// applyMu serializes applyView and guards targetStates, which holds the recorded state of each target by name.
 	applyMu      sync.Mutex
 	targetStates map[string]string
+	// warmUpEntries is guarded by applyMu too.
+	warmUpEntries warmUpEntries
 	// stopping is set once a graceful stop has begun.
 	stopping atomic.Bool
 	// inForceSince is when the note in force took effect, in Unix milliseconds.
@@ -208,7 +221,7 @@
 	var closeRecords, closeClient, closeLog func()
 	g.requestLog, closeLog = newRequestLog(c.Logger)
 	g.records, closeRecords = record.NewLog(record.LogConfig{Host: c.Settings.Host.Name, Incarnation: g.incarnation, Capacity: maxRecords, Logger: c.Logger})
-	g.client, closeClient = inner.NewClient(inner.ClientConfig{Dial: c.Dial})
+	g.client, closeClient = inner.NewClient(inner.ClientConfig{Dial: c.Dial, OtherDomain: g.isInOtherDomain})
 	g.members = host.NewMemberTable(host.Config{
 		Self: host.Member{
 			Name: c.Settings.Host.Name, Listen: c.Settings.Host.Listen, Inner: c.Settings.Host.PeerAddress(),
@@ -220,7 +233,7 @@
 	g.heartbeats = &inner.Heartbeats{Table: g.members, Client: g.client, Now: g.now, NewRequest: func(n host.Gossip) *inner.HeartbeatRequest {
 		request := inner.NewHeartbeatRequest(c.Settings.Host.Name, n)
 		request.Quarantines = inner.EncodeQuarantines(g.quarantine.All(g.now()))
-		request.RateLimits = inner.EncodeRateLimits(g.rateLimits.Share(g.now()))
+		request.RateLimits = g.sharedRateLimits()
 		request.Notices = inner.EncodeNotices(g.notices.Share(g.now()))
 		request.Knowledge = g.knowledge()
 		return request
@@ -230,7 +243,9 @@
 	g.rules.Store(&ruleIndex{})
 	g.quarantine = quarantine.New(quarantine.Config{Targets: crashesToQuarantine})
 	g.rateLimits = ratelimit.New()
+	g.ages = age.New()
 	g.notices, g.malformedNotices = notice.New(), rate.NewLimiter(malformedNoticesPerSecond, 1)
+	g.evacuations = evacuations{began: map[string]time.Duration{}, ended: map[string]time.Duration{}}
 	g.registered.Store(&map[string]roster.Target{})
 	g.allowances = newAllowances(c, g.incarnation)
 	g.allowances.wallet.SetPlace(g.emergencyPlace)
@@ -253,6 +268,11 @@
 	}
 }
 
+// sharedRateLimits returns what this host tells peers of the rate limits of targets and of cold targets.
+func (g *Gateway) sharedRateLimits() []*inner.RateLimit {
+	return append(inner.EncodeRateLimits(g.rateLimits.Share(g.now())), inner.EncodeWarmUps(g.rateLimits.ShareWarmUps(g.now()))...)
+}
+
 // now returns the time since the gateway was created, on the monotonic clock.
 func (g *Gateway) now() time.Duration { return time.Since(g.start) }
 
@@ -291,9 +311,10 @@
 	v := g.roster.View()
 	g.applyConfiguration(v.Configuration)
 	g.applyRegistered(v)
+	g.recordWarmUps(v, g.applyEvacuations(v))
 	g.recordTargetChanges(v)
 	g.allowances.setAccounts(v.Configuration)
-	g.rules.Store(newRuleIndex(v.Configuration))
+	g.rules.Store(newRuleIndex(v.Configuration, g.rules.Load()))
 	g.homeServer.applyView(v)
 	g.pools.applyView(v)
 	g.updateReady()
@@ -319,7 +340,10 @@
 	})
 }
 
-// recordTargetChanges writes a change record for each target that was registered, began to drain or was removed. The
+// evacuatedState is the state of a target in an evacuated failure domain in change records.
+const evacuatedState = "Evacuated"
+
+// recordTargetChanges writes a change record for each target that was registered, began to drain, was evacuated or was removed. The
 // caller holds applyMu.
 func (g *Gateway) recordTargetChanges(v *roster.View) {
 	states := map[string]string{}
@@ -329,9 +353,13 @@
 			if t.Draining {
 				state = route.Draining.String()
 			}
+			cause := "Registered"
+			if t.Evacuated {
+				state, cause = evacuatedState, "Evacuation"
+			}
 			states[t.Name] = state
 			if old := g.targetStates[t.Name]; old != state {
-				g.records.Add(record.Record{Kind: record.TargetMoved, Service: service, Target: t.Name, From: old, To: state, Cause: "Registered", Note: g.chain.Number()})
+				g.records.Add(record.Record{Kind: record.TargetMoved, Service: service, Target: t.Name, From: old, To: state, Cause: cause, Note: g.chain.Number()})
 			}
 		}
 	}
@@ -362,7 +390,7 @@
 	}
 	tasks := duty.NewGroup()
 	defer tasks.Stop()
-	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runStoreChecks, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks, g.runElection, g.runTokenRequests} {
+	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runStoreChecks, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks, g.runPoolSweeps, g.runElection, g.runTokenRequests} {
 		tasks.Go(task)
 	}
 	failed := make(chan error, len(listeners))
--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -74,7 +74,8 @@
 		t.recordSuccess(now)
 		h.config.Quarantine.RecordSuccess(now, ended.fingerprints...)
 		h.recordDuration(r, ended, end.Duration)
-		h.responseBytes[r.Class] += (float64(end.Bytes) - h.responseBytes[r.Class]) * responseBytesGain
+		h.recordUnreported(now, ended, end.Duration, false)
+		h.recordResponseBytes(r.Class, end.Bytes)
 	case OutcomeFailed:
 		t.recordFailure(now, h.mayEject(now))
 	case OutcomeTimedOut:
@@ -94,9 +95,12 @@
 	case OutcomeUnreachable:
 		t.recordFailure(now, h.mayEject(now))
 		h.recordDown(now, t)
+	case OutcomeBlocked:
+		t.blockedUntil = now + blockedPause
 	case OutcomeOtherServer:
 		t.otherServer = true
 	case OutcomeCanceled:
+		h.recordUnreported(now, ended, now-ended.startedAt, true)
 		h.recordUnanswered(now, ended)
 	}
 }
@@ -126,15 +130,18 @@
 	}
 }
 
-// mayEject reports whether one more target may be ejected: at least half of the targets must stay available.
+// mayEject reports whether one more target may be ejected: at least half of the targets that are not evacuated must stay available.
 func (h *Home) mayEject(now time.Duration) bool {
-	available := 0
+	available, evacuated := 0, 0
 	for _, t := range h.targets {
 		if t.available(now) {
 			available++
 		}
+		if t.Evacuated {
+			evacuated++
+		}
 	}
-	return 2*(available-1) >= len(h.targets)
+	return 2*(available-1) >= len(h.targets)-evacuated
 }
 
 // CancelQueued removes a request from the queue. Runs of the request continue until RunEnded.
--- a/internal/placement/fair.go
+++ b/internal/placement/fair.go
@@ -95,26 +95,15 @@
 		r.fairLate = h.lateRank(now, r)
 	}
 	slices.SortStableFunc(h.queue, func(a, b *Request) int {
-		return cmp.Or(comparePriority(a, b), cmp.Compare(a.fairLate, b.fairLate), cmp.Compare(a.fairStart, b.fairStart))
-	})
-}
-
-// queuedAhead returns the number of queued requests that are placed before a new one in the worst case.
-func (h *Home) queuedAhead(r *Request) int {
-	fair := h.setFairStarts(r)
-	ahead := 0
-	for _, other := range h.queue {
-		if other == r || !queuedBefore(other, r) {
-			continue
+		lateness, fairness := cmp.Compare(a.fairLate, b.fairLate), cmp.Compare(a.fairStart, b.fairStart)
+		if h.config.AgeOrder {
+			return cmp.Or(lateness, comparePriority(a, b), fairness)
 		}
-		if !fair || comparePriority(other, r) < 0 || other.fairStart <= r.fairStart {
-			ahead++
-		}
-	}
-	return ahead
+		return cmp.Or(comparePriority(a, b), lateness, fairness)
+	})
 }
 
-// comparePriority orders requests by the priority of their account and then by that of their rule.
-func comparePriority(a, b *Request) int {
-	return cmp.Or(cmp.Compare(a.AccountPriority, b.AccountPriority), cmp.Compare(a.Priority, b.Priority))
+// fairlyBefore reports whether a queued request is placed before another one of the same lateness, after setFairStarts.
+func fairlyBefore(a, b *Request) bool {
+	return comparePriority(a, b) < 0 || a.fairStart <= b.fairStart
 }
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -29,17 +28,14 @@
 	// minFactor and maxFactor clamp measured factors, so that a wrong load report or an outlier does little harm.
 	minFactor = 1.0
 	maxFactor = 4.0
-	// goalMargin is the safety factor on the expected duration of a run when it is compared with the goal.
-	goalMargin = 1.15
-	// lateFreeShare is the share of slots that late requests leave free for requests that can still meet their goal: a
-	// late request is placed only while more than this share is free.
-	lateFreeShare = 0.7
 )
 
 // Config configures a Home.
 type Config struct {
 	Random *rand.Rand
-	Budget RetryBudget
+	// AgeOrder makes order, refusals and retry delays go by the age of requests; see Request.Age.
+	AgeOrder bool
+	Budget   RetryBudget
 	// Quarantine lists requests that crash targets. All homes of a host share one.
 	Quarantine *quarantine.List
 	// RateLimits holds the rate limits that targets name. All homes of a host share one.
@@ -61,9 +57,13 @@
 	OnEjection func(Ejection)
 	// OnRateLimit is called when a target begins or stops to name a rate limit. It must not call the home. It may be nil.
 	OnRateLimit func(RateLimitChange)
+	// OnWarmUp is called when a target becomes cold or warm, unless this is a fallback home. It must not call the home. It may be nil.
+	OnWarmUp func(WarmUpChange)
 	// OnQuarantine is called when a request is put in quarantine because the given target has broken its connection. It must
 	// not call the home. It may be nil.
 	OnQuarantine func(fingerprint uint64, target string)
+	// DomainPlan makes the home plan how much traffic crosses between failure domains.
+	DomainPlan bool
 }
 
 // Ejection reports that a target was ejected after consecutive failures or, if Ejected is false, that its ejection ended.
@@ -114,21 +114,38 @@
 	limitShare    LimitShare
 	limitsVersion uint64
 	anyLimited    bool
-	// limitedRuns counts the runs on targets that named a rate limit when they started, since TakeLimitedRuns.
+	// warmUp is what cold targets take, and nextWarm when the first of those that are cold now will be warm. coldReturnAt is when the
+	// last caller that was refused because all targets are cold was told to return.
+	warmUp       WarmUp
+	nextWarm     time.Duration
+	coldReturnAt time.Duration
+	// limitedRuns counts the runs on targets that named a rate limit or were cold when they started, since TakeLimitedRuns.
 	limitedRuns int64
 	fair        fairShares
 	// lastBootTime is the time of Config.BootTime at bootTimeAt.
 	lastBootTime, bootTimeAt time.Duration
+	// demand measures what work in time needs. It is used only with Config.AgeOrder.
+	demand demandMeter
+	// room is the room for late work in the present Dispatch, once it is known.
+	room *room
+	// lateRuns is the number of runs that were late when they started.
+	lateRuns int
 	// refusals is the number of refusals so far. It gives each retry delay a different jitter.
 	refusals uint64
+	// plan decides which requests may go to another failure domain; it is nil unless Config.DomainPlan is set.
+	plan *domainPlan
 }
 
 // New returns a home without targets.
 func New(c Config) *Home {
-	return &Home{
+	h := &Home{
 		config: c, byName: map[string]*targetState{}, requests: map[RequestID]*Request{}, serviceTimes: map[string]float64{}, responseBytes: map[string]float64{},
-		averagePace: initialPace, nearlyFullSlowdown: initialNearlyFullSlowdown, lastRequestAt: -time.Hour, running: map[uint64]int{}, limitShare: LimitShare{Share: 1, Majority: true},
+		averagePace: initialPace, nearlyFullSlowdown: initialNearlyFullSlowdown, lastRequestAt: -time.Hour, running: map[uint64]int{}, limitShare: LimitShare{Share: 1, Majority: true}, nextWarm: math.MaxInt64,
 	}
+	if c.DomainPlan {
+		h.plan = newDomainPlan()
+	}
+	return h
 }
 
 // SetRetrySlack sets the number of extra attempts per window that are allowed beyond the retry budget's ratio.
@@ -147,17 +164,26 @@
 			// The target has written its store entry again: the new warm-up time counts from now.
 			t.warmUpUntil = now + registered.WarmUpLeft
 		}
+		if h.warmUp.Rate > 0 {
+			t.warmUpUntil = 0 // targetState.cold knows better than an entry of unknown age
+		}
+		if t.Evacuated && !registered.Evacuated {
+			t.probe.down, t.probe.unhealthy = false, false // outdated
+		}
 		t.Target = registered
 		next = append(next, t)
 		byName[registered.Name] = t
 	}
 	for _, t := range h.targets {
-		if byName[t.Name] != t && !t.Draining && !t.said.Leaving {
+		if byName[t.Name] != t && !t.Draining && !t.said.Leaving && !t.Evacuated {
 			h.recordLost(now, t)
 		}
 	}
 	h.targets, h.byName = next, byName
 	h.limitsVersion, h.noticesVersion = 0, 0
+	if h.warmUp.Rate > 0 {
+		h.nextWarm = 0
+	}
 	h.Dispatch(now)
 }
 
@@ -185,10 +211,15 @@
 		return
 	}
 	h.requests[r.ID] = r
+	h.room = nil
+	h.recordDemand(now, r)
 	if reason, refused := h.cannotServe(now, r); refused {
 		h.refuse(now, r, reason)
 		return
 	}
+	if h.plan != nil {
+		h.planArrival(now, r)
+	}
 	r.queued = true
 	h.queue = append(h.queue, r)
 	h.Dispatch(now)
@@ -208,20 +239,6 @@
 	h.requests[r.ID] = r
 }
 
-// cannotServe reports whether a new request must be refused, because no target is available or the request is not
-// expected to end before its deadline, and returns the reason.
-func (h *Home) cannotServe(now time.Duration, r *Request) (Reason, bool) {
-	h.applyNotices()
-	slots := h.availableSlots(now)
-	if slots == 0 {
-		return h.noTargetsReason(now), true
-	}
-	if now+h.queueWait(now, r)+h.serviceTime(r) > r.Deadline {
-		return h.lateReason(now), true
-	}
-	return "", false
-}
-
 // availableSlots returns the number of slots, free or not, of all available targets.
 func (h *Home) availableSlots(now time.Duration) int {
 	sum := 0
@@ -233,32 +250,12 @@
 	return sum
 }
 
-// queueWait estimates how long a new request will wait behind the queued requests that are placed before it.
-func (h *Home) queueWait(now time.Duration, r *Request) time.Duration {
-	ahead := h.queuedAhead(r)
-	slots, serviceTime := 0.0, h.serviceTime(r)
-	for _, t := range h.targets {
-		if t.inService() && !t.probe.down {
-			slots += h.capacity(t, serviceTime)
-		}
-	}
-	wait := h.limitWait(now)
-	if slots == 0 || ahead == 0 {
-		return wait
-	}
-	return wait + time.Duration(float64(ahead)/slots*h.averagePace*float64(serviceTime))
-}
-
-// queuedBefore reports whether a queued request is placed before a new one in the worst case, which is that the new one
-// becomes late.
-func queuedBefore(other, r *Request) bool { return comparePriority(other, r) <= 0 }
-
 // serviceTime returns the expected duration of a run of the request at a pace of 1.
 func (h *Home) serviceTime(r *Request) time.Duration {
 	if seconds := h.serviceTimes[r.Class]; seconds > 0 {
 		return time.Duration(seconds * float64(time.Second))
 	}
-	return time.Duration(initialGoalShare * float64(max(0, r.Goal-r.submittedAt)))
+	return time.Duration(initialGoalShare * float64(max(0, r.goalLength())))
 }
 
 // Dispatch places queued requests for which a suitable target has a free slot, and refuses those that can no longer meet
@@ -267,6 +264,10 @@
 	h.applyRateLimits(now)
 	h.applyNotices()
 	h.refuseQuarantined(now)
+	if h.plan != nil {
+		h.updatePlan(now)
+		h.countAwaitingDomain()
+	}
 	if len(h.queue) == 0 {
 		return
 	}
@@ -274,6 +275,7 @@
 	h.sortFairly(now)
 	remaining := h.queue[:0]
 	ahead, lateAhead := 0, 0
+	h.room = nil
 	for _, r := range h.queue {
 		if h.placeOrRefuse(now, r, ahead, lateAhead) {
 			r.queued = false
@@ -288,26 +290,6 @@
 	h.queue = remaining
 }
 
-// compareQueued orders the queue by priority, and then puts requests that can still meet their goal before late ones.
-// Within each group the latest goal comes first: under overload, the earliest goal first would serve every request at the
-// last moment and make all of them late.
-func (h *Home) compareQueued(now time.Duration, a, b *Request) int {
-	return cmp.Or(
-		comparePriority(a, b),
-		cmp.Compare(h.lateRank(now, a), h.lateRank(now, b)),
-		cmp.Compare(b.Goal, a.Goal),
-	)
-}
-
-// lateRank returns 1 for a late request, which is not expected to meet its goal even on a target with a pace of 1, and
-// 0 for any other.
-func (h *Home) lateRank(now time.Duration, r *Request) int {
-	if now+time.Duration(goalMargin*float64(h.serviceTime(r))) > r.Goal {
-		return 1
-	}
-	return 0
-}
-
 // placeOrRefuse places or refuses a queued request, unless it is better kept in the queue, and reports whether the
 // request has left the queue. The number of queued requests ahead of it is ahead, of which lateAhead are late.
 func (h *Home) placeOrRefuse(now time.Duration, r *Request, ahead, lateAhead int) bool {
@@ -327,13 +309,15 @@
 		h.config.OnVerdict(r, newPlaced(now, t, e))
 		return true
 	}
-	slots := h.availableCapacity(now, h.serviceTime(r))
-	switch {
-	case slots == 0:
+	if h.availableCapacity(now, h.serviceTime(r)) == 0 {
 		h.refuse(now, r, h.noTargetsReason(now))
 		return true
-	case now+h.limitWait(now)+time.Duration(float64(ahead)/slots*h.averagePace*float64(h.serviceTime(r)))+h.serviceTime(r) > r.Deadline,
-		h.lateRank(now, r) == 1 && now+h.lateWait.estimate(now, lateAhead)+h.serviceTime(r) > r.Deadline:
+	}
+	if t == nil && h.allCold(now) {
+		h.refuse(now, r, ReasonTargetsCold)
+		return true
+	}
+	if h.turnTooLate(now, r, ahead, lateAhead) {
 		h.refuse(now, r, h.lateReason(now))
 		return true
 	}
@@ -345,103 +329,16 @@
 	return Placed{Target: t.Name, Address: t.Address, Expected: e.expected, KnowledgeAge: now - t.paceAt}
 }
 
-// runEstimate is the expected duration of a run that starts on a target now.
-type runEstimate struct {
-	expected time.Duration
-	// slowdown is the expected duration relative to the service time of the request's class. nearlyFull is set if the run
-	// would take one of the target's last slots.
-	slowdown   float64
-	nearlyFull bool
-}
-
-// pickTarget returns the target with the lowest expected duration, adjusted for load and for traffic between failure
-// domains, and the estimate for a run there. It considers available targets with a free slot that are not in excluded and
-// whose rate limit allows a run, and returns nil if there is none.
-func (h *Home) pickTarget(now time.Duration, r *Request, excluded []string) (*targetState, runEstimate) {
-	var best *targetState
-	var chosen runEstimate
-	score := math.Inf(1)
-	start := 0
-	if len(h.targets) > 0 {
-		start = h.config.Random.IntN(len(h.targets))
-	}
-	serviceTime := float64(h.serviceTime(r))
-	for i := range h.targets {
-		t := h.targets[(start+i)%len(h.targets)]
-		if !t.available(now) || t.load(now) >= t.openSlots(now) || slices.Contains(excluded, t.Name) || !h.mayRunOn(now, t) || !r.Repeatable && t.doubtful(now) {
-			continue
-		}
-		factor, nearlyFull := t.slowdown(now, h.averagePace, h.nearlyFullSlowdown)
-		candidate := factor * h.crossDomainFactor(t, r) * (1 + loadPenalty*float64(t.load(now))/float64(t.Slots))
-		if h.anyLimited {
-			candidate *= t.limitCheckFactor(now)
-		}
-		if candidate < score {
-			best, chosen, score = t, runEstimate{time.Duration(serviceTime * factor), factor, nearlyFull}, candidate
-		}
-	}
-	return best, chosen
-}
-
-// Penalties that decide between targets of similar expected duration.
-const (
-	// loadPenalty is the penalty of a full target. It spreads requests over the targets.
-	loadPenalty = 0.1
-	// crossDomainBytes is the response size for which a target in another failure domain would count as twice as slow
-	// without the limit of maxCrossDomainPenalty. Traffic between failure domains is billed by the byte.
-	crossDomainBytes = 256 << 10
-	// maxCrossDomainPenalty limits the penalty, so that requests with large responses still go to a target in another
-	// failure domain if it is much faster.
-	maxCrossDomainPenalty = 0.5
-	// responseBytesGain is the weight of one response in the moving average of the response size of a class.
-	responseBytesGain = 0.05
-)
-
-// crossDomainFactor returns the factor by which the traffic between failure domains makes a target less attractive.
-func (h *Home) crossDomainFactor(t *targetState, r *Request) float64 {
-	if t.Domain == r.Domain {
-		return 1
-	}
-	return 1 + min(maxCrossDomainPenalty, h.responseBytes[r.Class]/crossDomainBytes)
-}
-
-// shouldPlaceNow reports whether to place a request on the best free target now, rather than keep it queued for a faster
-// target or for requests that are not late.
-func (h *Home) shouldPlaceNow(now time.Duration, r *Request, expected time.Duration) bool {
-	if now+time.Duration(float64(expected)*goalMargin) <= r.Goal {
-		return true
-	}
-	if h.lateRank(now, r) == 0 {
-		// A faster target may get a free slot in time to meet the goal.
-		return false
-	}
-	return now+expected < r.Deadline && h.freeSlotShare(now, h.serviceTime(r)) > lateFreeShare
-}
-
-// freeSlotShare returns the share of the slots of available targets that are free, where a rate limit counts as fewer slots.
-func (h *Home) freeSlotShare(now, serviceTime time.Duration) float64 {
-	slots, used := 0.0, 0.0
-	for _, t := range h.targets {
-		if t.available(now) {
-			capacity := h.capacity(t, serviceTime)
-			slots += capacity
-			used += min(capacity, float64(t.load(now)))
-		}
-	}
-	if slots == 0 {
-		return 0
-	}
-	return 1 - used/slots
-}
-
 func (h *Home) startRun(now time.Duration, r *Request, t *targetState, e runEstimate) {
-	started := &run{request: r, target: t, startedAt: now, fingerprints: r.fingerprints(), expected: e.expected, slowdown: e.slowdown, nearlyFull: e.nearlyFull, token: h.spendToken(now, r)}
+	started := &run{request: r, target: t, startedAt: now, fingerprints: r.fingerprints(), expected: e.expected, slowdown: e.slowdown, nearlyFull: e.nearlyFull, unreported: t.unreported.factor(now), token: h.spendToken(now, r)}
 	h.chargeAccount(r)
+	h.recordStart(now, started)
 	if t.doubtful(now) {
 		t.probe.startTrial(now)
 	}
 	t.runs = append(t.runs, started)
 	r.runs = append(r.runs, started)
+	t.unconfirmed++
 	for _, f := range started.fingerprints {
 		h.running[f]++
 	}
@@ -456,6 +353,9 @@
 func (h *Home) removeRun(ended *run) {
 	ended.target.removeRun(ended)
 	ended.request.removeRun(ended)
+	if ended.late {
+		h.lateRuns--
+	}
 	for _, f := range ended.fingerprints {
 		if h.running[f]--; h.running[f] == 0 {
 			delete(h.running, f)
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -97,12 +97,15 @@
 	ProbeNoResponse
 	// ProbeOtherServer means that another server responded at the target's address.
 	ProbeOtherServer
+	// ProbeNotSent means that the probe was not sent because the target is evacuated.
+	ProbeNotSent
 )
 
 // DueProbes returns the targets to probe now, as Placed values of which only Target and Address are set. For each of them
 // the caller must call RecordProbe with the result. Each probe takes one from those that requests have brought; targets
 // for which a request waits come first.
 func (h *Home) DueProbes(now time.Duration) []Placed {
+	h.awaitWarmUpProbes(now)
 	var due []Placed
 	first := h.nextProbed
 	for _, onlyAwaited := range []bool{true, false} {
@@ -129,11 +132,11 @@
 // probeAllowed reports whether to probe a target now: if a request waits for it or, unless onlyAwaited is set, its probe
 // interval has passed. The probe then counts against the target's rate limit.
 func (h *Home) probeAllowed(now time.Duration, t *targetState, onlyAwaited bool) bool {
-	if t.probe.pending || t.Draining || t.said.Blocked(now) {
+	if t.probe.pending || t.Draining || t.Evacuated || t.said.Blocked(now) {
 		return false
 	}
 	rate := probeRate
-	if t.limiter.limited() {
+	if t.limiter.named {
 		rate = limitedProbeRate
 	}
 	return (t.probe.awaited || !onlyAwaited && h.probeDue(now, t)) && t.probe.spend(now, rate)
@@ -149,11 +152,11 @@
 	switch {
 	case !h.busy(now):
 		return false
-	case t.limiter.limited():
+	case t.limiter.named:
 		return now-max(t.probe.sentAt, t.paceAt) >= limitedProbeInterval
 	case t.probe.down || t.probe.unhealthy:
 		return now-t.probe.sentAt >= downProbeInterval
-	case len(h.queue) > 0 && t.available(now) && t.load(now) < t.Slots:
+	case len(h.queue) > h.awaitingDomain() && t.available(now) && t.load(now) < t.Slots:
 		// Requests are queued although the target has free slots: it was too slow at its last load report.
 		return now-max(t.probe.sentAt, t.paceAt) >= queuedProbeInterval
 	}
@@ -190,6 +193,7 @@
 		t.probe.awaited = !t.probe.pending && now-t.paceAt >= maxPaceAge
 		h.awaitsProbes = h.awaitsProbes || t.probe.awaited
 	}
+	h.setAwaitsDomain(r, false)
 	return true
 }
 
@@ -204,10 +208,12 @@
 	switch result {
 	case ProbeHealthy:
 		t.recordResponse(now)
+		t.unconfirmed = 0
 		t.probe.down, t.probe.unhealthy = false, false
 		t.otherServer = false
 	case ProbeUnhealthy:
 		t.recordResponse(now)
+		t.unconfirmed = 0
 		t.probe.recordUnhealthy(now)
 	case ProbeNoResponse:
 		h.recordDown(now, t)
@@ -223,7 +229,7 @@
 // checkProbeTimeouts marks targets as down whose probe has had no response for probeTimeout.
 func (h *Home) checkProbeTimeouts(now time.Duration) {
 	for _, t := range h.targets {
-		if t.probe.pending && now-t.probe.sentAt > probeTimeout {
+		if t.probe.pending && !t.Evacuated && now-t.probe.sentAt > probeTimeout {
 			h.recordDown(now, t)
 		}
 	}
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -67,6 +67,9 @@
 	allowance tokenState
 	fairStart float64
 	fairLate  int
+	// mayCross is set if the plan of flows sends the request to another failure domain, and awaitsDomain while the request is
+	// queued for a slot in its own. Both are set only with Config.DomainPlan.
+	mayCross, awaitsDomain bool
 }
 
 // Verdict is a decision of the home about a request: Placed, Queued, Refused or Hedge.
@@ -120,6 +123,10 @@
 	ReasonTargetsPausing Reason = "TargetsPausing"
 	// ReasonAllowanceSpent means that the account has no room in its allowance now.
 	ReasonAllowanceSpent Reason = "AllowanceSpent"
+	// ReasonTargetsCold means that all available targets are cold and have no room for the request now.
+	ReasonTargetsCold Reason = "TargetsCold"
+	// ReasonTargetsEvacuated means that the failure domains of all targets that accept requests are evacuated.
+	ReasonTargetsEvacuated Reason = "TargetsEvacuated"
 )
 
 // Outcome is the way in which a run on a target ended.
@@ -144,6 +151,9 @@
 	OutcomeCanceled
 	// OutcomeOtherServer means that another server responded at the target's address.
 	OutcomeOtherServer
+	// OutcomeBlocked means that the host did not send the request because it knows that the target is evacuated. Homes of the
+	// last release free the slot and record nothing.
+	OutcomeBlocked
 )
 
 // LoadReport is the load that a target reports in the headers of a response to a request or a probe.
@@ -173,8 +183,15 @@
 	nearlyFull bool
 	// token is that of the account's allowance with which the run was placed.
 	token quota.Token
+	// late is set if the request was late at the start.
+	late bool
+	// unreported is the part of slowdown that the target's load reports did not show.
+	unreported float64
 }
 
+// goalLength returns the time from the caller's first attempt to the goal.
+func (r *Request) goalLength() time.Duration { return r.Goal - r.submittedAt + r.Age }
+
 // fingerprints returns the request's own fingerprint and the shared ones.
 func (r *Request) fingerprints() []uint64 {
 	return append([]uint64{r.Fingerprint}, r.SharedFingerprints...)
