--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -129,9 +129,10 @@
 		Peers          []host.Member
 		Latency        []meter.Summary
 		Unwritten      int64
+		Evacuated      []evacuationStatus
 	}{
 		self.Name, self.Domain, g.incarnation, self.Ready, self.Leaving, self.Note, g.members.Peers(),
-		g.histograms.Summaries(), g.requestLog.unwritten.Load() + g.records.Unwritten(),
+		g.histograms.Summaries(), g.requestLog.unwritten.Load() + g.records.Unwritten(), g.evacuationStatuses(),
 	})
 }
 
@@ -153,6 +154,8 @@
 		{"Attempts", func() any { return s.attempts.Load() }},
 		{"Probes", func() any { return s.primaryProbes.Load() + s.fallbackProbes.Load() }},
 		{"Quarantined", func() any { return s.quarantined.Load() }},
+		{"UnknownKeys", func() any { return s.unknownKeys.Load() }},
+		{"ConfigurationTooOld", func() any { return s.tooOld.Load() }},
 		{"PrimaryProbes", func() any { return s.primaryProbes.Load() }},
 		{"FallbackProbes", func() any { return s.fallbackProbes.Load() }},
 		{"PrimaryLimitedRuns", func() any { return s.primaryLimitedRuns.Load() }},
@@ -171,6 +174,7 @@
 		{"RelayedRequests", func() any { return s.relayed.Load() }},
 		{"RequestsForPeers", func() any { return s.relayedForPeers.Load() }},
 		{"StoreRestores", func() any { return s.restores.Load() }},
+		{"Evacuated", func() any { return g.evacuationStatuses() }},
 		{"TargetNotices", func() any { return s.notices.Load() }},
 		{"ReachChecks", func() any { return s.reachChecks.Load() }},
 		{"SlowReaders", func() any { return s.slowReaders.Load() }},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"sync/atomic"
 	"time"
 
+	"briarcroft/internal/age"
 	"briarcroft/internal/duty"
 	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
@@ -88,6 +89,9 @@
 	// PauseHeader is the response header field of a refusal by which a backend server says for how many seconds it wants no
 	// requests from the host that it refuses.
 	PauseHeader string
+	// CredentialHeader is the request header field with the key of the caller's client account, and AccountHeader the one by which
+	// backend servers learn the name of the account.
+	CredentialHeader, AccountHeader string
 	// Decode decodes entries of the store.
 	Decode roster.DecodeFunc
 	// PeerKey returns the store key under which a host registers its inner address.
@@ -148,6 +152,8 @@
 	rateLimits *ratelimit.Table
 	// notices holds what targets say of themselves in their responses.
 	notices *notice.Table
+	// evacuations holds which failure domains are evacuated.
+	evacuations evacuations
 	// malformedNotices limits the records about header fields of targets that cannot be read.
 	malformedNotices *rate.Limiter
 	// registered holds the registered targets by name.
@@ -159,11 +165,13 @@
 	relaysForPeers atomic.Int64
 	homeClient     *homeClient
 	rules          atomic.Pointer[ruleIndex]
-	split          trafficSplit
-	histograms     *meter.Histograms
-	stats          stats
-	followers      followers
-	storeWatch     watchState
+	// ages holds what callers name as their remaining time. It is used only with Overload.AgeOrder.
+	ages       *age.Table
+	split      trafficSplit
+	histograms *meter.Histograms
+	stats      stats
+	followers  followers
+	storeWatch watchState
 	// lastKnowledge is the number of this host's last call that showed what the store holds.
 	lastKnowledge atomic.Uint64
 	// passedOn is the AsOf of the knowledge of the store that was last passed on to followers.
@@ -227,7 +235,9 @@
 	g.rules.Store(&ruleIndex{})
 	g.quarantine = quarantine.New(quarantine.Config{Targets: crashesToQuarantine})
 	g.rateLimits = ratelimit.New()
+	g.ages = age.New()
 	g.notices, g.malformedNotices = notice.New(), rate.NewLimiter(malformedNoticesPerSecond, 1)
+	g.evacuations = evacuations{began: map[string]time.Duration{}, ended: map[string]time.Duration{}}
 	g.registered.Store(&map[string]roster.Target{})
 	g.homeServer = newHomeServer(g)
 	g.pools = newPools(g)
@@ -286,8 +296,9 @@
 	v := g.roster.View()
 	g.applyConfiguration(v.Configuration)
 	g.applyRegistered(v)
+	g.applyEvacuations(v)
 	g.recordTargetChanges(v)
-	g.rules.Store(newRuleIndex(v.Configuration))
+	g.rules.Store(newRuleIndex(v.Configuration, g.rules.Load()))
 	g.homeServer.applyView(v)
 	g.pools.applyView(v)
 	g.updateReady()
@@ -313,7 +324,10 @@
 	})
 }
 
-// recordTargetChanges writes a change record for each target that was registered, began to drain or was removed. The
+// evacuatedState is the state of a target in an evacuated failure domain in change records.
+const evacuatedState = "Evacuated"
+
+// recordTargetChanges writes a change record for each target that was registered, began to drain, was evacuated or was removed. The
 // caller holds applyMu.
 func (g *Gateway) recordTargetChanges(v *roster.View) {
 	states := map[string]string{}
@@ -323,9 +337,13 @@
 			if t.Draining {
 				state = route.Draining.String()
 			}
+			cause := "Registered"
+			if t.Evacuated {
+				state, cause = evacuatedState, "Evacuation"
+			}
 			states[t.Name] = state
 			if old := g.targetStates[t.Name]; old != state {
-				g.records.Add(record.Record{Kind: record.TargetMoved, Service: service, Target: t.Name, From: old, To: state, Cause: "Registered", Note: g.chain.Number()})
+				g.records.Add(record.Record{Kind: record.TargetMoved, Service: service, Target: t.Name, From: old, To: state, Cause: cause, Note: g.chain.Number()})
 			}
 		}
 	}
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -27,17 +26,14 @@
 	// minFactor and maxFactor clamp measured factors, so that a wrong load report or an outlier does little harm.
 	minFactor = 1.0
 	maxFactor = 4.0
-	// goalMargin is the safety factor on the expected duration of a run when it is compared with the goal.
-	goalMargin = 1.15
-	// lateFreeShare is the share of slots that late requests leave free for requests that can still meet their goal: a
-	// late request is placed only while more than this share is free.
-	lateFreeShare = 0.7
 )
 
 // Config configures a Home.
 type Config struct {
 	Random *rand.Rand
-	Budget RetryBudget
+	// AgeOrder makes order, refusals and retry delays go by the age of requests; see Request.Age.
+	AgeOrder bool
+	Budget   RetryBudget
 	// Quarantine lists requests that crash targets. All homes of a host share one.
 	Quarantine *quarantine.List
 	// RateLimits holds the rate limits that targets name. All homes of a host share one.
@@ -110,6 +106,12 @@
 	anyLimited    bool
 	// limitedRuns counts the runs on targets that named a rate limit when they started, since TakeLimitedRuns.
 	limitedRuns int64
+	// demand measures what work in time needs. It is used only with Config.AgeOrder.
+	demand demandMeter
+	// room is the room for late work in the present Dispatch, once it is known.
+	room *room
+	// lateRuns is the number of runs that were late when they started.
+	lateRuns int
 	// refusals is the number of refusals so far. It gives each retry delay a different jitter.
 	refusals uint64
 	// plan decides which requests may go to another failure domain; it is nil unless Config.DomainPlan is set.
@@ -144,12 +146,15 @@
 			// The target has written its store entry again: the new warm-up time counts from now.
 			t.warmUpUntil = now + registered.WarmUpLeft
 		}
+		if t.Evacuated && !registered.Evacuated {
+			t.probe.down, t.probe.unhealthy = false, false // outdated
+		}
 		t.Target = registered
 		next = append(next, t)
 		byName[registered.Name] = t
 	}
 	for _, t := range h.targets {
-		if byName[t.Name] != t && !t.Draining && !t.said.Leaving {
+		if byName[t.Name] != t && !t.Draining && !t.said.Leaving && !t.Evacuated {
 			h.recordLost(now, t)
 		}
 	}
@@ -178,6 +183,8 @@
 		return
 	}
 	h.requests[r.ID] = r
+	h.room = nil
+	h.recordDemand(now, r)
 	if reason, refused := h.cannotServe(now, r); refused {
 		h.refuse(now, r, reason)
 		return
@@ -204,20 +211,6 @@
 	h.requests[r.ID] = r
 }
 
-// cannotServe reports whether a new request must be refused, because no target is available or the request is not
-// expected to end before its deadline, and returns the reason.
-func (h *Home) cannotServe(now time.Duration, r *Request) (Reason, bool) {
-	h.applyNotices()
-	slots := h.availableSlots(now)
-	if slots == 0 {
-		return h.noTargetsReason(now), true
-	}
-	if now+h.queueWait(now, r)+h.serviceTime(r) > r.Deadline {
-		return h.lateReason(now), true
-	}
-	return "", false
-}
-
 // availableSlots returns the number of slots, free or not, of all available targets.
 func (h *Home) availableSlots(now time.Duration) int {
 	sum := 0
@@ -229,37 +222,12 @@
 	return sum
 }
 
-// queueWait estimates how long a new request will wait behind the queued requests that are placed before it.
-func (h *Home) queueWait(now time.Duration, r *Request) time.Duration {
-	ahead := 0
-	for _, other := range h.queue {
-		if other != r && queuedBefore(other, r) {
-			ahead++
-		}
-	}
-	slots, serviceTime := 0.0, h.serviceTime(r)
-	for _, t := range h.targets {
-		if t.inService() && !t.probe.down {
-			slots += h.capacity(t, serviceTime)
-		}
-	}
-	wait := h.limitWait(now)
-	if slots == 0 || ahead == 0 {
-		return wait
-	}
-	return wait + time.Duration(float64(ahead)/slots*h.averagePace*float64(serviceTime))
-}
-
-// queuedBefore reports whether a queued request is placed before a new one in the worst case, which is that the new one
-// becomes late.
-func queuedBefore(other, r *Request) bool { return other.Priority <= r.Priority }
-
 // serviceTime returns the expected duration of a run of the request at a pace of 1.
 func (h *Home) serviceTime(r *Request) time.Duration {
 	if seconds := h.serviceTimes[r.Class]; seconds > 0 {
 		return time.Duration(seconds * float64(time.Second))
 	}
-	return time.Duration(initialGoalShare * float64(max(0, r.Goal-r.submittedAt)))
+	return time.Duration(initialGoalShare * float64(max(0, r.goalLength())))
 }
 
 // Dispatch places queued requests for which a suitable target has a free slot, and refuses those that can no longer meet
@@ -278,6 +246,7 @@
 	slices.SortStableFunc(h.queue, func(a, b *Request) int { return h.compareQueued(now, a, b) })
 	remaining := h.queue[:0]
 	ahead, lateAhead := 0, 0
+	h.room = nil
 	for _, r := range h.queue {
 		if h.placeOrRefuse(now, r, ahead, lateAhead) {
 			r.queued = false
@@ -292,26 +261,6 @@
 	h.queue = remaining
 }
 
-// compareQueued orders the queue by priority, and then puts requests that can still meet their goal before late ones.
-// Within each group the latest goal comes first: under overload, the earliest goal first would serve every request at the
-// last moment and make all of them late.
-func (h *Home) compareQueued(now time.Duration, a, b *Request) int {
-	return cmp.Or(
-		cmp.Compare(a.Priority, b.Priority),
-		cmp.Compare(h.lateRank(now, a), h.lateRank(now, b)),
-		cmp.Compare(b.Goal, a.Goal),
-	)
-}
-
-// lateRank returns 1 for a late request, which is not expected to meet its goal even on a target with a pace of 1, and
-// 0 for any other.
-func (h *Home) lateRank(now time.Duration, r *Request) int {
-	if now+time.Duration(goalMargin*float64(h.serviceTime(r))) > r.Goal {
-		return 1
-	}
-	return 0
-}
-
 // placeOrRefuse places or refuses a queued request, unless it is better kept in the queue, and reports whether the
 // request has left the queue. The number of queued requests ahead of it is ahead, of which lateAhead are late.
 func (h *Home) placeOrRefuse(now time.Duration, r *Request, ahead, lateAhead int) bool {
@@ -327,13 +276,11 @@
 		h.config.OnVerdict(r, newPlaced(now, t, e))
 		return true
 	}
-	slots := h.availableCapacity(now, h.serviceTime(r))
-	switch {
-	case slots == 0:
+	if h.availableCapacity(now, h.serviceTime(r)) == 0 {
 		h.refuse(now, r, h.noTargetsReason(now))
 		return true
-	case now+h.limitWait(now)+time.Duration(float64(ahead)/slots*h.averagePace*float64(h.serviceTime(r)))+h.serviceTime(r) > r.Deadline,
-		h.lateRank(now, r) == 1 && now+h.lateWait.estimate(now, lateAhead)+h.serviceTime(r) > r.Deadline:
+	}
+	if h.turnTooLate(now, r, ahead, lateAhead) {
 		h.refuse(now, r, h.lateReason(now))
 		return true
 	}
@@ -345,37 +292,9 @@
 	return Placed{Target: t.Name, Address: t.Address, Expected: e.expected, KnowledgeAge: now - t.paceAt}
 }
 
-// shouldPlaceNow reports whether to place a request on the best free target now, rather than keep it queued for a faster
-// target or for requests that are not late.
-func (h *Home) shouldPlaceNow(now time.Duration, r *Request, expected time.Duration) bool {
-	if now+time.Duration(float64(expected)*goalMargin) <= r.Goal {
-		return true
-	}
-	if h.lateRank(now, r) == 0 {
-		// A faster target may get a free slot in time to meet the goal.
-		return false
-	}
-	return now+expected < r.Deadline && h.freeSlotShare(now, h.serviceTime(r)) > lateFreeShare
-}
-
-// freeSlotShare returns the share of the slots of available targets that are free, where a rate limit counts as fewer slots.
-func (h *Home) freeSlotShare(now, serviceTime time.Duration) float64 {
-	slots, used := 0.0, 0.0
-	for _, t := range h.targets {
-		if t.available(now) {
-			capacity := h.capacity(t, serviceTime)
-			slots += capacity
-			used += min(capacity, float64(t.load(now)))
-		}
-	}
-	if slots == 0 {
-		return 0
-	}
-	return 1 - used/slots
-}
-
 func (h *Home) startRun(now time.Duration, r *Request, t *targetState, e runEstimate) {
 	started := &run{request: r, target: t, startedAt: now, fingerprints: r.fingerprints(), expected: e.expected, slowdown: e.slowdown, nearlyFull: e.nearlyFull, unreported: t.unreported.factor(now)}
+	h.recordStart(now, started)
 	if t.doubtful(now) {
 		t.probe.startTrial(now)
 	}
@@ -395,6 +314,9 @@
 func (h *Home) removeRun(ended *run) {
 	ended.target.removeRun(ended)
 	ended.request.removeRun(ended)
+	if ended.late {
+		h.lateRuns--
+	}
 	for _, f := range ended.fingerprints {
 		if h.running[f]--; h.running[f] == 0 {
 			delete(h.running, f)
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -114,6 +114,8 @@
 	// ReasonTargetsPausing means that no target is available, and that some will be when the time has passed for which they
 	// want no requests.
 	ReasonTargetsPausing Reason = "TargetsPausing"
+	// ReasonTargetsEvacuated means that the failure domains of all targets that accept requests are evacuated.
+	ReasonTargetsEvacuated Reason = "TargetsEvacuated"
 )
 
 // Outcome is the way in which a run on a target ended.
@@ -138,6 +140,9 @@
 	OutcomeCanceled
 	// OutcomeOtherServer means that another server responded at the target's address.
 	OutcomeOtherServer
+	// OutcomeBlocked means that the host did not send the request because it knows that the target is evacuated. Homes of the
+	// last release free the slot and record nothing.
+	OutcomeBlocked
 )
 
 // LoadReport is the load that a target reports in the headers of a response to a request or a probe.
@@ -165,10 +170,15 @@
 	slowdown float64
 	// nearlyFull is set if the run took one of the target's last slots.
 	nearlyFull bool
+	// late is set if the request was late at the start.
+	late bool
 	// unreported is the part of slowdown that the target's load reports did not show.
 	unreported float64
 }
 
+// goalLength returns the time from the caller's first attempt to the goal.
+func (r *Request) goalLength() time.Duration { return r.Goal - r.submittedAt + r.Age }
+
 // fingerprints returns the request's own fingerprint and the shared ones.
 func (r *Request) fingerprints() []uint64 {
 	return append([]uint64{r.Fingerprint}, r.SharedFingerprints...)
