No waiting for a domain whose targets all name a rate limit

Cause: a request with a large response waited for a slot in its domain also when all targets there were cold or named a rate limit, and so at a cold target, which must not be waited for.

Change: only the slots of targets without a limit are waited for. TestNoWaitForLimitedDomain failed before.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -57,6 +57,9 @@
 	slots float64
 	// speed is the moving average of the inverse of the pace of these slots; 0 before the first computation.
 	speed float64
+	// unlimited is the part of slots on targets that name no rate limit. Requests wait only for these: cold targets get a
+	// request only when they have room for it.
+	unlimited float64
 	// work is the work that the domain's own hosts bring. capacity is the work that its targets can take beside planLoad.
 	work, capacity float64
 	// waiting is the number of requests that wait for a slot in this domain.
@@ -97,8 +100,8 @@
 func (p *domainPlan) due(now time.Duration) bool { return now-p.computedAt >= planInterval }
 
 // domainSupply is what the available targets of a failure domain have at present: slots, and of these the sum of the
-// inverses of their paces.
-type domainSupply struct{ slots, speed float64 }
+// inverses of their paces. Unlimited is the part of the slots on targets that name no rate limit.
+type domainSupply struct{ slots, speed, unlimited float64 }
 
 // compute plans anew. Supplies are by failure domain; serviceTime returns the service time of a class in seconds, and bytes
 // its mean response size.
@@ -108,13 +111,13 @@
 	p.computedAt = now
 	for name, d := range p.domains {
 		if _, found := supplies[name]; !found {
-			d.slots, d.capacity = 0, 0
+			d.slots, d.unlimited, d.capacity = 0, 0, 0
 		}
 		d.work = 0
 	}
 	for name, supply := range supplies {
 		d := p.domain(name)
-		d.slots = supply.slots
+		d.slots, d.unlimited = supply.slots, supply.unlimited
 		if supply.slots > 0 {
 			speed := supply.speed / supply.slots
 			if d.speed == 0 {
@@ -219,6 +222,9 @@
 			// The rate limit in work, with the mean service time of the requests of late.
 			speed = min(speed, t.limiter.rate(h.limitShare)*work/rate)
 		}
+		if !t.limiter.limited() {
+			s.unlimited += usable
+		}
 		s.slots += usable
 		s.speed += speed
 		supplies[t.Domain] = s
@@ -280,10 +286,10 @@
 // mayAwaitDomain reports whether a request may wait for a slot in its own failure domain.
 func (h *Home) mayAwaitDomain(now time.Duration, r *Request) bool {
 	d := h.plan.domains[r.Domain]
-	if d == nil || d.slots == 0 || now+time.Duration(stayReserve*float64(h.serviceTime(r))) > r.Goal {
+	if d == nil || d.unlimited == 0 || now+time.Duration(stayReserve*float64(h.serviceTime(r))) > r.Goal {
 		return false
 	}
-	return float64(d.waiting) < stayWaiting*d.slots
+	return float64(d.waiting) < stayWaiting*d.unlimited
 }
 
 // setAwaitsDomain records whether a queued request waits for a slot in its own failure domain.
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -106,6 +106,19 @@
 	is.True(f.placedOn(f.submitLarge(1500*time.Millisecond)) != "")
 }
 
+// TestNoWaitForLimitedDomain lets the only target in the failure domain of a request name a rate limit, as a cold one does: once
+// the limit is used up, further requests must go to the other domain at once.
+func TestNoWaitForLimitedDomain(t *testing.T) {
+	is := is.New(t)
+	f := newPlannedHome("a", "b")
+	f.home.config.RateLimits.Record(f.now, f.home.byName["a0"].limitKey(), 1)
+	f.now += planInterval
+	f.reportPace(1)
+	for range 2 {
+		is.Equal(f.placedOn(f.submitLarge(1500*time.Millisecond)), "b1")
+	}
+}
+
 // TestPlan computes plans for a demand that lasts: only what the targets of a failure domain cannot take must cross, and
 // classes with the fewest bytes first.
 func TestPlan(t *testing.T) {
@@ -119,23 +132,23 @@
 	}{
 		{
 			"enough", map[flowKey]int{{"a", "large"}: 50, {"b", "large"}: 50},
-			map[string]domainSupply{"a": {10, 10}, "b": {6, 6}}, map[flowKey]float64{{"a", "large"}: 0, {"b", "large"}: 0},
+			map[string]domainSupply{"a": {slots: 10, speed: 10}, "b": {slots: 6, speed: 6}}, map[flowKey]float64{{"a", "large"}: 0, {"b", "large"}: 0},
 		},
 		{
 			"too few slots", map[flowKey]int{{"a", "large"}: 100, {"b", "large"}: 50},
-			map[string]domainSupply{"a": {10, 10}, "b": {20, 20}}, map[flowKey]float64{{"a", "large"}: 0.1, {"b", "large"}: 0},
+			map[string]domainSupply{"a": {slots: 10, speed: 10}, "b": {slots: 20, speed: 20}}, map[flowKey]float64{{"a", "large"}: 0.1, {"b", "large"}: 0},
 		},
 		{
 			"slow", map[flowKey]int{{"a", "large"}: 50, {"b", "large"}: 50},
-			map[string]domainSupply{"a": {10, 2.5}, "b": {20, 20}}, map[flowKey]float64{{"a", "large"}: 0.55, {"b", "large"}: 0},
+			map[string]domainSupply{"a": {slots: 10, speed: 2.5}, "b": {slots: 20, speed: 20}}, map[flowKey]float64{{"a", "large"}: 0.55, {"b", "large"}: 0},
 		},
 		{
 			"small first", map[flowKey]int{{"a", "large"}: 50, {"a", "small"}: 50},
-			map[string]domainSupply{"a": {10, 10}, "b": {20, 20}}, map[flowKey]float64{{"a", "large"}: 0, {"a", "small"}: 0.2},
+			map[string]domainSupply{"a": {slots: 10, speed: 10}, "b": {slots: 20, speed: 20}}, map[flowKey]float64{{"a", "large"}: 0, {"a", "small"}: 0.2},
 		},
 		{
 			"lost", map[flowKey]int{{"a", "large"}: 50, {"b", "large"}: 50},
-			map[string]domainSupply{"b": {20, 20}}, map[flowKey]float64{{"a", "large"}: 1, {"b", "large"}: 0},
+			map[string]domainSupply{"b": {slots: 20, speed: 20}}, map[flowKey]float64{{"a", "large"}: 1, {"b", "large"}: 0},
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
