Mean size of responses over 500 of them; the plan of flows on whole hosts

Cause: the mean size of a class followed the last 20 responses. A class in which a few very large responses make up most of the bytes counted as one with small responses most of the time, and of a response of more than 1 MB only the first 1 MB counted.

Change: with [Placement] DomainPlan the mean is taken over 500 responses, and hosts report the whole length. TestRareLargeResponsesCount failed before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -63,6 +64,10 @@
 	end := placement.RunEnd{Target: p.Target, Outcome: r.outcome, Duration: r.duration, Load: r.load, RateLimit: r.rateLimit, Notice: x.gateway.noticeOf(key)}
 	if r.response != nil {
 		end.Bytes = len(r.response.body)
+		if x.gateway.settings.Placement.DomainPlan {
+			// Of a very large response only the beginning has been read.
+			end.Bytes = int(max(int64(end.Bytes), min(math.MaxUint32, r.response.length)))
+		}
 	}
 	from.endRun(x.pending, end)
 	return r
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -46,6 +47,8 @@
 	logger zerolog.Logger
 	// tenants are the client accounts in the configurations that configure writes.
 	tenants []tenant
+	// timeLimit is how long callers wait; 0 means a second.
+	timeLimit time.Duration
 	// changeSettings changes the settings of gateways; it may be nil.
 	changeSettings func(*settings.Settings)
 }
@@ -237,8 +240,9 @@
 	r.Host = "www.example"
 	maps.Copy(r.Header, header)
 	r.Header.Set("X-Attempt-Id", id)
-	r.Header.Set("X-Deadline-Ms", "1000")
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	limit := cmp.Or(f.timeLimit, time.Second)
+	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
+	ctx, cancel := context.WithTimeout(context.Background(), limit+2*time.Second)
 	defer cancel()
 	response, err := transport.RoundTrip(r.WithContext(ctx))
 	if err != nil {
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -102,12 +102,11 @@
 	return 1 + min(maxCrossDomainPenalty, h.responseBytes[r.Class]/crossDomainBytes)
 }
 
-// recordResponseBytes updates the mean response size of a class. With a plan of flows the first response sets it, as
-// otherwise the home of a class would take its responses for small ones after each start.
+// recordResponseBytes updates the mean response size of a class.
 func (h *Home) recordResponseBytes(class string, bytes int) {
-	mean, known := h.responseBytes[class]
-	if h.plan != nil && !known {
-		mean = float64(bytes)
+	gain := responseBytesGain
+	if h.plan != nil {
+		gain = h.plan.responseGain(class)
 	}
-	h.responseBytes[class] = mean + (float64(bytes)-mean)*responseBytesGain
+	h.responseBytes[class] += (float64(bytes) - h.responseBytes[class]) * gain
 }
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -19,6 +19,9 @@
 	planLoad = 0.9
 	// minFlowRate is the rate in requests per second below which a flow is forgotten.
 	minFlowRate = 0.01
+	// meanResponses is the number of responses over which their mean size is taken. With the 20 responses of responseBytesGain,
+	// a class would count as one with small responses most of the time if a few very large ones make up most of its bytes.
+	meanResponses = 500
 )
 
 // domainPlan decides how much of the demand of each failure domain goes to targets of other failure domains: what its own
@@ -34,6 +37,8 @@
 	flows      map[flowKey]*flow
 	domains    map[string]*domainLoad
 	computedAt time.Duration
+	// responses counts the responses of each class, up to meanResponses.
+	responses map[string]int
 }
 
 // flowKey names the demand for one class of requests from the hosts of one failure domain.
@@ -67,7 +72,14 @@
 }
 
 func newDomainPlan() *domainPlan {
-	return &domainPlan{flows: map[flowKey]*flow{}, domains: map[string]*domainLoad{}, computedAt: -time.Hour}
+	return &domainPlan{flows: map[flowKey]*flow{}, domains: map[string]*domainLoad{}, computedAt: -time.Hour, responses: map[string]int{}}
+}
+
+// responseGain counts a response of a class and returns its weight in the mean size. The first one sets the mean, as otherwise the home
+// would take the responses for small ones after each start.
+func (p *domainPlan) responseGain(class string) float64 {
+	p.responses[class] = min(meanResponses, p.responses[class]+1)
+	return 1 / float64(p.responses[class])
 }
 
 // domain returns the state of a failure domain.
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -119,6 +119,22 @@
 	}
 }
 
+// TestRareLargeResponsesCount lets one response in 100 have 10 MB and the others 5 KB. The class must count as one with large
+// responses all the time from the first such response on; a mean of the last 20 responses forgot it.
+func TestRareLargeResponsesCount(t *testing.T) {
+	f := newPlannedHome("a", "b")
+	for i := range 2000 {
+		bytes := 5 << 10
+		if i%100 == 0 {
+			bytes = 10 << 20
+		}
+		f.home.recordResponseBytes("mixed", bytes)
+		if mean := f.home.responseBytes["mixed"]; mean < stayBytes {
+			t.Fatalf("the mean is %.0f bytes after %d responses", mean, i+1)
+		}
+	}
+}
+
 // TestPlan computes plans for a demand that lasts: only what the targets of a failure domain cannot take must cross, and
 // classes with the fewest bytes first.
 func TestPlan(t *testing.T) {
