--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -68,11 +68,21 @@
 			// Of a very large response only the beginning has been read.
 			end.Bytes = int(max(int64(end.Bytes), min(math.MaxUint32, r.response.length)))
 		}
+		x.gateway.countTargetBytes(p.Target, end.Bytes)
 	}
 	from.endRun(x.pending, end)
 	return r
 }
 
+// countTargetBytes counts the bytes of a response by whether its target is in this host's failure domain.
+func (g *Gateway) countTargetBytes(target string, bytes int) {
+	if t, found := g.findTarget(target); found && t.Domain != g.settings.Host.Domain {
+		g.stats.otherDomainBytes.Add(int64(bytes))
+		return
+	}
+	g.stats.ownDomainBytes.Add(int64(bytes))
+}
+
 // roundTrip sends the request to the target that a home has chosen and reads the response. Notices of the target are recorded
 // under the key.
 func (x *exchange) roundTrip(ctx context.Context, from placer, p placement.Placed, key notice.Key) *runResult {
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -182,6 +182,8 @@
 		{"Note", func() any { return g.chain.Number() }},
 		{"UnwrittenLines", func() any { return g.requestLog.unwritten.Load() + g.records.Unwritten() }},
 		{"InnerBytesSent", func() any { return g.client.BytesSent() }},
+		{"OwnDomainBytes", func() any { return s.ownDomainBytes.Load() }},
+		{"OtherDomainBytes", func() any { return s.otherDomainBytes.Load() }},
 		{"InnerTraffic", func() any { return g.client.Traffic() }},
 		{"Latencies", func() any { return g.histograms.Summaries() }},
 		{"Queued", func() any { return g.homeServer.queuedByService() }},
--- a/internal/gateway/domainplan_test.go
+++ b/internal/gateway/domainplan_test.go
@@ -99,6 +99,11 @@
 						}
 					}
 				}
+				var counted int64
+				for _, n := range f.hosts {
+					counted += n.gateway.OtherDomainBytes()
+				}
+				f.is.True(counted > 0 && counted <= int64(cross)*(111<<10))
 				t.Logf("%d of %d runs cross, %d of %d requests miss the goal", cross, all, late, seconds*perSecond)
 				f.is.True(float64(cross) <= test.maxCross*float64(all))
 				f.is.True(late <= seconds*perSecond/100)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -45,3 +45,6 @@
 
 // Traffic returns the traffic with peers on the connections that the gateway has opened.
 func (g *Gateway) Traffic() []inner.TrafficCount { return g.client.Traffic() }
+
+// OtherDomainBytes returns the bytes of responses of targets in other failure domains.
+func (g *Gateway) OtherDomainBytes() int64 { return g.stats.otherDomainBytes.Load() }
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -157,6 +157,8 @@
 	// storeBytesSent and storeBytesReceived count the bytes of the streams on which hosts pass on changes of the store, and
 	// followsStarted this host's attempts to open one.
 	storeBytesSent, storeBytesReceived, followsStarted atomic.Int64
+	// ownDomainBytes counts the bytes of responses of targets in this host's failure domain, and otherDomainBytes those of others.
+	ownDomainBytes, otherDomainBytes atomic.Int64
 }
 
 // countersInterval is the time between two lines with the counters in the log.
@@ -174,6 +176,7 @@
 			Int64("PrimaryLimitedRuns", s.primaryLimitedRuns.Load()).Int64("FallbackLimitedRuns", s.fallbackLimitedRuns.Load()).
 			Int64("StoreCalls", s.storeCalls.Load()).Int64("StoreChecks", s.storeChecks.Load()).Dur("StoreAgeMilliseconds", g.knowledgeAge()).Int64("StoreBytesSent", s.storeBytesSent.Load()).
 			Int64("StoreBytesReceived", s.storeBytesReceived.Load()).Int64("FollowsStarted", s.followsStarted.Load()).
+			Int64("OwnDomainBytes", s.ownDomainBytes.Load()).Int64("OtherDomainBytes", s.otherDomainBytes.Load()).
 			Int("Followers", g.followers.count()).Int("LiveHosts", len(g.members.Live(g.now()))).
 			Msg("counters")
 	}
