--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -83,18 +83,6 @@
 	return entry.Pool
 }
 
-// busy returns the number of this host's connections to a target that carry a request or are being opened for one.
-func (p *pools) busy(name, address string) int {
-	p.mu.Lock()
-	entry, found := p.byKey[poolKey{name, address}]
-	p.mu.Unlock()
-	if !found {
-		return 0
-	}
-	usage := entry.Usage()
-	return usage.Open - usage.Idle
-}
-
 // setCap takes over the cap of the pool's target.
 func (e *pool) setCap(limit, hosts int, now time.Duration) {
 	if limit > 0 || e.cap > 0 {
@@ -163,6 +151,18 @@
 	}
 }
 
+// busy returns the number of this host's connections to a target that carry a request or are being opened for one.
+func (p *pools) busy(name, address string) int {
+	p.mu.Lock()
+	entry, found := p.byKey[poolKey{name, address}]
+	p.mu.Unlock()
+	if !found {
+		return 0
+	}
+	usage := entry.Usage()
+	return usage.Open - usage.Idle
+}
+
 // mayRecordTooLarge reports whether a record about a too large response of a target is due, and if so counts it as made.
 func (p *pools) mayRecordTooLarge(name, address string) bool {
 	now := p.gateway.now()
