--- a/internal/age/age.go
+++ b/internal/age/age.go
@@ -20,11 +20,17 @@
 	// minCallers is the number of callers that must have named values of a bin before it counts.
 	minCallers = 2
 	// minLongestShare is the share of all values that the bin of the longest time must have. With two retries for each request, a
-	// third of the requests are new.
-	minLongestShare = 1.0 / 8
+	// third of the requests are new, and fewer for a while after a burst.
+	minLongestShare = 1.0 / 16
 	// minOtherShare is the share of a bin of shorter times, which callers with another time limit name. It is higher, because
-	// requests that all come back after the same time have such a bin too.
+	// requests that all come back after the same time have such a bin too. Bursts, in which they do, last up to 6 s, so that the bin must
+	// be older than otherAge.
 	minOtherShare = 1.0 / 6
+	otherAge      = 10 * time.Second
+	// returnShare is the share of their time that callers have left after the longest wait that they accept, a third. Times that are up
+	// to returnSpread below the return share of a longer one, or its square, are those of returning callers.
+	returnShare  = 2.0 / 3
+	returnSpread = 0.1
 	// minTotalShare is the share of all values that the bins which count must have together. Otherwise callers name times of many
 	// kinds and no age can be told.
 	minTotalShare = 1.0 / 4
@@ -65,7 +71,7 @@
 		t.rules[ruleName] = r
 	}
 	r.record(now, xxhash.Sum64String(caller), left)
-	return r.age(left)
+	return r.age(now, left)
 }
 
 // makeRoom removes rules without recent values, and all if there are too many.
@@ -92,8 +98,8 @@
 // bin holds the values between two bounds.
 type bin struct {
 	// weight is the number of values, of which older ones count less.
-	weight    float64
-	updatedAt time.Duration
+	weight               float64
+	createdAt, updatedAt time.Duration
 	// highest is the highest value, which one caller has named, and second the highest of any other caller.
 	highest, second time.Duration
 	caller          uint64
@@ -116,7 +122,7 @@
 	}
 	b := r.bins[binOf(left)]
 	if b == nil {
-		b = &bin{caller: caller, callers: 1}
+		b = &bin{caller: caller, callers: 1, createdAt: now}
 		r.bins[binOf(left)] = b
 	}
 	b.weight++
@@ -138,7 +144,7 @@
 }
 
 // age returns the age of a request whose caller still waits for the given time.
-func (r *rule) age(left time.Duration) time.Duration {
+func (r *rule) age(now, left time.Duration) time.Duration {
 	total := 0.0
 	for _, b := range r.bins {
 		total += b.weight
@@ -154,9 +160,9 @@
 		return 0
 	}
 	var nearest time.Duration
-	common := 0.0
+	common, longest := 0.0, r.bins[found].second
 	for index, b := range r.bins {
-		if index != found && (index > found || !r.counts(index, minOtherShare*total)) {
+		if index != found && (index > found || now-b.createdAt < otherAge || !r.counts(index, minOtherShare*total) || isReturn(b.second, longest)) {
 			continue
 		}
 		common += b.weight
@@ -170,6 +176,17 @@
 	return nearest - left
 }
 
+// isReturn reports whether callers whose whole time is the longest one name the given time when they come back.
+func isReturn(left, longest time.Duration) bool {
+	ratio := float64(left) / float64(longest)
+	for _, share := range []float64{returnShare, returnShare * returnShare} {
+		if ratio <= share*binRatio && ratio >= share*(1-returnSpread) {
+			return true
+		}
+	}
+	return false
+}
+
 // counts reports whether enough callers have named the values of a bin and its share, together with the bin below, is large enough:
 // values near a bound fall into two bins.
 func (r *rule) counts(index int, minWeight float64) bool {
--- a/internal/age/age_test.go
+++ b/internal/age/age_test.go
@@ -44,6 +44,14 @@
 		}
 		return left
 	}
+	// patient draws a third of new requests, the others after one or two waits of a third of what is left.
+	patient := func(r *rand.Rand) float64 {
+		left := 1000.0
+		for range r.IntN(3) {
+			left = (left - 20) * 2 / 3
+		}
+		return left
+	}
 	jittered := func(r *rand.Rand) float64 { return 1000 - 15*r.Float64() }
 	cases := []struct {
 		name     string
@@ -62,6 +70,8 @@
 		{"came back", func(t *Table) time.Duration { return replay(t, 0, 4, mixed(1000)) }, 640, 360, 360},
 		{"came back, first attempts are up to 15 ms under way", func(t *Table) time.Duration { return replay(t, 0, 100, jittered) }, 640, 340, 360},
 		{"came back in a storm of retries", func(t *Table) time.Duration { return replay(t, 0, 400, storm) }, 640, 360, 360},
+		{"came back after the longest wait, like all others", func(t *Table) time.Duration { return replay(t, 0, 400, patient) }, 650, 350, 350},
+		{"came back twice after the longest wait, like all others", func(t *Table) time.Duration { return replay(t, 0, 400, patient) }, 420, 580, 580},
 		{"new in a storm of retries", func(t *Table) time.Duration { return replay(t, 0, 400, storm) }, 1000, 0, 0},
 		{"a longer time than ever", func(t *Table) time.Duration { return replay(t, 0, 100, mixed(1000)) }, 4000, 0, 0},
 		{"one caller names odd times", func(t *Table) time.Duration {
--- a/internal/model/loads.go
+++ b/internal/model/loads.go
@@ -1,6 +1,9 @@
 package model
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // StockWorkload returns the workload of a lookup service with few slots per server, a tight latency goal and short caller
 // timeouts.
@@ -50,5 +53,46 @@
 
 // Policies returns the policies that the experiments compare, the ideal one first.
 func Policies() []Policy {
-	return []Policy{Ideal{}, Home{Hedges: true}, Home{}, LeastInFlight{Hosts: 1}, LeastInFlight{Hosts: 13}, AtRandom{}}
+	return []Policy{Ideal{}, Home{Hedges: true}, Home{Hedges: true, AgeOrder: true}, Home{}, LeastInFlight{Hosts: 1}, LeastInFlight{Hosts: 13}, AtRandom{}}
+}
+
+// LadderSteps are the offered loads of Ladder, as multiples of the capacity.
+var LadderSteps = []float64{0.5, 0.7, 0.85, 1, 1.2, 2, 3, 5}
+
+// burstUsualLoad is the load before and after the bursts of Ladder.
+const burstUsualLoad = 0.6
+
+// Ladder returns workloads whose callers come back after refusals: for each service and each step a steady load and a burst of 4 s.
+func Ladder() []Workload {
+	var workloads []Workload
+	for _, base := range ladderServices() {
+		for _, step := range LadderSteps {
+			steady, burst := base, base
+			steady.Name = fmt.Sprintf("ladder-%s-steady-%03.0f", base.Name, 100*step)
+			steady.OfferedLoad, steady.Duration = step, 8*time.Second
+			burst.Name = fmt.Sprintf("ladder-%s-burst-%03.0f", base.Name, 100*step)
+			burst.OfferedLoad, burst.BurstOfferedLoad, burst.BurstFrom, burst.BurstUntil, burst.Duration = burstUsualLoad, step, 3*time.Second, 7*time.Second, 11*time.Second
+			workloads = append(workloads, steady, burst)
+		}
+	}
+	return workloads
+}
+
+// ladderServices returns services of different sizes with callers that come back.
+func ladderServices() []Workload {
+	stock, lookup := StockWorkload(), LookupWorkload()
+	stock.RouteTimeout, stock.Retries = 500*time.Millisecond, 1
+	lookup.CallerTimeout, lookup.RouteTimeout, lookup.Retries = 2400*time.Millisecond, 1200*time.Millisecond, 2
+	ranked := lookup
+	ranked.Name, ranked.Targets, ranked.Slots, ranked.ServiceTime = "ranked", 40, 3, 120*time.Millisecond
+	ranked.LatencyGoal, ranked.CallerTimeout, ranked.RouteTimeout, ranked.Retries = 300*time.Millisecond, 1200*time.Millisecond, 600*time.Millisecond, 1
+	ranked.Classes = []Class{{Name: "urgent", Priority: 0, Share: 0.25, Worth: 4}, {Name: "normal", Priority: 1, Share: 0.75, Worth: 1}}
+	wide := lookup
+	wide.Name, wide.Targets, wide.Slots, wide.ServiceTime = "wide", 237, 4, 360*time.Millisecond
+	wide.LatencyGoal, wide.CallerTimeout, wide.RouteTimeout, wide.Retries = 1500*time.Millisecond, 10*time.Second, 5*time.Second, 1
+	services := []Workload{stock, lookup, ranked, wide}
+	for i := range services {
+		services[i].NoisyShare, services[i].ImpatientShare, services[i].CallerDelay = 1.0/3, 0.2, 8*time.Millisecond
+	}
+	return services
 }
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -49,6 +49,15 @@
 	// LatencyGoal is the latency up to which a response has its full utility. CallerTimeout is how long callers wait.
 	LatencyGoal   time.Duration
 	CallerTimeout time.Duration
+	// RouteTimeout limits each attempt of a request at the entry host; zero means that only CallerTimeout does.
+	RouteTimeout time.Duration
+	// Retries is how often a caller comes back after a refusal. It waits as long as it is told, up to a third of the time that it
+	// has left; the share ImpatientShare of the callers comes back at once. CallerDelay is the one-way delay to callers.
+	Retries        int
+	ImpatientShare float64
+	CallerDelay    time.Duration
+	// Classes are the classes of requests; none means one class.
+	Classes []Class
 	// OfferedLoad is the arrival rate of requests as a multiple of Capacity.
 	OfferedLoad float64
 	// BurstOfferedLoad replaces OfferedLoad between BurstFrom and BurstUntil.
@@ -77,6 +86,14 @@
 	Seed uint64
 }
 
+// Class is a class of requests of one service. Share is its share of all requests, and Worth the utility of one that is answered
+// within the goal.
+type Class struct {
+	Name         string
+	Priority     int
+	Share, Worth float64
+}
+
 // warmUpDuration is the time at the start whose requests are not counted, because policies have not yet learned the state
 // of the servers.
 const warmUpDuration = 2 * time.Second
@@ -105,6 +122,13 @@
 	ExtraAttempts float64
 	// LateRefusalShare is the share of refused requests whose refusal came after more than half of the caller's timeout.
 	LateRefusalShare float64
+	// RefusedAtOnce and RefusedWaiting count refused attempts: those that were refused when they were submitted, and others.
+	RefusedAtOnce, RefusedWaiting int
+	// Returns counts callers that came back after a refusal when they had been told to, and ReturnsServed those of them whose next
+	// attempt was answered.
+	Returns, ReturnsServed int
+	// PatientWorth and ImpatientWorth are the utility of callers that wait before they come back and of those that do not.
+	PatientWorth, ImpatientWorth float64
 }
 
 // lateUtility is the utility of a response after the latency goal.
@@ -122,8 +146,19 @@
 	extraAttempts int
 	probes        int
 	lateRefusals  int
+	// worth is the sum of the utilities, and patient and impatient those of callers that wait and do not wait before they return.
+	worth              float64
+	patient, impatient worthSum
+}
+
+// worthSum is a sum of utilities of requests.
+type worthSum struct {
+	worth    float64
+	requests int
 }
 
+func (w worthSum) mean() float64 { return w.worth / float64(max(1, w.requests)) }
+
 // Simulate simulates a policy under a workload. The same arguments give the same result.
 func Simulate(p Policy, w Workload) Result {
 	s := &simulation{workload: w, random: rand.New(rand.NewPCG(w.Seed, 7)),
@@ -174,46 +209,16 @@
 		return
 	}
 	s.schedule(time.Duration(s.random.ExpFloat64()/s.arrivalRate()*float64(time.Second)), func() {
-		s.lastID++
-		j := &job{id: s.lastID, arrivedAt: s.now, goal: s.now + s.workload.LatencyGoal, deadline: s.now + s.workload.CallerTimeout,
-			serviceTime: drawServiceTime(s.random, s.workload)}
+		c := s.newCall()
 		if s.now >= warmUpDuration {
 			s.result.Requests++
+			s.sumOf(c).requests++
 		}
-		b.submit(j)
+		s.submit(b, c)
 		s.scheduleArrivals(b)
 	})
 }
 
-// recordResponse records that a response has reached the caller.
-func (s *simulation) recordResponse(j *job) {
-	if j.finished {
-		return
-	}
-	j.finished = true
-	if j.arrivedAt < warmUpDuration || s.now > j.deadline {
-		return
-	}
-	if s.now <= j.goal {
-		s.result.InGoal++
-	} else {
-		s.result.Late++
-	}
-	// RecordValue fails above a minute, which latencies do not reach, since callers time out after seconds.
-	_ = s.latencies.RecordValue(int64((s.now - j.arrivedAt) / time.Microsecond))
-}
-
-// recordRefusal records that a request was refused.
-func (s *simulation) recordRefusal(j *job) {
-	if !j.finished && j.arrivedAt >= warmUpDuration {
-		s.result.Refused++
-		if 2*(s.now-j.arrivedAt) > s.workload.CallerTimeout {
-			s.lateRefusals++
-		}
-	}
-	j.finished = true
-}
-
 // totalDuration returns the virtual time of the simulation, which ends when the last caller times out.
 func (s *simulation) totalDuration() time.Duration {
 	return s.workload.Duration + s.workload.CallerTimeout
@@ -223,7 +228,8 @@
 	r := s.result
 	r.Lost = r.Requests - r.InGoal - r.Late - r.Refused
 	if r.Requests > 0 {
-		r.Utility = (float64(r.InGoal) + lateUtility*float64(r.Late)) / float64(r.Requests)
+		r.Utility = s.worth / float64(r.Requests)
+		r.PatientWorth, r.ImpatientWorth = s.patient.mean(), s.impatient.mean()
 		r.ExtraAttempts = float64(s.extraAttempts) / float64(r.Requests)
 	}
 	if r.Refused > 0 {
--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"briarcroft/internal/age"
 	"briarcroft/internal/notice"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/quarantine"
@@ -27,6 +28,8 @@
 type Home struct {
 	// Hedges allows hedging: a second run on another server if the first takes longer than expected.
 	Hedges bool
+	// AgeOrder makes the home go by the age of requests.
+	AgeOrder bool
 }
 
 // LeastInFlight sends each request immediately to the server with the fewest requests in flight. Requests arrive at
@@ -41,7 +44,10 @@
 
 // Name implements Policy.
 func (h Home) Name() string {
-	if h.Hedges {
+	switch {
+	case h.AgeOrder:
+		return "HomeByAge"
+	case h.Hedges:
 		return "Home"
 	}
 	return "HomeNoHedges"
@@ -99,7 +105,7 @@
 	for _, j := range b.queue {
 		switch {
 		case now > j.deadline:
-			b.sim.recordRefusal(j)
+			b.sim.recordRefusal(j, 0)
 		case !b.tryStart(j):
 			remaining = append(remaining, j)
 		}
@@ -181,7 +187,7 @@
 		}})
 		if !accepted {
 			release()
-			b.sim.recordRefusal(j)
+			b.sim.recordRefusal(j, 0)
 		}
 	})
 }
@@ -215,6 +221,8 @@
 	probesPerTarget = 30
 	// homeTickInterval is the period at which Home.Tick is called.
 	homeTickInterval = 10 * time.Millisecond
+	// fullServerRetryAfter is what a caller is told after a full server has refused its request.
+	fullServerRetryAfter = 200 * time.Millisecond
 )
 
 // homeBalancer runs Home. It simulates the messages between the entry hosts, the home and the servers, and their delays.
@@ -227,6 +235,8 @@
 	runs map[uint64][]*run
 	// allowance gives probes to requests. The model has one host that submits all of them.
 	allowance placement.ProbeAllowance
+	// ages tells the age of requests; it is nil without AgeOrder.
+	ages *age.Table
 }
 
 func newHomeBalancer(sim *simulation, p Home) *homeBalancer {
@@ -235,8 +245,12 @@
 	if !p.Hedges {
 		budget = placement.RetryBudget{Window: retryBudgetWindow}
 	}
+	if p.AgeOrder {
+		b.ages = age.New()
+	}
 	b.home = placement.New(placement.Config{
-		Random: rand.New(rand.NewPCG(sim.workload.Seed, 9)), Budget: budget, Quarantine: quarantine.New(quarantine.Config{Targets: len(sim.servers)}),
+		AgeOrder: p.AgeOrder,
+		Random:   rand.New(rand.NewPCG(sim.workload.Seed, 9)), Budget: budget, Quarantine: quarantine.New(quarantine.Config{Targets: len(sim.servers)}),
 		RateLimits: ratelimit.New(), Notices: notice.New(), OnVerdict: b.onVerdict,
 	})
 	var targets []placement.Target
@@ -284,12 +298,20 @@
 	b.sim.schedule(b.sim.workload.NetworkDelay, func() { b.requestPlacement(j, nil) })
 }
 
-// requestPlacement submits a request to the home.
+// requestPlacement submits a request to the home. Without AgeOrder an attempt is taken for a new request.
 func (b *homeBalancer) requestPlacement(j *job, tried []string) {
-	b.home.Submit(b.sim.now, &placement.Request{
-		ID: placement.RequestID{Number: j.id}, Class: "model", Goal: j.goal, Deadline: j.deadline, Repeatable: b.sim.workload.Repeatable, Tried: tried,
-		Probes: b.allowance.Take(b.sim.now, len(b.sim.servers), 1, placement.ProbesPerRequest),
+	w, now := b.sim.workload, b.sim.now
+	goal, asked := min(j.deadline, j.arrivedAt+w.LatencyGoal), time.Duration(0)
+	if b.ages != nil {
+		asked = b.ages.Observe(now, "model", j.call.caller, j.call.deadline-j.arrivedAt)
+		goal = min(j.deadline, j.arrivedAt-asked+w.LatencyGoal)
+		asked += now - j.arrivedAt
+	}
+	b.home.Submit(now, &placement.Request{
+		ID: placement.RequestID{Number: j.id}, Class: j.call.class.Name, Priority: j.call.class.Priority, Age: asked, Goal: goal, Deadline: j.deadline,
+		Repeatable: w.Repeatable, Tried: tried, Probes: b.allowance.Take(now, len(b.sim.servers), 1, placement.ProbesPerRequest),
 	})
+	j.submitted = true
 	b.sendProbes()
 }
 
@@ -304,7 +326,8 @@
 		b.sim.extraAttempts++
 		b.sim.schedule(2*b.sim.workload.NetworkDelay, func() { b.send(j, v.Target) })
 	case placement.Refused:
-		b.sim.schedule(b.sim.workload.NetworkDelay, func() { b.sim.recordRefusal(j) })
+		j.refusedAtOnce = !j.submitted
+		b.sim.schedule(b.sim.workload.NetworkDelay, func() { b.sim.recordRefusal(j, v.RetryAfter) })
 	}
 }
 
@@ -332,7 +355,7 @@
 	if !server.accept(r) {
 		report := server.loadReport()
 		b.reportRunEnd(j, target, placement.OutcomeNotRun, 0, &report)
-		b.sim.recordRefusal(j)
+		b.sim.recordRefusal(j, fullServerRetryAfter)
 		return
 	}
 	b.runs[j.id] = append(b.runs[j.id], r)
--- a/internal/model/server.go
+++ b/internal/model/server.go
@@ -10,15 +10,19 @@
 	"briarcroft/internal/placement"
 )
 
-// job is one request of a caller.
+// job is one attempt of a request of a caller.
 type job struct {
 	id             uint64
+	call           *call
+	balancer       balancer
 	arrivedAt      time.Duration
 	goal, deadline time.Duration
 	// serviceTime is the time in seconds that the request takes on an undisturbed server.
 	serviceTime float64
 	// finished is set once the caller has received a response or a refusal.
 	finished bool
+	// submitted is set once the home has returned from Submit, and refusedAtOnce if it refused the attempt before.
+	submitted, refusedAtOnce bool
 }
 
 // server is a backend server. It runs a limited number of requests concurrently and queues a few more.
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -109,6 +109,16 @@
 	demand demandMeter
 	// room is the room for late work in the present Dispatch, once it is known.
 	room *room
+	// drain measures how fast work in time leaves the queue. blocked is set if a request in time found no suitable slot in the
+	// present Dispatch.
+	drain   drainMeter
+	blocked bool
+	// spareAhead is the number of requests without a promise that the present Dispatch has left in the queue.
+	spareAhead int
+	// usableShare is the share of slots that are usable for work in time; see room.
+	usableShare timeAverage
+	// returns spreads the times at which refused callers are told to come back.
+	returns returnPlanner
 	// lateRuns is the number of runs that were late when they started.
 	lateRuns int
 	// refusals is the number of refusals so far. It gives each retry delay a different jitter.
@@ -175,10 +185,12 @@
 	h.requests[r.ID] = r
 	h.room = nil
 	h.recordDemand(now, r)
+	h.admit(now, r)
 	if reason, refused := h.cannotServe(now, r); refused {
 		h.refuse(now, r, reason)
 		return
 	}
+	r.accepted = !r.promised
 	r.queued = true
 	h.queue = append(h.queue, r)
 	h.Dispatch(now)
@@ -224,12 +236,13 @@
 	h.applyNotices()
 	h.refuseQuarantined(now)
 	if len(h.queue) == 0 {
+		h.drain.setBlocked(now, false)
 		return
 	}
 	slices.SortStableFunc(h.queue, func(a, b *Request) int { return h.compareQueued(now, a, b) })
 	remaining := h.queue[:0]
 	ahead, lateAhead := 0, 0
-	h.room = nil
+	h.room, h.blocked, h.spareAhead = nil, false, 0
 	for _, r := range h.queue {
 		if h.placeOrRefuse(now, r, ahead, lateAhead) {
 			r.queued = false
@@ -237,9 +250,13 @@
 		}
 		ahead++
 		lateAhead += h.lateRank(now, r)
+		if h.config.AgeOrder && h.ageRank(now, r) != rankPromised {
+			h.spareAhead++
+		}
 		remaining = append(remaining, r)
 	}
 	h.lateWait.setQueued(now, lateAhead)
+	h.drain.setBlocked(now, h.blocked)
 	clear(h.queue[len(remaining):])
 	h.queue = remaining
 }
@@ -267,6 +284,7 @@
 		h.refuse(now, r, h.lateReason(now))
 		return true
 	}
+	h.blocked = h.blocked || r.promised && len(r.Tried) == 0 && !h.awaitsOtherRun(now, r)
 	return false
 }
 
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -29,16 +29,22 @@
 
 // queueWait estimates how long a new request will wait behind the queued requests that are placed before it.
 func (h *Home) queueWait(now time.Duration, r *Request) time.Duration {
-	late := h.config.AgeOrder && h.lateRank(now, r) == 1
+	if h.config.AgeOrder {
+		if t, e := h.pickTarget(now, r, r.Tried); t != nil && h.shouldPlaceNow(now, r, e.expected) {
+			return 0
+		}
+		turn := h.turn(now, r)
+		if room := h.currentRoom(now); !r.promised && r.Age <= maxNewAge && room.needed > room.lastingUsable {
+			turn = time.Duration(float64(turn) / acceptShare)
+		}
+		return h.limitWait(now) + turn
+	}
 	ahead := 0
 	for _, other := range h.queue {
-		if other != r && h.queuedBefore(now, other, r, late) {
+		if other != r && queuedBefore(other, r) {
 			ahead++
 		}
 	}
-	if late {
-		return h.limitWait(now) + h.currentRoom(now).turn(ahead, h.lateRunTime(r))
-	}
 	slots, serviceTime := 0.0, h.serviceTime(r)
 	for _, t := range h.targets {
 		if t.inService() && !t.probe.down {
@@ -52,31 +58,59 @@
 	return wait + time.Duration(float64(ahead)/slots*h.averagePace*float64(serviceTime))
 }
 
-// queuedBefore reports whether a queued request is placed before a new one in the worst case. Without AgeOrder that is that the
-// new one becomes late. With it, the requests before a late one are those that are late too, and late requests are never placed
-// before one in time.
-func (h *Home) queuedBefore(now time.Duration, other, r *Request, late bool) bool {
-	if h.config.AgeOrder && (h.lateRank(now, other) == 1) != late {
-		return false
-	}
-	return comparePriority(other, r) <= 0
-}
+// queuedBefore reports whether a queued request is placed before a new one in the worst case, which is that the new one becomes
+// late.
+func queuedBefore(other, r *Request) bool { return comparePriority(other, r) <= 0 }
 
 // comparePriority orders requests by the priority of the account and then that of the rule.
 func comparePriority(a, b *Request) int {
 	return cmp.Or(cmp.Compare(a.AccountPriority, b.AccountPriority), cmp.Compare(a.Priority, b.Priority))
 }
 
-// compareQueued orders the queue by priority, and then puts requests that can still meet their goal before late ones. With
-// AgeOrder, lateness goes before priority: a late response is worth a tenth of one in time, and priorities differ by less. Within
-// each group the latest goal comes first: under overload, the earliest goal first would serve every request at the last moment and
-// make all of them late.
+// compareQueued orders the queue by priority, and then puts requests that can still meet their goal before late ones. Within each
+// group the latest goal comes first: under overload, the earliest goal first would serve every request at the last moment and make
+// all of them late. With AgeOrder, compareByAge replaces it.
 func (h *Home) compareQueued(now time.Duration, a, b *Request) int {
-	lateness := cmp.Compare(h.lateRank(now, a), h.lateRank(now, b))
 	if h.config.AgeOrder {
-		return cmp.Or(lateness, comparePriority(a, b), cmp.Compare(b.Goal, a.Goal))
+		return h.compareByAge(now, a, b)
 	}
-	return cmp.Or(comparePriority(a, b), lateness, cmp.Compare(b.Goal, a.Goal))
+	return cmp.Or(
+		comparePriority(a, b),
+		cmp.Compare(h.lateRank(now, a), h.lateRank(now, b)),
+		cmp.Compare(b.Goal, a.Goal),
+	)
+}
+
+// compareByAge puts requests whose turn was promised in time first, then others in time, then late ones. Lateness goes before
+// priority, because a late response is worth a tenth of one in time and priorities differ by less. Requests with a promise, and
+// late ones, keep their order, so that what was expected at their admission holds; of the others the latest goal has the best
+// chance.
+func (h *Home) compareByAge(now time.Duration, a, b *Request) int {
+	rank := h.ageRank(now, a)
+	if c := cmp.Or(cmp.Compare(rank, h.ageRank(now, b)), comparePriority(a, b)); c != 0 {
+		return c
+	}
+	if rank == rankInTime {
+		return cmp.Compare(b.Goal, a.Goal)
+	}
+	return cmp.Compare(a.submittedAt, b.submittedAt)
+}
+
+// Ranks of queued requests with AgeOrder.
+const (
+	rankPromised = iota
+	rankInTime
+	rankLate
+)
+
+func (h *Home) ageRank(now time.Duration, r *Request) int {
+	switch {
+	case h.lateRank(now, r) == 1:
+		return rankLate
+	case r.promised:
+		return rankPromised
+	}
+	return rankInTime
 }
 
 // lateRank returns 1 for a late request, which is not expected to meet its goal even on a target with a pace of 1, and
@@ -102,7 +136,10 @@
 		return false
 	}
 	if h.config.AgeOrder {
-		return h.currentRoom(now).allowsLate()
+		room := h.currentRoom(now)
+		latest := time.Duration(lastChanceRatio * float64(h.lateRunTime(r)))
+		lastChance := expected <= latest && r.Deadline-now <= latest
+		return room.allowsLate() || lastChance && (r.accepted || !room.overloaded())
 	}
 	return h.freeSlotShare(now, h.serviceTime(r)) > lateFreeShare
 }
@@ -110,13 +147,16 @@
 // turnTooLate reports whether the turn of a queued request is expected too late for its deadline. The number of queued requests
 // ahead of it is ahead, of which lateAhead are late.
 func (h *Home) turnTooLate(now time.Duration, r *Request, ahead, lateAhead int) bool {
-	late := h.lateRank(now, r) == 1
-	if h.config.AgeOrder && late {
-		return now+h.limitWait(now)+h.currentRoom(now).turn(lateAhead, h.lateRunTime(r))+h.serviceTime(r) > r.Deadline
+	serviceTime := h.serviceTime(r)
+	if h.config.AgeOrder {
+		if h.ageRank(now, r) == rankPromised {
+			return now+serviceTime > r.Deadline
+		}
+		return now+h.limitWait(now)+h.currentRoom(now).turn(h.spareAhead, h.lateRunTime(r))+serviceTime > r.Deadline
 	}
-	wait := time.Duration(float64(ahead) / h.availableCapacity(now, h.serviceTime(r)) * h.averagePace * float64(h.serviceTime(r)))
-	return now+h.limitWait(now)+wait+h.serviceTime(r) > r.Deadline ||
-		late && now+h.lateWait.estimate(now, lateAhead)+h.serviceTime(r) > r.Deadline
+	wait := time.Duration(float64(ahead) / h.availableCapacity(now, serviceTime) * h.averagePace * float64(serviceTime))
+	return now+h.limitWait(now)+wait+serviceTime > r.Deadline ||
+		h.lateRank(now, r) == 1 && now+h.lateWait.estimate(now, lateAhead)+serviceTime > r.Deadline
 }
 
 // freeSlotShare returns the share of the slots of available targets that are free, where a rate limit counts as fewer slots.
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -58,6 +58,11 @@
 	submittedAt time.Duration
 	hedged      bool
 	queued      bool
+	// promised is set by admission: the request's turn is expected while it can meet its goal. It is used only with AgeOrder.
+	promised bool
+	// accepted is set if the request was late or without a promise when it was submitted, and has been queued because there will be
+	// room.
+	accepted bool
 	// answered is set once a run has been answered.
 	answered bool
 }
--- a/internal/placement/returns.go
+++ b/internal/placement/returns.go
@@ -14,6 +14,28 @@
 	retryDelaySpread = 0.5
 )
 
+// maxReturnDelay is the longest time that callers refused because of load are told to wait with Config.AgeOrder. Bursts of load last
+// 2 to 6 s.
+const maxReturnDelay = 6 * time.Second
+
+// returnPlanner books room for the callers that come back after refusals, one after the other. It answers overload, in which callers
+// that return together, or before there is room, are refused again and have used up a retry.
+type returnPlanner struct {
+	// bookedUntil is when the room for the callers booked so far will be used up.
+	bookedUntil time.Duration
+}
+
+// book returns the time after which a caller should return with the given work, in seconds. The work that has been accepted is done
+// after the time drained, and from then on there is room for perSecond of work. Fraction spreads callers while there is none.
+func (p *returnPlanner) book(now, drained time.Duration, work, perSecond, fraction float64) time.Duration {
+	from := max(p.bookedUntil, now+drained)
+	if left := now + maxReturnDelay - from; left <= 0 || perSecond*left.Seconds() < work {
+		return time.Duration((0.5 + 0.5*fraction) * float64(maxReturnDelay))
+	}
+	p.bookedUntil = from + time.Duration(work/perSecond*float64(time.Second))
+	return max(minRetryDelay, p.bookedUntil-now)
+}
+
 // goldenRatio is the step of a low-discrepancy sequence: its multiples modulo 1 cover the unit interval evenly, however
 // many there are.
 var goldenRatio = (math.Sqrt(5) - 1) / 2
@@ -36,9 +58,28 @@
 	case ReasonNoTargets:
 		delay = noTargetsRetryDelay
 	case ReasonDeadlineCannotBeMet, ReasonRateLimited, ReasonRetryBudgetSpent:
+		if h.config.AgeOrder {
+			return h.bookReturn(now, r, fraction)
+		}
 		if slots := h.availableCapacity(now, h.serviceTime(r)); slots > 0 {
 			delay = max(delay, time.Duration(float64(len(h.queue)+1)/slots*h.averagePace*float64(h.serviceTime(r))))
 		}
 	}
 	return delay + time.Duration(retryDelaySpread*fraction*float64(delay))
 }
+
+// bookReturn returns the delay after which there is room for a request that was refused because of load.
+func (h *Home) bookReturn(now time.Duration, r *Request, fraction float64) time.Duration {
+	accepted := 0.0
+	for _, other := range h.queue {
+		if other.queued {
+			accepted += h.serviceTime(other).Seconds()
+		}
+	}
+	drained := h.limitWait(now)
+	if rate := h.drainRate(now); accepted > 0 {
+		drained += time.Duration(min(accepted/max(rate, 1e-9), maxTurn.Seconds()) * float64(time.Second))
+	}
+	room := h.currentRoom(now)
+	return h.returns.book(now, drained, h.serviceTime(r).Seconds(), room.lateSlots()/max(1, h.demand.slowdown), fraction)
+}
