--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"briarcroft/internal/account"
 	"briarcroft/internal/note"
 	"briarcroft/internal/placement"
 )
@@ -32,6 +33,9 @@
 	request *request
 	rule    note.Rule
 	service string
+	// account is the client account that sent the request, by its credential; it is nil without accounts and on public rules.
+	account    *account.Account
+	credential account.Credential
 	// goal is the latency goal of the rule, and deadline is when the caller stops waiting.
 	goal     time.Duration
 	deadline time.Duration
@@ -42,7 +46,7 @@
 	placer placer
 	// tried names the targets that the request was placed on, including those that could not be reached.
 	tried []string
-	// blocked is the number of these to which nothing was sent because they had said that they want no requests.
+	// blocked is the number of these to which nothing was sent because they were evacuated or had said that they want no requests.
 	blocked int
 	// mayHaveRun is set once a target may have begun to run the request.
 	mayHaveRun bool
@@ -86,6 +90,10 @@
 	if !found {
 		return localResponse(http.StatusNotFound, "NoRule", 0)
 	}
+	x.rule = rule
+	if response := x.authenticate(index); response != nil {
+		return response
+	}
 	x.ruleFound = true
 	x.applyRule(rule)
 	if q, found := g.quarantine.Lookup(g.now(), append([]uint64{x.fingerprint}, x.sharedFingerprints...)...); found {
@@ -98,9 +106,9 @@
 	return x.placeAndRun(ctx)
 }
 
-// applyRule chooses the service and computes the latency goal, which counts from the caller's first attempt, and the deadline.
+// applyRule chooses the service of the request's rule and computes the latency goal, which counts from the caller's first attempt,
+// and the deadline.
 func (x *exchange) applyRule(rule note.Rule) {
-	x.rule = rule
 	x.service = x.gateway.split.choose(rule)
 	limit := rule.Deadline
 	if limit == 0 {
@@ -145,7 +153,7 @@
 	switch r.outcome {
 	case placement.OutcomeAnswered:
 		return r.response
-	case placement.OutcomeNotRun, placement.OutcomeUnreachable, placement.OutcomeOtherServer:
+	case placement.OutcomeNotRun, placement.OutcomeUnreachable, placement.OutcomeOtherServer, placement.OutcomeBlocked:
 		if r.blocked {
 			x.blocked++
 		}
@@ -257,8 +265,8 @@
 
 func (x *exchange) placementRequest(p placer) *placement.Request {
 	return &placement.Request{
-		Age:   x.submissionAge(),
-		Class: x.rule.Class, Priority: x.rule.Priority, Goal: x.goal, Deadline: x.deadline, Repeatable: x.repeatable(),
+		Class: x.rule.Class, Account: x.accountName(), AccountPriority: x.accountPriority(), Priority: x.rule.Priority,
+		Age: x.submissionAge(), Goal: x.goal, Deadline: x.deadline, Repeatable: x.repeatable(),
 		Tried: x.tried, Fingerprint: x.fingerprint, SharedFingerprints: x.sharedFingerprints, Domain: x.gateway.settings.Host.Domain,
 		Probes: x.gateway.homeClient.takeProbes(x.service, p.name()),
 	}
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -137,6 +137,7 @@
 		h = &serviceHome{server: s, service: service}
 		h.home = placement.New(placement.Config{
 			Random: rand.New(rand.NewPCG(s.gateway.incarnation, uint64(len(s.services)))), Budget: s.retryBudget(), AgeOrder: s.gateway.settings.Overload.AgeOrder, Quarantine: s.gateway.quarantine, RateLimits: s.gateway.rateLimits, Notices: s.gateway.notices, OnVerdict: s.sendVerdict,
+			DomainPlan:   s.gateway.settings.Placement.DomainPlan,
 			OnNotice:     func(n placement.TargetNotice) { s.gateway.recordNotice(n.Target, n.Notice, "") },
 			OnEjection:   func(e placement.Ejection) { s.recordEjection(service, e) },
 			OnRateLimit:  func(c placement.RateLimitChange) { s.recordRateLimit(service, c) },
@@ -222,6 +223,7 @@
 	registered := v.Targets[h.service]
 	targets := make([]placement.Target, 0, len(registered))
 	for _, t := range registered {
+		t.EvacuatedUntil = h.server.gateway.evacuations.endedAt(t.Domain)
 		targets = append(targets, t.Target)
 	}
 	if service, found := v.Configuration.Service(h.service); found {
--- a/internal/model/caller.go
+++ b/internal/model/caller.go
@@ -8,6 +8,8 @@
 // call is a request of a caller, with all its attempts.
 type call struct {
 	class     Class
+	domain    int
+	bytes     float64
 	caller    string
 	arrivedAt time.Duration
 	// goal and deadline are when a response is worth less, and nothing.
@@ -25,12 +27,15 @@
 // callers is the number of different callers.
 const callers = 50
 
-// newCall draws a request that arrives now.
-func (s *simulation) newCall() *call {
+// newCall draws a request that arrives now at a host of a failure domain.
+func (s *simulation) newCall(domain int) *call {
 	w := s.workload
 	c := &call{
 		class: Class{Name: "model", Worth: 1}, arrivedAt: s.now, goal: s.now + w.LatencyGoal, deadline: s.now + w.CallerTimeout,
-		retriesLeft: w.Retries, serviceTime: drawServiceTime(s.random, w),
+		retriesLeft: w.Retries, serviceTime: drawServiceTime(s.random, w), domain: domain,
+	}
+	if len(w.Domains) > 0 {
+		c.bytes = w.ResponseBytes * s.random.ExpFloat64()
 	}
 	if w.Retries > 0 {
 		c.caller = fmt.Sprint("c", s.random.IntN(callers))
@@ -55,7 +60,8 @@
 	if s.workload.RouteTimeout > 0 {
 		deadline = min(deadline, s.now+s.workload.RouteTimeout)
 	}
-	b.submit(&job{id: s.lastID, call: c, arrivedAt: s.now, goal: c.goal, deadline: deadline, serviceTime: c.serviceTime, balancer: b})
+	b.submit(&job{id: s.lastID, call: c, arrivedAt: s.now, goal: c.goal, deadline: deadline, serviceTime: c.serviceTime,
+		domain: c.domain, bytes: c.bytes, balancer: b})
 }
 
 func (s *simulation) sumOf(c *call) *worthSum {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -7,6 +7,7 @@
 package model
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -25,10 +26,14 @@
 	Slow
 	// Mute means that the server runs requests but sends no response to a share of them, muteFaultDropShare.
 	Mute
+	// Paced means that neighbors slow the server down all the time, by Workload.NoisyPace.
+	Paced
+	// Gone means that the server cannot be reached.
+	Gone
 )
 
 // String implements fmt.Stringer.
-func (k FaultKind) String() string { return [...]string{"NoFault", "Slow", "Mute"}[k] }
+func (k FaultKind) String() string { return [...]string{"NoFault", "Slow", "Mute", "Paced", "Gone"}[k] }
 
 // Severity of the faults.
 const (
@@ -80,6 +85,14 @@
 	Fault                 FaultKind
 	FaultShare            float64
 	FaultFrom, FaultUntil time.Duration
+	// Domains holds the number of servers of each failure domain, in order; empty means that there is one domain. Each sends
+	// the same number of requests on average. A domain's part of the requests rises and falls by the factor 1 ± Wave over
+	// wavePeriod, and requests arrive Clump at a time from one domain.
+	Domains []int
+	Wave    float64
+	Clump   int
+	// ResponseBytes is the mean size of a response. Sizes are exponentially distributed.
+	ResponseBytes float64
 	// Repeatable is set if a request may run more than once, so that it may be hedged.
 	Repeatable bool
 	// Seed is the seed of all random numbers in the simulation.
@@ -129,6 +142,8 @@
 	Returns, ReturnsServed int
 	// PatientWorth and ImpatientWorth are the utility of callers that wait before they come back and of those that do not.
 	PatientWorth, ImpatientWorth float64
+	// CrossShare is the share of the bytes of responses that crossed between failure domains.
+	CrossShare float64
 }
 
 // lateUtility is the utility of a response after the latency goal.
@@ -149,6 +164,8 @@
 	// worth is the sum of the utilities, and patient and impatient those of callers that wait and do not wait before they return.
 	worth              float64
 	patient, impatient worthSum
+	// bytes counts those of responses, and crossBytes those that came from another failure domain than the request.
+	bytes, crossBytes float64
 }
 
 // worthSum is a sum of utilities of requests.
@@ -208,17 +225,51 @@
 	if s.now >= s.workload.Duration {
 		return
 	}
-	s.schedule(time.Duration(s.random.ExpFloat64()/s.arrivalRate()*float64(time.Second)), func() {
-		c := s.newCall()
-		if s.now >= warmUpDuration {
-			s.result.Requests++
-			s.sumOf(c).requests++
+	clump := max(1, s.workload.Clump)
+	s.schedule(time.Duration(s.random.ExpFloat64()/s.arrivalRate()*float64(clump)*float64(time.Second)), func() {
+		domain := s.drawDomain()
+		for range clump {
+			c := s.newCall(domain)
+			if s.now >= warmUpDuration {
+				s.result.Requests++
+				s.sumOf(c).requests++
+			}
+			s.submit(b, c)
 		}
-		s.submit(b, c)
 		s.scheduleArrivals(b)
 	})
 }
 
+// wavePeriod is the time in which the demand of a failure domain rises and falls once.
+const wavePeriod = 8 * time.Second
+
+// drawDomain returns the failure domain of the host to which a request comes. The waves of the domains are evenly shifted
+// against each other, so that the demand of all of them together stays the same.
+func (s *simulation) drawDomain() int {
+	domains := float64(len(s.workload.Domains))
+	if domains == 0 {
+		return 0
+	}
+	for {
+		domain := s.random.IntN(len(s.workload.Domains))
+		phase := 2 * math.Pi * (s.now.Seconds()/wavePeriod.Seconds() + float64(domain)/domains)
+		if s.random.Float64()*(1+s.workload.Wave) < 1+s.workload.Wave*math.Sin(phase) {
+			return domain
+		}
+	}
+}
+
+// recordBytes counts the bytes of a response that a server sends.
+func (s *simulation) recordBytes(j *job, from *server) {
+	if j.arrivedAt < warmUpDuration {
+		return
+	}
+	s.bytes += j.bytes
+	if from.domain != j.domain {
+		s.crossBytes += j.bytes
+	}
+}
+
 // totalDuration returns the virtual time of the simulation, which ends when the last caller times out.
 func (s *simulation) totalDuration() time.Duration {
 	return s.workload.Duration + s.workload.CallerTimeout
@@ -235,6 +286,9 @@
 	if r.Refused > 0 {
 		r.LateRefusalShare = float64(s.lateRefusals) / float64(r.Refused)
 	}
+	if s.bytes > 0 {
+		r.CrossShare = s.crossBytes / s.bytes
+	}
 	r.P50 = time.Duration(s.latencies.ValueAtQuantile(50)) * time.Microsecond
 	r.P99 = time.Duration(s.latencies.ValueAtQuantile(99)) * time.Microsecond
 	r.Probes = float64(s.probes) / float64(s.workload.Targets) / s.totalDuration().Seconds()
--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -30,6 +30,8 @@
 	Hedges bool
 	// AgeOrder makes the home go by the age of requests.
 	AgeOrder bool
+	// DomainPlan makes the home plan how much traffic crosses between failure domains.
+	DomainPlan bool
 }
 
 // LeastInFlight sends each request immediately to the server with the fewest requests in flight. Requests arrive at
@@ -47,6 +49,8 @@
 	switch {
 	case h.AgeOrder:
 		return "HomeByAge"
+	case h.DomainPlan:
+		return "HomeDomainPlan"
 	case h.Hedges:
 		return "Home"
 	}
@@ -160,57 +164,6 @@
 	return t
 }
 
-// directBalancer runs LeastInFlight and AtRandom.
-type directBalancer struct {
-	sim *simulation
-	// inFlight holds the number of requests in flight, by host and then by server. It is empty for AtRandom.
-	inFlight [][]int
-}
-
-func newDirectBalancer(s *simulation, hosts int) *directBalancer {
-	b := &directBalancer{sim: s}
-	for range hosts {
-		b.inFlight = append(b.inFlight, make([]int, len(s.servers)))
-	}
-	return b
-}
-
-func (b *directBalancer) submit(j *job) {
-	index, release := b.chooseServer()
-	server := b.sim.servers[index]
-	b.sim.schedule(b.sim.workload.NetworkDelay, func() {
-		accepted := server.accept(&run{job: j, onResponse: func(bool) {
-			b.sim.schedule(b.sim.workload.NetworkDelay, func() {
-				release()
-				b.sim.recordResponse(j)
-			})
-		}})
-		if !accepted {
-			release()
-			b.sim.recordRefusal(j, 0)
-		}
-	})
-}
-
-// chooseServer returns the index of the server for a request, and a function to call once the request has ended. For
-// AtRandom it is a random server, for LeastInFlight the one with the fewest requests in flight, ties being broken at
-// random.
-func (b *directBalancer) chooseServer() (int, func()) {
-	first := b.sim.random.IntN(len(b.sim.servers))
-	if len(b.inFlight) == 0 {
-		return first, func() {}
-	}
-	inFlight := b.inFlight[b.sim.random.IntN(len(b.inFlight))]
-	best := first
-	for i := range inFlight {
-		if n := (first + i) % len(inFlight); inFlight[n] < inFlight[best] {
-			best = n
-		}
-	}
-	inFlight[best]++
-	return best, func() { inFlight[best]-- }
-}
-
 // Parameters of the simulated home.
 const (
 	// The retry budget allows 0.18 extra attempts per request, and 22 more, in a window of 10 s.
@@ -223,6 +176,8 @@
 	homeTickInterval = 10 * time.Millisecond
 	// fullServerRetryAfter is what a caller is told after a full server has refused its request.
 	fullServerRetryAfter = 200 * time.Millisecond
+	// goneTimeout is how long a host waits for a connection to a server that cannot be reached.
+	goneTimeout = 300 * time.Millisecond
 )
 
 // homeBalancer runs Home. It simulates the messages between the entry hosts, the home and the servers, and their delays.
@@ -249,13 +204,13 @@
 		b.ages = age.New()
 	}
 	b.home = placement.New(placement.Config{
-		AgeOrder: p.AgeOrder,
-		Random:   rand.New(rand.NewPCG(sim.workload.Seed, 9)), Budget: budget, Quarantine: quarantine.New(quarantine.Config{Targets: len(sim.servers)}),
+		AgeOrder: p.AgeOrder, DomainPlan: p.DomainPlan,
+		Random: rand.New(rand.NewPCG(sim.workload.Seed, 9)), Budget: budget, Quarantine: quarantine.New(quarantine.Config{Targets: len(sim.servers)}),
 		RateLimits: ratelimit.New(), Notices: notice.New(), OnVerdict: b.onVerdict,
 	})
 	var targets []placement.Target
 	for _, t := range sim.servers {
-		targets = append(targets, placement.Target{Name: t.name, Address: t.name, Slots: sim.workload.Slots})
+		targets = append(targets, placement.Target{Name: t.name, Address: t.name, Domain: domainName(t.domain), Slots: sim.workload.Slots})
 	}
 	slices.SortFunc(targets, func(a, b placement.Target) int { return cmp.Compare(a.Name, b.Name) })
 	b.home.SetTargets(0, targets)
@@ -274,6 +229,10 @@
 	for _, p := range b.home.DueProbes(b.sim.now) {
 		server := b.serverByName(p.Target)
 		b.sim.probes++
+		if server.fault == Gone {
+			b.sim.schedule(goneTimeout, func() { b.home.RecordProbe(b.sim.now, server.name, placement.ProbeNoResponse, nil) })
+			continue
+		}
 		b.sim.schedule(b.sim.workload.NetworkDelay, func() {
 			report := server.loadReport()
 			b.sim.schedule(b.sim.workload.NetworkDelay, func() {
@@ -309,7 +268,7 @@
 	}
 	b.home.Submit(now, &placement.Request{
 		ID: placement.RequestID{Number: j.id}, Class: j.call.class.Name, Priority: j.call.class.Priority, Age: asked, Goal: goal, Deadline: j.deadline,
-		Repeatable: w.Repeatable, Tried: tried, Probes: b.allowance.Take(now, len(b.sim.servers), 1, placement.ProbesPerRequest),
+		Repeatable: w.Repeatable, Tried: tried, Domain: domainName(j.domain), Probes: b.allowance.Take(now, len(b.sim.servers), 1, placement.ProbesPerRequest),
 	})
 	j.submitted = true
 	b.sendProbes()
@@ -340,6 +299,13 @@
 		return
 	}
 	sentAt := b.sim.now
+	if server.fault == Gone {
+		b.sim.schedule(goneTimeout, func() {
+			b.reportRunEnd(j, target, placement.OutcomeUnreachable, 0, nil)
+			b.sim.schedule(b.sim.workload.NetworkDelay, func() { b.requestPlacement(j, []string{target}) })
+		})
+		return
+	}
 	r := &run{job: j}
 	r.onResponse = func(bool) {
 		report := server.loadReport()
@@ -361,10 +327,13 @@
 	b.runs[j.id] = append(b.runs[j.id], r)
 }
 
+// domainName returns the name of a failure domain.
+func domainName(domain int) string { return string(rune('a' + domain)) }
+
 // reportRunEnd reports the end of a run to the home, which receives it after the network delay.
 func (b *homeBalancer) reportRunEnd(j *job, target string, outcome placement.Outcome, duration time.Duration, report *placement.LoadReport) {
 	b.sim.schedule(b.sim.workload.NetworkDelay, func() {
-		b.home.RunEnded(b.sim.now, placement.RunEnd{ID: placement.RequestID{Number: j.id}, Target: target, Outcome: outcome, Duration: duration, Load: report})
+		b.home.RunEnded(b.sim.now, placement.RunEnd{ID: placement.RequestID{Number: j.id}, Target: target, Outcome: outcome, Duration: duration, Bytes: int(j.bytes), Load: report})
 		b.sendProbes()
 	})
 }
--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -95,6 +95,35 @@
 	return h.drain.rate(h.currentRoom(now).quick / max(1, h.demand.slowdown))
 }
 
+// pickKey holds what tells apart the requests that are placed on different targets, beside the targets that they have tried.
+type pickKey struct {
+	class, domain string
+	repeatable    bool
+}
+
+type pick struct {
+	target   *targetState
+	estimate runEstimate
+}
+
+// pickQueued is pickTarget for a queued request. With AgeOrder it looks at all targets only once for requests of one kind until a run
+// starts, because under overload many requests wait while nothing is free.
+func (h *Home) pickQueued(now time.Duration, r *Request) (*targetState, runEstimate) {
+	if !h.config.AgeOrder || h.plan != nil || h.anyLimited || len(r.Tried) > 0 {
+		return h.pickTarget(now, r, r.Tried)
+	}
+	key := pickKey{r.Class, r.Domain, r.Repeatable}
+	p, found := h.picks[key]
+	if !found {
+		p.target, p.estimate = h.pickTarget(now, r, nil)
+		if h.picks == nil {
+			h.picks = map[pickKey]pick{}
+		}
+		h.picks[key] = p
+	}
+	return p.target, p.estimate
+}
+
 // turn returns the expected time until the turn of a new request.
 func (h *Home) turn(now time.Duration, r *Request) time.Duration {
 	if r.promised {
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -65,6 +65,9 @@
 	accepted bool
 	// answered is set once a run has been answered.
 	answered bool
+	// mayCross is set if the plan of flows sends the request to another failure domain, and awaitsDomain while the request is
+	// queued for a slot in its own. Both are set only with Config.DomainPlan.
+	mayCross, awaitsDomain bool
 }
 
 // Verdict is a decision of the home about a request: Placed, Queued, Refused or Hedge.
@@ -116,6 +119,8 @@
 	// ReasonTargetsPausing means that no target is available, and that some will be when the time has passed for which they
 	// want no requests.
 	ReasonTargetsPausing Reason = "TargetsPausing"
+	// ReasonTargetsEvacuated means that the failure domains of all targets that accept requests are evacuated.
+	ReasonTargetsEvacuated Reason = "TargetsEvacuated"
 )
 
 // Outcome is the way in which a run on a target ended.
@@ -140,6 +145,9 @@
 	OutcomeCanceled
 	// OutcomeOtherServer means that another server responded at the target's address.
 	OutcomeOtherServer
+	// OutcomeBlocked means that the host did not send the request because it knows that the target is evacuated. Homes of the
+	// last release free the slot and record nothing.
+	OutcomeBlocked
 )
 
 // LoadReport is the load that a target reports in the headers of a response to a request or a probe.
@@ -169,6 +177,8 @@
 	nearlyFull bool
 	// late is set if the request was late at the start.
 	late bool
+	// unreported is the part of slowdown that the target's load reports did not show.
+	unreported float64
 }
 
 // goalLength returns the time from the caller's first attempt to the goal.
