Refusals name their turn and the free slots; a request that is new on arrival stays new

Cause: operators could not see why a request was refused; a long body or a home that has gone made new requests look old. Change: verdicts and the request log carry the expected turn and the free slots with AgeOrder; ages up to 12 ms count as new, and the time on the host makes no new request old. Callers refused for load return after 250 ms at the earliest.

--- a/internal/age/age.go
+++ b/internal/age/age.go
@@ -34,6 +34,9 @@
 	// minTotalShare is the share of all values that the bins which count must have together. Otherwise callers name times of many
 	// kinds and no age can be told.
 	minTotalShare = 1.0 / 4
+	// maxNewAge is the age up to which a request is taken for new. A caller that repeats a refused request at once is at least 16 ms
+	// later, as it is 8 ms away.
+	maxNewAge = 12 * time.Millisecond
 	// lifetime is how long a bin counts after its last value.
 	lifetime = time.Minute
 	// minWeight is the weight below which a bin is forgotten.
@@ -71,7 +74,10 @@
 		t.rules[ruleName] = r
 	}
 	r.record(now, xxhash.Sum64String(caller), left)
-	return r.age(now, left)
+	if age := r.age(now, left); age > maxNewAge {
+		return age
+	}
+	return 0
 }
 
 // makeRoom removes rules without recent values, and all if there are too many.
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -38,6 +38,9 @@
 	duration, remaining      time.Duration
 	// account is the name of the client account, and key the fingerprint of a key that was refused; they are empty if there is none.
 	account, key string
+	// byAge is set with Overload.AgeOrder, and age is how long before its arrival the caller first sent the request.
+	byAge bool
+	age   time.Duration
 	// verdict is the last verdict about the request, with the estimates that it was based on.
 	verdict placement.Verdict
 	// relayedBy is the peer that relayed a run; it is empty if none did.
@@ -100,6 +103,9 @@
 		e.Dur("ExpectedMilliseconds", v.Expected).Dur("KnowledgeAgeMilliseconds", v.KnowledgeAge)
 	case placement.Refused:
 		e.Dur("ExpectedMilliseconds", v.Expected).Int("Waiting", v.Waiting).Int("Slots", v.Slots)
+		if entry.byAge {
+			e.Dur("TurnMilliseconds", v.Turn).Int("Free", v.Free)
+		}
 	}
 	if entry.fingerprint != 0 {
 		e.Str("Caller", entry.caller).Str("Path", entry.path).Str("Fingerprint", strconv.FormatUint(entry.fingerprint, 16))
@@ -109,6 +115,9 @@
 		}
 		e.Strs("SharedFingerprints", shared)
 	}
+	if entry.byAge {
+		e.Dur("AgeMilliseconds", entry.age)
+	}
 	if entry.relayedBy != "" {
 		e.Str("RelayedBy", entry.relayedBy)
 	}
@@ -200,6 +209,7 @@
 		status: response.status, note: x.noteNumber, homesTried: x.homesTried, hedges: x.hedges, queued: x.queued, sent: sent, duration: duration,
 		remaining: x.deadline - g.now(), late: x.ruleFound && g.now() > x.goal, verdict: x.verdict,
 	}
+	entry.byAge, entry.age = g.settings.Overload.AgeOrder, x.age
 	if x.placer != nil {
 		entry.home = x.placer.name()
 	}
--- a/internal/inner/verdict.go
+++ b/internal/inner/verdict.go
@@ -19,6 +19,7 @@
 		return &PlaceVerdict{
 			Number: number, Kind: VerdictKind_Refused, Reason: string(v.Reason), RetryAfterMicroseconds: v.RetryAfter.Microseconds(),
 			Waiting: uint32(v.Waiting), Slots: uint32(v.Slots), ExpectedMicroseconds: v.Expected.Microseconds(),
+			TurnMicroseconds: v.Turn.Microseconds(), Free: uint32(v.Free),
 		}
 	}
 	return &PlaceVerdict{Number: number, Kind: VerdictKind_Queued}
@@ -44,6 +45,7 @@
 		return placement.Refused{
 			Reason: placement.Reason(wire.Reason), RetryAfter: microseconds(wire.RetryAfterMicroseconds),
 			Waiting: int(wire.Waiting), Slots: int(wire.Slots), Expected: microseconds(wire.ExpectedMicroseconds),
+			Turn: microseconds(wire.TurnMicroseconds), Free: int(wire.Free),
 		}
 	}
 	return nil
--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -264,7 +264,9 @@
 	if b.ages != nil {
 		asked = b.ages.Observe(now, "model", j.call.caller, j.call.deadline-j.arrivedAt)
 		goal = min(j.deadline, j.arrivedAt-asked+w.LatencyGoal)
-		asked += now - j.arrivedAt
+		if asked > 0 {
+			asked += now - j.arrivedAt
+		}
 	}
 	b.home.Submit(now, &placement.Request{
 		ID: placement.RequestID{Number: j.id}, Class: j.call.class.Name, Priority: j.call.class.Priority, Age: asked, Goal: goal, Deadline: j.deadline,
--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -13,9 +13,6 @@
 	// acceptShare is the share of its time that a request without a promise may be expected to wait when it is accepted while the
 	// demand is above what is usable.
 	acceptShare = 0.3
-	// maxNewAge is the age up to which a request is taken for new. A caller that repeats a refused request at once is at least 16 ms
-	// later, as it is 8 ms away.
-	maxNewAge = 12 * time.Millisecond
 )
 
 // drainMeter measures how much work in time leaves the queue while there is some that waits for a slot. It answers overload: the
@@ -65,7 +62,7 @@
 	if !h.config.AgeOrder || h.lateRank(now, r) == 1 {
 		return
 	}
-	if r.Age > maxNewAge && len(r.Tried) == 0 {
+	if r.Age > 0 && len(r.Tried) == 0 {
 		return
 	}
 	slack := r.Goal - now - time.Duration(goalMargin*float64(h.serviceTime(r)))
@@ -76,7 +73,7 @@
 func (h *Home) promisedTurn(now time.Duration, r *Request) time.Duration {
 	ahead := 0.0
 	for _, other := range h.queue {
-		if other != r && h.ageRank(now, other) == rankPromised && comparePriority(other, r) <= 0 {
+		if other != r && other.queued && h.ageRank(now, other) == rankPromised && comparePriority(other, r) <= 0 {
 			ahead += h.serviceTime(other).Seconds()
 		}
 	}
@@ -131,7 +128,7 @@
 	}
 	ahead := 0
 	for _, other := range h.queue {
-		if other != r && h.ageRank(now, other) != rankPromised {
+		if other != r && other.queued && h.ageRank(now, other) != rankPromised {
 			ahead++
 		}
 	}
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -74,6 +74,8 @@
 	// requests holds all requests that are queued or have a run.
 	requests map[RequestID]*Request
 	queue    []*Request
+	// queueBuffer is the memory of the queue before the last Dispatch.
+	queueBuffer []*Request
 	// serviceTimes holds, by class, the moving average of the time that a run takes at a pace of 1, in seconds.
 	serviceTimes map[string]float64
 	// responseBytes holds, by class, the moving average of the response size.
@@ -259,7 +261,7 @@
 		return
 	}
 	slices.SortStableFunc(h.queue, func(a, b *Request) int { return h.compareQueued(now, a, b) })
-	remaining := h.queue[:0]
+	remaining := h.queueBuffer[:0]
 	ahead, lateAhead := 0, 0
 	h.room, h.blocked, h.spareAhead = nil, false, 0
 	clear(h.picks)
@@ -277,8 +279,8 @@
 	}
 	h.lateWait.setQueued(now, lateAhead)
 	h.drain.setBlocked(now, h.blocked)
-	clear(h.queue[len(remaining):])
-	h.queue = remaining
+	clear(h.queue)
+	h.queueBuffer, h.queue = h.queue, remaining
 }
 
 // placeOrRefuse places or refuses a queued request, unless it is better kept in the queue, and reports whether the
@@ -352,7 +354,11 @@
 	if len(r.runs) == 0 {
 		delete(h.requests, r.ID)
 	}
-	h.config.OnVerdict(r, Refused{
+	verdict := Refused{
 		Reason: reason, RetryAfter: h.retryAfter(now, r, reason), Waiting: len(h.queue), Slots: h.availableSlots(now), Expected: h.serviceTime(r),
-	})
+	}
+	if h.config.AgeOrder {
+		verdict.Turn, verdict.Free = h.turn(now, r), h.currentRoom(now).free()
+	}
+	h.config.OnVerdict(r, verdict)
 }
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -34,7 +34,7 @@
 			return 0
 		}
 		turn := h.turn(now, r)
-		if room := h.currentRoom(now); !r.promised && r.Age <= maxNewAge && room.needed > room.lastingUsable {
+		if room := h.currentRoom(now); !r.promised && r.Age == 0 && room.needed > room.lastingUsable {
 			turn = time.Duration(float64(turn) / acceptShare)
 		}
 		return h.limitWait(now) + turn
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -95,6 +95,10 @@
 	Waiting  int
 	Slots    int
 	Expected time.Duration
+	// Turn is the expected time until the request's turn, an hour if none is expected while the load lasts, and Free the number of
+	// free slots, which may be kept for work in time. Both are 0 without Config.AgeOrder.
+	Turn time.Duration
+	Free int
 }
 
 // Hedge asks for a second run on another target, because the first one takes longer than expected.
--- a/internal/placement/returns.go
+++ b/internal/placement/returns.go
@@ -20,6 +20,9 @@
 // 2 to 6 s.
 const maxReturnDelay = 6 * time.Second
 
+// minReturnDelay is the shortest such time. Neighbors slow targets down for some hundred ms, so that there is no room before.
+const minReturnDelay = 250 * time.Millisecond
+
 // returnPlanner books room for the callers that come back after refusals, one after the other. It answers overload, in which callers
 // that return together, or before there is room, are refused again and have used up a retry.
 type returnPlanner struct {
@@ -30,12 +33,12 @@
 // book returns the time after which a caller should return with the given work, in seconds. The work that has been accepted is done
 // after the time drained, and from then on there is room for perSecond of work. Fraction spreads callers while there is none.
 func (p *returnPlanner) book(now, drained time.Duration, work, perSecond, fraction float64) time.Duration {
-	from := max(p.bookedUntil, now+drained)
+	from := max(p.bookedUntil, now+max(drained, minReturnDelay))
 	if left := now + maxReturnDelay - from; left <= 0 || perSecond*left.Seconds() < work {
 		return time.Duration((0.5 + 0.5*fraction) * float64(maxReturnDelay))
 	}
 	p.bookedUntil = from + time.Duration(work/perSecond*float64(time.Second))
-	return max(minRetryDelay, p.bookedUntil-now)
+	return p.bookedUntil - now
 }
 
 // goldenRatio is the step of a low-discrepancy sequence: its multiples modulo 1 cover the unit interval evenly, however
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -170,6 +170,9 @@
 	return max(minLateShare*r.slots, r.slots-r.forInTime(r.lasting, r.lastingUsable))
 }
 
+// free returns the number of free slots.
+func (r room) free() int { return int(max(0, r.slots-r.busy)) }
+
 // turn returns the expected time until the turn of a late request with the given number of late requests before it, whose runs
 // take runTime each.
 func (r room) turn(ahead int, runTime time.Duration) time.Duration {
