--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"briarcroft/internal/age"
 	"briarcroft/internal/notice"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/quarantine"
@@ -27,6 +28,8 @@
 type Home struct {
 	// Hedges allows hedging: a second run on another server if the first takes longer than expected.
 	Hedges bool
+	// AgeOrder makes the home go by the age of requests.
+	AgeOrder bool
 	// DomainPlan makes the home plan how much traffic crosses between failure domains.
 	DomainPlan bool
 }
@@ -43,10 +46,12 @@
 
 // Name implements Policy.
 func (h Home) Name() string {
-	if h.DomainPlan {
+	switch {
+	case h.AgeOrder:
+		return "HomeByAge"
+	case h.DomainPlan:
 		return "HomeDomainPlan"
-	}
-	if h.Hedges {
+	case h.Hedges:
 		return "Home"
 	}
 	return "HomeNoHedges"
@@ -104,7 +109,7 @@
 	for _, j := range b.queue {
 		switch {
 		case now > j.deadline:
-			b.sim.recordRefusal(j)
+			b.sim.recordRefusal(j, 0)
 		case !b.tryStart(j):
 			remaining = append(remaining, j)
 		}
@@ -159,57 +164,6 @@
 	return t
 }
 
-// directBalancer runs LeastInFlight and AtRandom.
-type directBalancer struct {
-	sim *simulation
-	// inFlight holds the number of requests in flight, by host and then by server. It is empty for AtRandom.
-	inFlight [][]int
-}
-
-func newDirectBalancer(s *simulation, hosts int) *directBalancer {
-	b := &directBalancer{sim: s}
-	for range hosts {
-		b.inFlight = append(b.inFlight, make([]int, len(s.servers)))
-	}
-	return b
-}
-
-func (b *directBalancer) submit(j *job) {
-	index, release := b.chooseServer()
-	server := b.sim.servers[index]
-	b.sim.schedule(b.sim.workload.NetworkDelay, func() {
-		accepted := server.accept(&run{job: j, onResponse: func(bool) {
-			b.sim.schedule(b.sim.workload.NetworkDelay, func() {
-				release()
-				b.sim.recordResponse(j)
-			})
-		}})
-		if !accepted {
-			release()
-			b.sim.recordRefusal(j)
-		}
-	})
-}
-
-// chooseServer returns the index of the server for a request, and a function to call once the request has ended. For
-// AtRandom it is a random server, for LeastInFlight the one with the fewest requests in flight, ties being broken at
-// random.
-func (b *directBalancer) chooseServer() (int, func()) {
-	first := b.sim.random.IntN(len(b.sim.servers))
-	if len(b.inFlight) == 0 {
-		return first, func() {}
-	}
-	inFlight := b.inFlight[b.sim.random.IntN(len(b.inFlight))]
-	best := first
-	for i := range inFlight {
-		if n := (first + i) % len(inFlight); inFlight[n] < inFlight[best] {
-			best = n
-		}
-	}
-	inFlight[best]++
-	return best, func() { inFlight[best]-- }
-}
-
 // Parameters of the simulated home.
 const (
 	// The retry budget allows 0.18 extra attempts per request, and 22 more, in a window of 10 s.
@@ -220,6 +174,8 @@
 	probesPerTarget = 30
 	// homeTickInterval is the period at which Home.Tick is called.
 	homeTickInterval = 10 * time.Millisecond
+	// fullServerRetryAfter is what a caller is told after a full server has refused its request.
+	fullServerRetryAfter = 200 * time.Millisecond
 	// goneTimeout is how long a host waits for a connection to a server that cannot be reached.
 	goneTimeout = 300 * time.Millisecond
 )
@@ -234,6 +190,8 @@
 	runs map[uint64][]*run
 	// allowance gives probes to requests. The model has one host that submits all of them.
 	allowance placement.ProbeAllowance
+	// ages tells the age of requests; it is nil without AgeOrder.
+	ages *age.Table
 }
 
 func newHomeBalancer(sim *simulation, p Home) *homeBalancer {
@@ -242,9 +200,13 @@
 	if !p.Hedges {
 		budget = placement.RetryBudget{Window: retryBudgetWindow}
 	}
+	if p.AgeOrder {
+		b.ages = age.New()
+	}
 	b.home = placement.New(placement.Config{
+		AgeOrder: p.AgeOrder, DomainPlan: p.DomainPlan,
 		Random: rand.New(rand.NewPCG(sim.workload.Seed, 9)), Budget: budget, Quarantine: quarantine.New(quarantine.Config{Targets: len(sim.servers)}),
-		RateLimits: ratelimit.New(), Notices: notice.New(), OnVerdict: b.onVerdict, DomainPlan: p.DomainPlan,
+		RateLimits: ratelimit.New(), Notices: notice.New(), OnVerdict: b.onVerdict,
 	})
 	var targets []placement.Target
 	for _, t := range sim.servers {
@@ -295,12 +257,22 @@
 	b.sim.schedule(b.sim.workload.NetworkDelay, func() { b.requestPlacement(j, nil) })
 }
 
-// requestPlacement submits a request to the home.
+// requestPlacement submits a request to the home. Without AgeOrder an attempt is taken for a new request.
 func (b *homeBalancer) requestPlacement(j *job, tried []string) {
-	b.home.Submit(b.sim.now, &placement.Request{
-		ID: placement.RequestID{Number: j.id}, Class: "model", Goal: j.goal, Deadline: j.deadline, Repeatable: b.sim.workload.Repeatable, Tried: tried, Domain: domainName(j.domain),
-		Probes: b.allowance.Take(b.sim.now, len(b.sim.servers), 1, placement.ProbesPerRequest),
+	w, now := b.sim.workload, b.sim.now
+	goal, asked := min(j.deadline, j.arrivedAt+w.LatencyGoal), time.Duration(0)
+	if b.ages != nil {
+		asked = b.ages.Observe(now, "model", j.call.caller, j.call.deadline-j.arrivedAt)
+		goal = min(j.deadline, j.arrivedAt-asked+w.LatencyGoal)
+		if asked > 0 {
+			asked += now - j.arrivedAt
+		}
+	}
+	b.home.Submit(now, &placement.Request{
+		ID: placement.RequestID{Number: j.id}, Class: j.call.class.Name, Priority: j.call.class.Priority, Age: asked, Goal: goal, Deadline: j.deadline,
+		Repeatable: w.Repeatable, Tried: tried, Domain: domainName(j.domain), Probes: b.allowance.Take(now, len(b.sim.servers), 1, placement.ProbesPerRequest),
 	})
+	j.submitted = true
 	b.sendProbes()
 }
 
@@ -315,7 +287,8 @@
 		b.sim.extraAttempts++
 		b.sim.schedule(2*b.sim.workload.NetworkDelay, func() { b.send(j, v.Target) })
 	case placement.Refused:
-		b.sim.schedule(b.sim.workload.NetworkDelay, func() { b.sim.recordRefusal(j) })
+		j.refusedAtOnce = !j.submitted
+		b.sim.schedule(b.sim.workload.NetworkDelay, func() { b.sim.recordRefusal(j, v.RetryAfter) })
 	}
 }
 
@@ -350,7 +323,7 @@
 	if !server.accept(r) {
 		report := server.loadReport()
 		b.reportRunEnd(j, target, placement.OutcomeNotRun, 0, &report)
-		b.sim.recordRefusal(j)
+		b.sim.recordRefusal(j, fullServerRetryAfter)
 		return
 	}
 	b.runs[j.id] = append(b.runs[j.id], r)
--- a/internal/placement/fair.go
+++ b/internal/placement/fair.go
@@ -86,16 +86,19 @@
 }
 
 // sortFairly orders requests of the queue, which has been sorted by compareQueued, by the fair shares of their accounts. It keeps
-// the order by priority, that of requests in time before late ones, and that of the requests of each account.
+// the order by priority, that by ageRank or of requests in time before late ones, and that of the requests of each account.
 func (h *Home) sortFairly(now time.Duration) {
 	if !h.setFairStarts(nil) {
 		return
 	}
 	for _, r := range h.queue {
-		r.fairLate = h.lateRank(now, r)
+		r.fairRank = h.lateRank(now, r)
+		if h.config.AgeOrder {
+			r.fairRank = h.ageRank(now, r)
+		}
 	}
 	slices.SortStableFunc(h.queue, func(a, b *Request) int {
-		lateness, fairness := cmp.Compare(a.fairLate, b.fairLate), cmp.Compare(a.fairStart, b.fairStart)
+		lateness, fairness := cmp.Compare(a.fairRank, b.fairRank), cmp.Compare(a.fairStart, b.fairStart)
 		if h.config.AgeOrder {
 			return cmp.Or(lateness, comparePriority(a, b), fairness)
 		}
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -60,13 +60,18 @@
 	submittedAt time.Duration
 	hedged      bool
 	queued      bool
+	// promised is set by admission: the request's turn is expected while it can meet its goal. It is used only with AgeOrder.
+	promised bool
+	// accepted is set if the request was late or without a promise when it was submitted, and has been queued because there will be
+	// room.
+	accepted bool
 	// answered is set once a run has been answered.
 	answered bool
-	// allowance is the request's part of its account's allowance. fairStart and fairLate order it among the requests of other
+	// allowance is the request's part of its account's allowance. fairStart and fairRank order it among the requests of other
 	// accounts; see sortFairly.
 	allowance tokenState
 	fairStart float64
-	fairLate  int
+	fairRank  int
 	// mayCross is set if the plan of flows sends the request to another failure domain, and awaitsDomain while the request is
 	// queued for a slot in its own. Both are set only with Config.DomainPlan.
 	mayCross, awaitsDomain bool
@@ -97,6 +102,10 @@
 	Waiting  int
 	Slots    int
 	Expected time.Duration
+	// Turn is the expected time until the request's turn, an hour if none is expected while the load lasts, and Free the number of
+	// free slots, which may be kept for work in time. Both are 0 without Config.AgeOrder.
+	Turn time.Duration
+	Free int
 }
 
 // Hedge asks for a second run on another target, because the first one takes longer than expected.
