Withdrawn keys are refused within a limit, by the proven age of knowledge

Cause: a host that stands still, or hears from neither the store nor peers, goes on accepting a key that the configuration no longer holds. The ordinary age of knowledge does not show it: the monotonic clock may stand still, and messages from before lie in buffers. A proof is a call of its own, as of its sending, or a reply to its own heartbeat, as of that sending less the peer's proven age, on CLOCK_BOOTTIME. The check is made when the request was read and before each run, a relay included. Watchers wait twice as long and make one call without a wait in between, so that calls stay as many; hosts with an old proof ask watchers, then the store. fakenet can hold messages back.

--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -70,7 +70,7 @@
 	return request
 }
 
-func (h *Host) handleHeartbeatReply(reply *inner.HeartbeatReply) {
+func (h *Host) handleHeartbeatReply(reply inner.ReceivedReply) {
 	h.handlePeerState(reply.Sender, reply.Quarantines)
 }
 
--- a/internal/fakenet/network.go
+++ b/internal/fakenet/network.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -24,13 +25,14 @@
 	dialerAddresses map[string]string
 	dialCount       int
 	links           map[string]*link
+	held            map[[2]string]bool // by sending and receiving node
 }
 
 var errRefused = errors.New("connection refused")
 
 // New returns a network without nodes.
 func New() *Network {
-	return &Network{listeners: map[string]*pipeListener{}, partitioned: map[[2]string]bool{}, refused: map[[2]string]bool{}, conns: map[*pipeConn]bool{}, links: map[string]*link{}, dialerAddresses: map[string]string{}}
+	return &Network{listeners: map[string]*pipeListener{}, partitioned: map[[2]string]bool{}, refused: map[[2]string]bool{}, conns: map[*pipeConn]bool{}, links: map[string]*link{}, held: map[[2]string]bool{}, dialerAddresses: map[string]string{}}
 }
 
 // pipeListener is a listener of a node; its connections are pairs of pipeConn.
@@ -97,6 +99,10 @@
 	from, to   string
 	remote     pipeAddress
 	blackholed bool
+	// buffered is what was written while it was held back. Until it has been passed on, further writes follow it.
+	buffered [][]byte
+	// passing is set while a goroutine passes it on.
+	passing bool
 }
 
 // segmentBytes is the number of bytes that a connection writes at once, so that connections share a link.
@@ -120,8 +126,12 @@
 	dropped := c.blackholed || c.network.partitioned[[2]string{c.from, c.to}]
 	c.blackholed = dropped
 	wait := c.network.sendOverLinks(c.from, c.to, len(p))
+	held := !dropped && (len(c.buffered) > 0 || c.network.held[[2]string{c.from, c.to}])
+	if held {
+		c.buffered = append(c.buffered, slices.Clone(p))
+	}
 	c.network.mu.Unlock()
-	if dropped {
+	if dropped || held {
 		return len(p), nil
 	}
 	if wait > 0 {
@@ -130,6 +140,47 @@
 	return c.Conn.Write(p)
 }
 
+// Hold keeps back all bytes that one node writes to another from now on, until Release. The sender does not notice it.
+func (n *Network) Hold(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.held[[2]string{from, to}] = true
+}
+
+// Release passes on the bytes that Hold has kept back, in their order and even if the nodes are partitioned by now, and ends the
+// hold.
+func (n *Network) Release(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.held[[2]string{from, to}] = false
+	for c := range n.conns {
+		if len(c.buffered) > 0 && !c.passing && c.from == from && c.to == to {
+			c.passing = true
+			go c.passOn()
+		}
+	}
+}
+
+// passOn writes what was buffered. An error means that the connection is closed, which its users notice by themselves.
+func (c *pipeConn) passOn() {
+	for {
+		c.network.mu.Lock()
+		if len(c.buffered) == 0 || c.network.held[[2]string{c.from, c.to}] {
+			c.passing = false
+			c.network.mu.Unlock()
+			return
+		}
+		p := c.buffered[0]
+		c.network.mu.Unlock()
+		_, err := c.Conn.Write(p)
+		c.network.mu.Lock()
+		if c.buffered = c.buffered[1:]; err != nil {
+			c.buffered = nil
+		}
+		c.network.mu.Unlock()
+	}
+}
+
 // link is a node's connection to the network. Both directions have the same bandwidth.
 type link struct {
 	// bytesPerSecond is 0 for an unlimited bandwidth.
--- a/internal/gateway/accounts.go
+++ b/internal/gateway/accounts.go
@@ -6,6 +6,9 @@
 
 	"briarcroft/internal/account"
 	"briarcroft/internal/placement"
+	"briarcroft/internal/record"
+
+	"github.com/joomcode/errorx"
 )
 
 // Reasons of responses to requests that carry no valid key.
@@ -23,9 +26,19 @@
 	tooOldRetryAfter = 500 * time.Millisecond
 )
 
+// identity says who sent a request.
+type identity struct {
+	// account is the client account; it is nil without accounts and on public rules.
+	account *account.Account
+	// credential is what the request carried, and accounts the index in which account was found.
+	credential account.Credential
+	accounts   *account.Index
+}
+
 // authenticate finds the client account of a request and returns nil, or the response if the request must not run. If the
-// configuration has accounts, the request loses its key and names its account to the target.
-func (x *exchange) authenticate(index *ruleIndex) *callerResponse {
+// configuration has accounts, the request loses its key and names its account to the target. The result of mayAcceptKeys must be
+// older than the index.
+func (x *exchange) authenticate(index *ruleIndex, mayAcceptKeys bool) *callerResponse {
 	g := x.gateway
 	if index.accounts == nil {
 		return nil
@@ -37,15 +50,17 @@
 	if x.rule.Public {
 		return nil
 	}
+	if !mayAcceptKeys {
+		return x.refuseAllKeys()
+	}
 	credential, ok := account.ReadCredential(values)
 	if !ok {
 		return x.refuseKey()
 	}
-	x.credential = credential
+	x.credential, x.accounts = credential, index.accounts
 	if x.account = index.accounts.Find(credential); x.account == nil {
-		if g.roster.Confirmed().Revision == 0 || g.knowledgeAge() > maxUnknownKeyAge {
-			g.stats.tooOld.Add(1)
-			return x.refuse(placement.Refused{Reason: reasonConfigurationTooOld, RetryAfter: tooOldRetryAfter})
+		if g.config.BootTime()-time.Duration(g.knownAt.Load()) > maxUnknownKeyAge {
+			return x.refuseTooOld()
 		}
 		return x.refuseKey()
 	}
@@ -53,6 +68,17 @@
 	return nil
 }
 
+// noteKnown records that this host knew the store as of a time, on the clock that counts suspension. After this host has stood still,
+// a key that it does not know may be a new one.
+func (g *Gateway) noteKnown(asOf time.Duration) {
+	if g.rules.Load().accounts == nil {
+		return
+	}
+	knownAt := int64(g.config.BootTime() - (g.now() - asOf))
+	for old := g.knownAt.Load(); knownAt > old && !g.knownAt.CompareAndSwap(old, knownAt); old = g.knownAt.Load() {
+	}
+}
+
 // refuseKey returns the response to a request without a valid key.
 func (x *exchange) refuseKey() *callerResponse {
 	x.gateway.stats.unknownKeys.Add(1)
@@ -60,8 +86,64 @@
 	return localResponse(http.StatusUnauthorized, reasonUnknownKey, 0)
 }
 
+// refuseTooOld returns the response to a request with a key that this host cannot judge.
+func (x *exchange) refuseTooOld() *callerResponse {
+	x.gateway.stats.tooOld.Add(1)
+	return x.refuse(placement.Refused{Reason: reasonConfigurationTooOld, RetryAfter: tooOldRetryAfter})
+}
+
+// refuseAllKeys returns the response to any request that needs a key while any key may have been withdrawn without this host knowing.
+func (x *exchange) refuseAllKeys() *callerResponse {
+	if g := x.gateway; !g.refusingKeys.Swap(true) {
+		g.recordKeys(record.KeysRefused, "ProofOld")
+	}
+	return x.refuseTooOld()
+}
+
+// errWithheld reports that a request must not be sent although it was accepted, as its key may have been withdrawn since.
+var errWithheld = namespace.NewType("withheld")
+
+// withheldProperty is the property of an errWithheld with the reason for the caller.
+var withheldProperty = errorx.RegisterProperty("reason")
+
+// withheldReason returns the reason of an errWithheld, or the empty string for any other error and for none.
+func withheldReason(err error) placement.Reason {
+	if !errorx.IsOfType(err, errWithheld) {
+		return ""
+	}
+	reason, _ := errorx.Cast(err).Property(withheldProperty)
+	return reason.(placement.Reason)
+}
+
+// checkKey returns errWithheld if the request must not be sent any more. It is called before each run.
+func (x *exchange) checkKey() error {
+	if x.account == nil {
+		return nil
+	}
+	g := x.gateway
+	if !g.mayAcceptKeys() {
+		return errWithheld.New("the key may have been withdrawn, and this host cannot tell").WithProperty(withheldProperty, reasonConfigurationTooOld)
+	}
+	index := g.rules.Load()
+	if index.accounts != x.accounts && index.accounts != nil && index.accounts.Find(x.credential) == nil {
+		return errWithheld.New("the key was withdrawn").WithProperty(withheldProperty, placement.Reason(reasonUnknownKey))
+	}
+	return nil
+}
+
+// refuseWithheld returns the response to a request that was accepted and is not sent again.
+func (x *exchange) refuseWithheld(reason placement.Reason) *callerResponse {
+	switch {
+	case reason == reasonConfigurationTooOld:
+		return x.refuseAllKeys()
+	case x.mayHaveRun || x.targetFailure != nil:
+		return x.refuse(placement.Refused{Reason: reason})
+	}
+	return x.refuseKey()
+}
+
 // accountName returns the name of the account that sent the request; it is empty without accounts.
-func (x *exchange) accountName() string {
+func (x *identity) accountName() string {
 	if x.account == nil {
 		return ""
 	}
@@ -69,7 +151,7 @@
 }
 
 // accountPriority returns the priority of the account that sent the request; it is 0 without accounts.
-func (x *exchange) accountPriority() int {
+func (x *identity) accountPriority() int {
 	if x.account == nil {
 		return 0
 	}
@@ -77,7 +159,7 @@
 }
 
 // refusedKey returns the fingerprint of the request's key if no account has it; it is empty without a key.
-func (x *exchange) refusedKey() string {
+func (x *identity) refusedKey() string {
 	if x.account != nil || x.credential == (account.Credential{}) {
 		return ""
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,6 +36,8 @@
 	duration time.Duration
 	// blocked is set if nothing was sent because the target has said that it wants no requests.
 	blocked bool
+	// withheld is the reason why nothing was sent because the caller's key must not be accepted any more; it is empty otherwise.
+	withheld placement.Reason
 	// index is the position of the run among its hedgedRuns.
 	index int
 }
@@ -58,8 +60,12 @@
 	}
 	x.gateway.stats.attempts.Add(1)
 	end := placement.RunEnd{Target: p.Target, Outcome: r.outcome, Duration: r.duration, Load: r.load, RateLimit: r.rateLimit, Notice: x.gateway.noticeOf(p.Target)}
-	if r.response != nil {
+	switch {
+	case r.response != nil:
 		end.Bytes = len(r.response.body)
+	case r.withheld != "":
+		// The target has refused nothing.
+		end.Outcome = placement.OutcomeCanceled
 	}
 	from.endRun(x.pending, end)
 	return r
@@ -74,7 +80,7 @@
 		if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
 			g.recordTooLarge(p)
 		}
-		return &runResult{outcome: x.outcomeOfError(ctx, err), blocked: errorx.IsOfType(err, errBlocked)}
+		return &runResult{outcome: x.outcomeOfError(ctx, err), blocked: errorx.IsOfType(err, errBlocked), withheld: withheldReason(err)}
 	}
 	g.readNotice(p.Target, response.StatusCode, response.Header)
 	r := &runResult{load: g.parseLoad(response.Header), rateLimit: g.parseRateLimit(response.Header), duration: g.now() - started}
@@ -96,7 +102,7 @@
 	switch {
 	case errorx.IsOfType(err, backend.ErrNotSent) && ctxErr == nil:
 		return placement.OutcomeUnreachable
-	case errorx.IsOfType(err, backend.ErrPoolExhausted), errorx.IsOfType(err, errBlocked):
+	case errorx.IsOfType(err, backend.ErrPoolExhausted), errorx.IsOfType(err, errBlocked), withheldReason(err) != "":
 		return placement.OutcomeNotRun
 	case errorx.IsOfType(err, backend.ErrNotSent):
 		return placement.OutcomeNotRun
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -166,6 +166,7 @@
 		{"StoreCalls", func() any { return s.storeCalls.Load() }},
 		{"StoreChecks", func() any { return s.storeChecks.Load() }},
 		{"StoreAgeMilliseconds", func() any { return g.knowledgeAge().Milliseconds() }},
+		{"ProvenAgeMilliseconds", func() any { return g.provenAge().Milliseconds() }},
 		{"StoreLost", func() any { return g.storeWatch.unreachable.Load() }},
 		{"SilentHomes", func() any { return s.unresponsiveHomes.Load() }},
 		{"ResponsesTooLarge", func() any { return s.tooLarge.Load() }},
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"briarcroft/internal/account"
 	"briarcroft/internal/note"
 	"briarcroft/internal/placement"
 )
@@ -33,9 +32,7 @@
 	request *request
 	rule    note.Rule
 	service string
-	// account is the client account that sent the request, by its credential; it is nil without accounts and on public rules.
-	account    *account.Account
-	credential account.Credential
+	identity
 	// goal is the latency goal of the rule, and deadline is when the caller stops waiting.
 	goal     time.Duration
 	deadline time.Duration
@@ -79,6 +76,7 @@
 func (x *exchange) run() *callerResponse {
 	g := x.gateway
 	g.stats.requests.Add(1)
+	mayAcceptKeys := g.mayAcceptKeys()
 	index := g.rules.Load()
 	x.noteNumber = index.number
 	if x.noteNumber == 0 {
@@ -89,7 +87,7 @@
 		return localResponse(http.StatusNotFound, "NoRule", 0)
 	}
 	x.rule = rule
-	if response := x.authenticate(index); response != nil {
+	if response := x.authenticate(index, mayAcceptKeys); response != nil {
 		return response
 	}
 	x.ruleFound = true
@@ -151,6 +149,9 @@
 		if r.blocked {
 			x.blocked++
 		}
+		if r.withheld != "" {
+			return x.refuseWithheld(r.withheld)
+		}
 		if x.mayRetry(ctx) {
 			return nil
 		}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "time"
+
 // ReadyHosts returns how many ready hosts the gateway knows, and which of them is the primary home of a service.
 func (g *Gateway) ReadyHosts(service string) (hosts int, home string) {
 	ranked := g.homeClient.rankedHomes(service)
@@ -15,3 +17,6 @@
 
 // RelayedRequests returns how many runs peers have relayed for the gateway.
 func (g *Gateway) RelayedRequests() int64 { return g.stats.relayed.Load() }
+
+// ProvenAge returns the proven age of the gateway's knowledge of the store; it is below zero if nothing is proven.
+func (g *Gateway) ProvenAge() time.Duration { return g.provenAge() }
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -41,6 +41,10 @@
 	lastPhase int
 	// logger is that of the gateways that start from now on.
 	logger zerolog.Logger
+	// accounts are the settings for client accounts of the gateways that start from now on.
+	accounts settings.Accounts
+	// suspended is by how much the clock of a host that counts suspension is ahead of the monotonic one.
+	suspended sync.Map
 	// tenants are the client accounts in the configurations that configure writes.
 	tenants []tenant
 }
@@ -63,9 +67,16 @@
 // withFleet runs a test in virtual time (testing/synctest) with a store, a configuration, targets of one service and
 // gateways, after the gateways have found each other.
 func withFleet(t *testing.T, hosts, targets int, run func(f *fleet)) {
+	withPreparedFleet(t, hosts, targets, func(*fleet) {}, run)
+}
+
+// withPreparedFleet is withFleet with changes before anything starts.
+func withPreparedFleet(t *testing.T, hosts, targets int, prepare, run func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{is: is.New(t), logger: zerolog.Nop(), net: fakenet.New(), store: standin.New(), hosts: map[string]*node{}, targets: map[string]*standin.Target{}}
+		f.accounts = settings.Default().Accounts
 		defer f.close()
+		prepare(f)
 		f.configure(1, safeRule("lookup", "/lookup/"), unsafeRule("order", "/order/"))
 		for i := range targets {
 			f.addTarget(fmt.Sprintf("t%d", i))
@@ -148,6 +159,7 @@
 	s.Platform.Kind = "Native"
 	s.Limits.StopTimeout, s.Limits.AddressMaxAge = 6*time.Second, time.Second
 	s.Budget.ProbesPerSec = probesPerSecond
+	s.Accounts = f.accounts
 	if first := f.hosts["h0"]; first != nil && first != n {
 		s.Peers.Seeds = []string{first.inner}
 	}
@@ -156,7 +168,8 @@
 	store, closeStore := platform.NewStore(platform.StoreConfig{URL: "http://" + storeAddress, Timeout: time.Second, Dial: dial})
 	g, closeGateway := gateway.New(gateway.Config{
 		Settings: s, Dialect: platform.Dialect(), Store: store, Logger: f.logger, Dial: dial,
-		Listen: func(_, address string) (net.Listener, error) { return f.net.Listen(name, address), nil },
+		Listen:   func(_, address string) (net.Listener, error) { return f.net.Listen(name, address), nil },
+		BootTime: func() time.Duration { return f.bootTime(name) },
 	})
 	stop, cancelStop := context.WithCancel(context.Background())
 	force, cancelForce := context.WithCancel(context.Background())
@@ -167,6 +180,23 @@
 	return n
 }
 
+// bootTime reads the clock of a host that counts suspension. Those of different hosts differ by hours.
+func (f *fleet) bootTime(host string) time.Duration {
+	suspended, _ := f.suspended.Load(host)
+	ahead, _ := suspended.(time.Duration)
+	return time.Since(virtualStart) + ahead + time.Duration(1+len(host)+int(host[len(host)-1])%7)*time.Hour
+}
+
+// virtualStart is the time at which synctest starts.
+var virtualStart = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// suspend makes the clock of a host that counts suspension go on by a time that the host otherwise does not notice.
+func (f *fleet) suspend(host string, d time.Duration) {
+	suspended, _ := f.suspended.Load(host)
+	ahead, _ := suspended.(time.Duration)
+	f.suspended.Store(host, ahead+d)
+}
+
 func (f *fleet) address() string {
 	f.lastAddress++
 	return fmt.Sprintf("10.5.%d.%d:80", f.lastAddress/250, f.lastAddress%250+1)
--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -90,6 +90,7 @@
 	if !g.roster.Confirm(k) {
 		return false
 	}
+	g.noteKnown(k.AsOf)
 	if !wasFresh {
 		g.storeWatch.freshSince.Store(int64(g.now()))
 	}
@@ -118,6 +119,8 @@
 	failures int
 	// nextAt is when the next check may be made.
 	nextAt time.Duration
+	// checkedAt is when the last check began, and proofOldSince since when the proof of the age has been old; 0 if it is not.
+	checkedAt, proofOldSince time.Duration
 }
 
 // runStoreChecks is the background task that checks the store when this host's knowledge of it is old.
@@ -150,7 +153,7 @@
 	case age < staleAfter && w.unreachable.Load() && g.watcherRank() < enoughCandidates:
 		return time.Duration(w.failedAt.Load()) + lostStoreCheckInterval - now
 	case age < staleAfter:
-		return staleAfter - age
+		return min(staleAfter-age, c.untilProofDue(now))
 	case g.receiving.Load() > 0 && age < staleAfter+catchUpDelay:
 		return catchUpDelay
 	default:
@@ -162,6 +165,7 @@
 func (c *storeChecker) check(ctx context.Context) {
 	g := c.gateway
 	g.stats.storeChecks.Add(1)
+	c.checkedAt = g.now()
 	age := g.knowledgeAge()
 	callCtx, cancel := ctx, context.CancelFunc(func() {})
 	if c.failures == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,8 @@
 	"sync/atomic"
 	"time"
 
+	"briarcroft/internal/account"
+	"briarcroft/internal/bootclock"
 	"briarcroft/internal/duty"
 	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
@@ -116,6 +118,8 @@
 	Listen func(network, address string) (net.Listener, error)
 	// Dial opens connections to backend servers and peers; nil means TCP.
 	Dial socket.DialFunc
+	// BootTime reads a clock that counts the time for which the host is suspended, and that nobody sets; nil means bootclock.Now.
+	BootTime func() time.Duration
 }
 
 // Gateway is one entry host. Its exported methods are safe for concurrent use.
@@ -171,6 +175,16 @@
 	lastKnowledge atomic.Uint64
 	// passedOn is the AsOf of the knowledge of the store that was last passed on to followers.
 	passedOn atomic.Int64
+	// proof is what this host has proven of the age of its knowledge of the store, and restores decides what counts after the store
+	// has come back from an older copy. refusingKeys is set while all keys are refused because the proof is too old.
+	proof        account.Proof
+	restores     account.Restores
+	refusingKeys atomic.Bool
+	// knownAt is the time of Config.BootTime as of which this host last knew the store, by the ordinary age of its knowledge; 0 while
+	// there are no accounts.
+	knownAt atomic.Int64
+	// applied is the view of the store that is in force.
+	applied atomic.Pointer[roster.View]
 	// receiving is the number of streams on which an update of the store has arrived in part.
 	receiving atomic.Int32
 	// bodies bounds the memory for request bodies, and responses that for responses of unknown length.
@@ -196,6 +210,9 @@
 	if c.Listen == nil {
 		c.Listen = net.Listen
 	}
+	if c.BootTime == nil {
+		c.BootTime = bootclock.Now
+	}
 	g := &Gateway{
 		config: c, settings: c.Settings, dialect: c.Dialect, start: time.Now(), chain: &note.Chain{},
 		heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}), peersAhead: ring.NewQueue[peerAhead](ring.Config{Capacity: 1}), histograms: meter.NewHistograms(), logger: c.Logger,
@@ -224,7 +241,10 @@
 		request.Notices = inner.EncodeNotices(g.notices.Share(g.now()))
 		request.Knowledge = g.knowledge()
 		return request
-	}, OnReply: func(r *inner.HeartbeatReply) { g.handlePeerState(r.Sender, r) }}
+	}, SendTime: g.sendTime, OnReply: func(r inner.ReceivedReply) {
+		g.handlePeerState(r.Sender, r)
+		g.proveByReply(r)
+	}}
 	var cancelBackground context.CancelFunc
 	g.background, cancelBackground = context.WithCancel(context.Background())
 	g.rules.Store(&ruleIndex{})
@@ -260,7 +280,7 @@
 // Inner returns the address on which the host listens for peers.
 func (g *Gateway) Inner() string { return g.settings.Host.Inner }
 
-// Reload applies Peers.Seeds, Retries.Slack, Limits.AddressMaxAge and Limits.StopTimeout of new settings. Retries.Ratio
+// Reload applies Accounts, Peers.Seeds, Retries.Slack, Limits.AddressMaxAge and Limits.StopTimeout of new settings. Retries.Ratio
 // and Retries.Window apply only to services for which this host has not placed a request yet. All other settings take
 // effect only after a restart.
 func (g *Gateway) Reload(s settings.Settings) {
@@ -294,6 +314,7 @@
 	g.homeServer.applyView(v)
 	g.pools.applyView(v)
 	g.updateReady()
+	g.applied.Store(v)
 }
 
 // applyConfiguration appends a newer configuration to the chain, as a note that describes the differences.
@@ -359,7 +380,7 @@
 	}
 	tasks := duty.NewGroup()
 	defer tasks.Stop()
-	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runStoreChecks, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks} {
+	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runStoreChecks, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks, g.runProofs} {
 		tasks.Go(task)
 	}
 	failed := make(chan error, len(listeners))
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -34,6 +34,7 @@
 	reply.RateLimits = inner.EncodeRateLimits(g.rateLimits.Share(g.now()))
 	reply.Notices = inner.EncodeNotices(g.notices.Share(g.now()))
 	reply.Knowledge = g.knowledge()
+	g.addProof(reply.Knowledge)
 	return reply, nil
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -39,9 +39,12 @@
 )
 
 // send sends the request to a target and returns its response, of which the body was not read. It goes over this host's own
-// link, or through a peer if this host does not reach the target. Errors are those of backend.Pool.Do and errBlocked.
+// link, or through a peer if this host does not reach the target. Errors are those of backend.Pool.Do, errBlocked and errWithheld.
 func (x *exchange) send(ctx context.Context, from placer, p placement.Placed) (*http.Response, error) {
 	g := x.gateway
+	if err := x.checkKey(); err != nil {
+		return nil, err
+	}
 	if g.said(p.Target).Blocked(g.now()) {
 		return nil, errBlocked.New("target %s has said that it wants no requests", p.Target)
 	}
@@ -78,7 +81,7 @@
 // relayOr has a peer relay the request, and returns the given error if no peer can.
 func (x *exchange) relayOr(ctx context.Context, from placer, p placement.Placed, err error) (*http.Response, error) {
 	response, relayErr := x.relay(ctx, from, p)
-	if errorx.IsOfType(relayErr, backend.ErrNotSent) {
+	if errorx.IsOfType(relayErr, backend.ErrNotSent) || withheldReason(relayErr) != "" {
 		return nil, err
 	}
 	return response, relayErr
@@ -139,6 +142,9 @@
 	}
 	err := error(backend.ErrNotSent.New("no peer relays to target %s", p.Target))
 	for _, peer := range g.relayPeers(from, p) {
+		if err := x.checkKey(); err != nil {
+			return nil, err
+		}
 		var response *http.Response
 		if response, err = g.relayThrough(ctx, peer, x.relayRequest(ctx, p)); !errorx.IsOfType(err, backend.ErrNotSent) || ctx.Err() != nil {
 			g.stats.relayed.Add(1)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -60,6 +60,8 @@
 	watching atomic.Bool
 	// loaded is set once this host has read the store successfully.
 	loaded atomic.Bool
+	// longWaitsFrom is the time from which calls may wait for longer than maxWatchTimeout. Only runStoreWatch uses it.
+	longWaitsFrom time.Duration
 	// watchers are those selected from live, a result of MemberTable.Live. Only runStoreWatch uses them.
 	live, watchers []host.Member
 }
@@ -129,7 +131,14 @@
 		w.registered = err == nil
 	default:
 		var changes int
-		w.revision, changes, err = g.readChanges(ctx, w.revision, w.waitTime())
+		wait, proofDelay := w.waitTime()
+		endProof := g.proveDuring(ctx, w.revision, proofDelay)
+		started := g.now()
+		w.revision, changes, err = g.readChanges(ctx, w.revision, wait)
+		endProof()
+		if proofDelay > 0 && changes == 0 && g.now()-started < wait {
+			g.storeWatch.longWaitsFrom = g.now() + shortWaitTime
+		}
 		if undisturbed = err == nil && changes == 0; changes > 0 {
 			// Changes come in bursts, and the platform charges for each call that the store answers.
 			duty.Sleep(ctx, changeBatchDelay)
@@ -146,15 +155,24 @@
 
 // waitTime returns how long the next call waits for changes. Each watcher waits for as many times confirmInterval as there are
 // watchers. A change ends the calls of all of them at the same time; the waits after it differ, so that they learn in turn that
-// nothing has changed since.
-func (w *watcher) waitTime() time.Duration {
+// nothing has changed since. While proofs of the age matter, waits are longer, and proofDelay is how long after the beginning of the
+// call to make one without a wait.
+func (w *watcher) waitTime() (wait, proofDelay time.Duration) {
 	watchers := w.gateway.watchers()
-	timeout := min(max(minWatchTimeout, confirmInterval*time.Duration(len(watchers))), maxWatchTimeout)
+	wait = min(max(minWatchTimeout, confirmInterval*time.Duration(len(watchers))), maxWatchTimeout)
+	between := time.Duration(0)
+	if g := w.gateway; g.withdrawalLimit() > 0 && g.now() >= g.storeWatch.longWaitsFrom {
+		wait *= provingWaitFactor
+		between = wait / time.Duration(2*max(1, len(watchers)))
+	}
 	position := slices.IndexFunc(watchers, func(m host.Member) bool { return m.Name == w.gateway.settings.Host.Name })
-	if w.undisturbed || position < 0 {
-		return timeout
+	if !w.undisturbed && position >= 0 {
+		wait = wait * time.Duration(2*position+1) / time.Duration(2*len(watchers))
+	}
+	if between > 0 {
+		proofDelay = wait - between
 	}
-	return timeout * time.Duration(2*position+1) / time.Duration(2*len(watchers))
+	return wait, proofDelay
 }
 
 // handleFailure handles a failed call and returns the pause before the next one. That one reads a snapshot, because
@@ -182,7 +200,7 @@
 
 // readSnapshot reads all entries of the store and returns its revision.
 func (g *Gateway) readSnapshot(ctx context.Context) (int64, error) {
-	started := g.now()
+	started, sent := g.now(), g.sendTime()
 	g.stats.storeCalls.Add(1)
 	entries, revision, err := g.config.Store.Snapshot(ctx, "")
 	if err != nil {
@@ -191,12 +209,13 @@
 	g.markStoreReturned()
 	g.roster.ApplySnapshot(g.now(), entries, revision)
 	g.confirmOwn(revision, started)
+	g.proveByCall(sent, revision)
 	return revision, nil
 }
 
 // readChanges waits for changes after a revision and returns the new revision and the number of changes.
 func (g *Gateway) readChanges(ctx context.Context, revision int64, wait time.Duration) (int64, int, error) {
-	started := g.now()
+	started, sent := g.now(), g.sendTime()
 	g.stats.storeCalls.Add(1)
 	changes, next, err := g.config.Store.WaitForChanges(ctx, "", revision, wait)
 	if err != nil {
@@ -210,6 +229,7 @@
 		asOf += wait
 	}
 	g.confirmOwn(next, asOf)
+	g.proveByCall(sent, next)
 	return next, len(changes), nil
 }
 
--- a/internal/inner/heartbeat.go
+++ b/internal/inner/heartbeat.go
@@ -28,7 +28,19 @@
 	// NewRequest returns the request that carries the given gossip.
 	NewRequest func(host.Gossip) *HeartbeatRequest
 	// OnReply is called with each reply after its members are merged into Table, to handle its other fields; may be nil.
-	OnReply func(*HeartbeatReply)
+	OnReply func(ReceivedReply)
+	// SendTime returns the time of ReceivedReply.Sent; nil means that it is not needed.
+	SendTime func() time.Duration
+}
+
+// ReceivedReply is a reply to a heartbeat of this host.
+type ReceivedReply struct {
+	*HeartbeatReply
+	// Sent is a time before the heartbeat was sent, by Heartbeats.SendTime.
+	Sent time.Duration
+	// MembersKnown is set if this host now knows the state of all members that the reply names. Otherwise a second heartbeat asks
+	// for it.
+	MembersKnown bool
 }
 
 // Run calls round whenever the next heartbeats are due, or at once when trigger gets an item, until the context ends.
@@ -60,27 +72,36 @@
 	send := func(ctx context.Context, peer DRPCPeerClient) (*HeartbeatReply, error) {
 		return peer.Heartbeat(ctx, request)
 	}
+	sent := h.sendTime()
 	reply, err := callWithRetry(ctx, h.Client, address, firstHeartbeatTimeout, send)
 	if err != nil {
 		h.Table.HeartbeatFailed(h.Now(), address)
 		return
 	}
-	if request = h.handleReply(reply); request == nil {
+	if request = h.handleReply(sent, reply); request == nil {
 		return
 	}
 	// If this call fails, the members are named again in the next round.
+	sent = h.sendTime()
 	if reply, err = callWithRetry(ctx, h.Client, address, firstHeartbeatTimeout, send); err == nil {
-		h.handleReply(reply)
+		h.handleReply(sent, reply)
+	}
+}
+
+func (h *Heartbeats) sendTime() time.Duration {
+	if h.SendTime == nil {
+		return 0
 	}
+	return h.SendTime()
 }
 
-// handleReply merges a reply and returns the message that must follow it, or nil.
-func (h *Heartbeats) handleReply(reply *HeartbeatReply) *HeartbeatRequest {
+// handleReply merges a reply to a heartbeat sent at the given time and returns the message that must follow it, or nil.
+func (h *Heartbeats) handleReply(sent time.Duration, reply *HeartbeatReply) *HeartbeatRequest {
 	unknown := h.Table.Merge(h.Now(), reply.Sender, host.Gossip{
 		Members: DecodeMembers(reply.Members), Digests: DecodeDigests(reply.Pulses), Views: decodeViews(reply.Views), Ages: reply.Ages,
 	})
 	if h.OnReply != nil {
-		h.OnReply(reply)
+		h.OnReply(ReceivedReply{reply, sent, len(unknown) == 0})
 	}
 	if len(reply.Unknown) == 0 && len(unknown) == 0 {
 		return nil
--- a/internal/inner/membership_test.go
+++ b/internal/inner/membership_test.go
@@ -39,13 +39,20 @@
 	random *rand.Rand
 	hosts  []*simulatedHost
 	byName map[string]*simulatedHost
+	// domains is the number of failure domains.
+	domains int
 	// cut reports whether messages between two hosts are lost; nil means none.
 	cut func(a, b *simulatedHost) bool
 }
 
 // newSimulatedFleet starts hosts at the same time, three of which all others know as seeds.
 func newSimulatedFleet(hosts int) *simulatedFleet {
-	f := &simulatedFleet{random: rand.New(rand.NewPCG(1, uint64(hosts))), byName: map[string]*simulatedHost{}}
+	return newSimulatedFleetIn(simulatedDomains, hosts)
+}
+
+// newSimulatedFleetIn is newSimulatedFleet for another number of failure domains.
+func newSimulatedFleetIn(domains, hosts int) *simulatedFleet {
+	f := &simulatedFleet{random: rand.New(rand.NewPCG(1, uint64(hosts))), byName: map[string]*simulatedHost{}, domains: domains}
 	for range hosts {
 		f.start()
 	}
@@ -54,7 +61,7 @@
 
 func (f *simulatedFleet) start() *simulatedHost {
 	i := len(f.hosts)
-	h := &simulatedHost{name: fmt.Sprintf("edge-no-vest-%c-%d", 'a'+i%simulatedDomains, i), domain: i % simulatedDomains, startedAt: f.now, contacted: map[string]bool{}}
+	h := &simulatedHost{name: fmt.Sprintf("edge-no-vest-%c-%d", 'a'+i%f.domains, i), domain: i % f.domains, startedAt: f.now, contacted: map[string]bool{}}
 	h.nextRound = f.now + time.Duration(f.random.Int64N(int64(host.HeartbeatInterval)))
 	table := host.NewMemberTable(host.Config{
 		Self: host.Member{
@@ -101,7 +108,7 @@
 			reply := HandleHeartbeat(peer.heartbeats.Table, peer.heartbeats.Now(), next)
 			h.bytesSent += proto.Size(next)
 			peer.bytesSent += proto.Size(reply)
-			next = h.heartbeats.handleReply(reply)
+			next = h.heartbeats.handleReply(h.heartbeats.sendTime(), reply)
 		}
 	}
 }
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -55,6 +55,10 @@
 	StoreReturned Kind = "StoreReturned"
 	// StoreRestored means that the platform's store has come back from an older copy; Evidence.Detail holds its eras and revisions.
 	StoreRestored Kind = "StoreRestored"
+	// KeysRefused means that this host refuses all requests with keys of client accounts, because it cannot tell whether one was
+	// withdrawn, and KeysAccepted that it can tell again. Evidence.Detail holds the proven age of its knowledge of the store.
+	KeysRefused  Kind = "KeysRefused"
+	KeysAccepted Kind = "KeysAccepted"
 	// TargetsLost means that this host reaches no target over its own link, so that other hosts relay its requests, and
 	// TargetsReturned that it reaches targets again.
 	TargetsLost     Kind = "TargetsLost"
