--- a/internal/gateway/proof.go
+++ b/internal/gateway/proof.go
@@ -20,7 +20,7 @@
 	// askShare is the age from which a host asks watchers, which know the store best. Heartbeats keep the proof younger.
 	askShare = 0.5
 	// proofCheckShare is the age from which the first hosts of each failure domain check the store themselves.
-	proofCheckShare = 0.6
+	proofCheckShare = 0.7
 	// proofTick is how often the age is looked at, and askInterval the least time between two rounds of asking.
 	proofTick   = 100 * time.Millisecond
 	askInterval = 500 * time.Millisecond
