--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -93,3 +93,6 @@
 
 // OtherDomainBytes returns the bytes of responses of targets in other failure domains.
 func (g *Gateway) OtherDomainBytes() int64 { return g.stats.otherDomainBytes.Load() }
+
+// ProvenAge returns the proven age of the gateway's knowledge of the store; it is below zero if nothing is proven.
+func (g *Gateway) ProvenAge() time.Duration { return g.provenAge() }
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -17,7 +17,6 @@
 	"briarcroft/internal/ring"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -53,21 +52,8 @@
 	refused atomic.Int64
 }
 
-// bootTime returns the time since the system was started. Unlike the clock of package time it goes on while the host is suspended.
-func bootTime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		// The clock exists in all supported versions of Linux.
-		panic(err)
-	}
-	return time.Duration(t.Nano())
-}
-
 func newAllowances(c Config, incarnation uint64) *allowances {
 	a := &allowances{bootTime: c.BootTime, wakeElection: ring.NewQueue[struct{}](ring.Config{Capacity: 1}), tokenWanted: ring.NewQueue[struct{}](ring.Config{Capacity: 1})}
-	if a.bootTime == nil {
-		a.bootTime = bootTime
-	}
 	s := c.Settings.Accounts
 	bound := quota.Bound{Window: s.AllowanceWindow, Overage: s.AllowanceOverage, Slack: s.AllowanceSlack}
 	a.holder = quota.NewHolder(quota.HolderConfig{Self: c.Settings.Host.Name, Incarnation: incarnation, Bound: bound})
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -40,9 +40,12 @@
 )
 
 // send sends the request to a target and returns its response, of which the body was not read. It goes over this host's own
-// link, or through a peer if this host does not reach the target. Errors are those of backend.Pool.Do and maySend.
+// link, or through a peer if this host does not reach the target. Errors are those of backend.Pool.Do, maySend and checkKey.
 func (x *exchange) send(ctx context.Context, from placer, p placement.Placed) (*http.Response, error) {
 	g := x.gateway
+	if err := x.checkKey(); err != nil {
+		return nil, err
+	}
 	if err := g.maySend(p.Target); err != nil {
 		return nil, err
 	}
@@ -79,7 +82,7 @@
 // relayOr has a peer relay the request, and returns the given error if no peer can.
 func (x *exchange) relayOr(ctx context.Context, from placer, p placement.Placed, err error) (*http.Response, error) {
 	response, relayErr := x.relay(ctx, from, p)
-	if errorx.IsOfType(relayErr, backend.ErrNotSent) {
+	if errorx.IsOfType(relayErr, backend.ErrNotSent) || withheldReason(relayErr) != "" {
 		return nil, err
 	}
 	return response, relayErr
@@ -147,6 +150,9 @@
 		if g.evacuated(p.Target) {
 			break
 		}
+		if err := x.checkKey(); err != nil {
+			return nil, err
+		}
 		var response *http.Response
 		if response, err = g.relayThrough(ctx, peer, x.relayRequest(ctx, p)); !errorx.IsOfType(err, backend.ErrNotSent) || ctx.Err() != nil {
 			g.stats.relayed.Add(1)
