--- a/internal/quota/wallet.go
+++ b/internal/quota/wallet.go
@@ -34,6 +34,8 @@
 	MaxWait = 250 * time.Millisecond
 	// lostRetryDelay is the Retry-After time while no holder answers.
 	lostRetryDelay = 500 * time.Millisecond
+	// maxReturn is the longest Retry-After time, unless the next token takes longer.
+	maxReturn = 2 * time.Second
 	// purseLifetime is how long an account is remembered that is not used.
 	purseLifetime = 10 * time.Second
 )
@@ -357,16 +359,22 @@
 }
 
 // refuse counts a refusal and returns when the caller should return. Callers that are refused together are told different times,
-// at the rate at which tokens come.
+// at the rate at which tokens come, and the earliest ones again after maxReturn: most callers do not wait longer.
 func (w *Wallet) refuse(now time.Duration, account string, p *purse, limit Limit) time.Duration {
 	w.count(account).Refused++
-	room := max(now, p.spentUntil)
-	if w.lost(now) {
-		room = max(room, now+lostRetryDelay)
+	room := p.spentUntil
+	switch {
+	case w.lost(now):
+		room = now + lostRetryDelay
+	case room <= now:
+		room = now + RequestInterval
 	}
 	p.promised = max(room, p.promised)
-	retryAfter := max(time.Millisecond, p.promised-now)
-	p.promised = min(p.promised+time.Duration(float64(time.Second)/limit.Rate), now+w.config.Bound.Window)
+	if p.promised-now > maxReturn {
+		p.promised = room
+	}
+	retryAfter := p.promised - now
+	p.promised += time.Duration(float64(time.Second) / limit.Rate)
 	return retryAfter
 }
 
