--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -41,12 +42,14 @@
 	lastAddress int
 	// lastPhase numbers the calls of sendToHosts.
 	lastPhase int
+	// maxConnections is that of the service in configurations; 0 means 100.
+	maxConnections int
 	// logger is that of the gateways that start from now on.
 	logger zerolog.Logger
 	// tenants are the client accounts in the configurations that configure writes.
 	tenants []tenant
-	// maxConnections is that of the service in configurations; 0 means 100.
-	maxConnections int
+	// timeLimit is how long callers wait; 0 means a second.
+	timeLimit time.Duration
 	// changeSettings changes the settings of gateways; it may be nil.
 	changeSettings func(*settings.Settings)
 }
@@ -242,8 +245,9 @@
 	r.Host = "www.example"
 	maps.Copy(r.Header, header)
 	r.Header.Set("X-Attempt-Id", id)
-	r.Header.Set("X-Deadline-Ms", "1000")
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	limit := cmp.Or(f.timeLimit, time.Second)
+	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
+	ctx, cancel := context.WithTimeout(context.Background(), limit+2*time.Second)
 	defer cancel()
 	response, err := transport.RoundTrip(r.WithContext(ctx))
 	if err != nil {
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -84,6 +84,8 @@
 	// requests holds all requests that are queued or have a run.
 	requests map[RequestID]*Request
 	queue    []*Request
+	// queueBuffer is the memory of the queue before the last Dispatch.
+	queueBuffer []*Request
 	// serviceTimes holds, by class, the moving average of the time that a run takes at a pace of 1, in seconds.
 	serviceTimes map[string]float64
 	// responseBytes holds, by class, the moving average of the response size.
@@ -128,6 +130,18 @@
 	demand demandMeter
 	// room is the room for late work in the present Dispatch, once it is known.
 	room *room
+	// drain measures how fast work in time leaves the queue. blocked is set if a request in time found no suitable slot in the
+	// present Dispatch.
+	drain   drainMeter
+	blocked bool
+	// picks holds the targets that the present Dispatch has picked since the last run was started.
+	picks map[pickKey]pick
+	// spareAhead is the number of requests without a promise that the present Dispatch has left in the queue.
+	spareAhead int
+	// usableShare is the share of slots that are usable for work in time; see room.
+	usableShare timeAverage
+	// returns spreads the times at which refused callers are told to come back.
+	returns returnPlanner
 	// lateRuns is the number of runs that were late when they started.
 	lateRuns int
 	// refusals is the number of refusals so far. It gives each retry delay a different jitter.
@@ -213,10 +227,12 @@
 	h.requests[r.ID] = r
 	h.room = nil
 	h.recordDemand(now, r)
+	h.admit(now, r)
 	if reason, refused := h.cannotServe(now, r); refused {
 		h.refuse(now, r, reason)
 		return
 	}
+	r.accepted = !r.promised
 	if h.plan != nil {
 		h.planArrival(now, r)
 	}
@@ -269,13 +285,15 @@
 		h.countAwaitingDomain()
 	}
 	if len(h.queue) == 0 {
+		h.drain.setBlocked(now, false)
 		return
 	}
 	slices.SortStableFunc(h.queue, func(a, b *Request) int { return h.compareQueued(now, a, b) })
 	h.sortFairly(now)
-	remaining := h.queue[:0]
+	remaining := h.queueBuffer[:0]
 	ahead, lateAhead := 0, 0
-	h.room = nil
+	h.room, h.blocked, h.spareAhead = nil, false, 0
+	clear(h.picks)
 	for _, r := range h.queue {
 		if h.placeOrRefuse(now, r, ahead, lateAhead) {
 			r.queued = false
@@ -283,11 +301,15 @@
 		}
 		ahead++
 		lateAhead += h.lateRank(now, r)
+		if h.config.AgeOrder && h.ageRank(now, r) != rankPromised {
+			h.spareAhead++
+		}
 		remaining = append(remaining, r)
 	}
 	h.lateWait.setQueued(now, lateAhead)
-	clear(h.queue[len(remaining):])
-	h.queue = remaining
+	h.drain.setBlocked(now, h.blocked)
+	clear(h.queue)
+	h.queueBuffer, h.queue = h.queue, remaining
 }
 
 // placeOrRefuse places or refuses a queued request, unless it is better kept in the queue, and reports whether the
@@ -297,7 +319,7 @@
 		h.refuse(now, r, ReasonAllowanceSpent)
 		return true
 	}
-	t, e := h.pickTarget(now, r, r.Tried)
+	t, e := h.pickQueued(now, r)
 	if t != nil && !r.allowance.waiting && !h.awaitsOtherRun(now, r) && h.shouldPlaceNow(now, r, e.expected) {
 		if h.shouldAwaitProbe(now, r, t) {
 			return false
@@ -321,6 +343,7 @@
 		h.refuse(now, r, h.lateReason(now))
 		return true
 	}
+	h.blocked = h.blocked || r.promised && len(r.Tried) == 0 && !h.awaitsOtherRun(now, r)
 	return false
 }
 
@@ -333,6 +356,7 @@
 	started := &run{request: r, target: t, startedAt: now, fingerprints: r.fingerprints(), expected: e.expected, slowdown: e.slowdown, nearlyFull: e.nearlyFull, unreported: t.unreported.factor(now), token: h.spendToken(now, r)}
 	h.chargeAccount(r)
 	h.recordStart(now, started)
+	clear(h.picks)
 	if t.doubtful(now) {
 		t.probe.startTrial(now)
 	}
@@ -370,7 +394,11 @@
 	if len(r.runs) == 0 {
 		delete(h.requests, r.ID)
 	}
-	h.config.OnVerdict(r, Refused{
+	verdict := Refused{
 		Reason: reason, RetryAfter: h.retryAfter(now, r, reason), Waiting: len(h.queue), Slots: h.availableSlots(now), Expected: h.serviceTime(r),
-	})
+	}
+	if h.config.AgeOrder {
+		verdict.Turn, verdict.Free = h.turn(now, r), h.currentRoom(now).free()
+	}
+	h.config.OnVerdict(r, verdict)
 }
