--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -47,6 +47,9 @@
 	limited atomic.Bool
 	// number is that of the configuration whose allowances are in force. Only setAccounts uses it.
 	number int
+	// begun is set between the first configuration with an allowance, if there was one without before, and the first call of
+	// Holder.SetElectors.
+	begun atomic.Bool
 	// wake wakes the tasks when limited is set, and tokenWanted the one that asks for tokens when a request waits for one.
 	wakeElection, tokenWanted *ring.Queue[struct{}]
 	// refused counts the requests that were refused because an allowance was spent.
@@ -80,6 +83,7 @@
 	if c.Number == a.number {
 		return
 	}
+	begins := a.number != 0 && !a.limited.Load()
 	a.number = c.Number
 	limits := map[string]quota.Limit{}
 	for _, account := range c.Accounts {
@@ -89,6 +93,12 @@
 	}
 	a.holder.SetLimits(limits)
 	a.wallet.SetLimits(limits)
+	if begins && len(limits) > 0 {
+		until := a.bootTime() + quota.FirstElection
+		a.wallet.AllowUntil(until)
+		a.holder.FillUntil(until)
+		a.begun.Store(true)
+	}
 	a.limited.Store(len(limits) > 0)
 	a.wakeElection.Push(struct{}{})
 	a.tokenWanted.Push(struct{}{})
@@ -122,7 +132,10 @@
 func (g *Gateway) updateElectors() []host.Member {
 	ranked := g.homeClient.rankedHomes(allowanceService)
 	selected := electorsOf(ranked)
-	g.allowances.holder.SetElectors(g.allowances.bootTime(), memberNames(selected), 2*len(ranked) > g.fleetSize(), g.youngFleet(ranked))
+	a := g.allowances
+	// A fleet whose first allowances come into force has no holder yet, like one that has just started.
+	young := a.begun.Swap(false) || g.youngFleet(ranked)
+	a.holder.SetElectors(a.bootTime(), memberNames(selected), 2*len(ranked) > g.fleetSize(), young)
 	return selected
 }
 
--- a/internal/quota/counts.go
+++ b/internal/quota/counts.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Counts are the counters of one account on one host.
@@ -53,6 +54,17 @@
 	return s
 }
 
+// Lost reports whether requests are waiting for a holder that does not answer.
+func (w *Wallet) Lost(now time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lost(now)
+}
+
+func (w *Wallet) lost(now time.Duration) bool {
+	return w.askedFirst > 0 && now-w.askedFirst > holderSilence
+}
+
 // compareCounts orders counters from many refusals to few.
 func compareCounts(a, b Counts) int {
 	return cmp.Or(cmp.Compare(b.Refused, a.Refused), cmp.Compare(b.Spent, a.Spent), strings.Compare(a.Account, b.Account))
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -48,6 +48,9 @@
 	Bound       Bound
 }
 
+// filledFor is the age of a term whose buckets are full.
+const filledFor = time.Hour
+
 // maxTerm is the highest number of a term. Messages carry it as a floating-point number.
 const maxTerm = 1<<52 - 1
 
@@ -85,11 +88,13 @@
 	election election
 	// since is when the term began and until when it lasts as far as known.
 	since, until time.Duration
-	term         uint64
-	buckets      map[string]*bucket
-	senders      map[candidate]sender
-	sweptAt      time.Duration
-	stats        HolderStats
+	// fillUntil is that of FillUntil.
+	fillUntil time.Duration
+	term      uint64
+	buckets   map[string]*bucket
+	senders   map[candidate]sender
+	sweptAt   time.Duration
+	stats     HolderStats
 }
 
 // HolderStats describes a holder for operators.
@@ -117,6 +122,13 @@
 	h.limits = limits
 }
 
+// FillUntil makes buckets full at the start of a term that begins before a time, because there has been no limit until now.
+func (h *Holder) FillUntil(until time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fillUntil = until
+}
+
 // SetElectors sets the electors, best first, whether this host sees most hosts of the fleet, and whether all that it sees have just
 // started. It must be called several times a second.
 func (h *Holder) SetElectors(now time.Duration, electors []string, majority, youngFleet bool) {
@@ -164,6 +176,9 @@
 	until := h.election.heldUntil()
 	if now < until && now >= h.until {
 		h.since = now
+		if now < h.fillUntil {
+			h.since = now - filledFor
+		}
 		h.stats.Terms++
 		h.term = xxhash.Sum64String(fmt.Sprint(h.config.Self, "\x00", h.config.Incarnation, "\x00", h.stats.Terms)) & maxTerm
 		clear(h.buckets)
--- a/internal/quota/wallet.go
+++ b/internal/quota/wallet.go
@@ -36,6 +36,9 @@
 	lostRetryDelay = 500 * time.Millisecond
 	// maxReturn is the longest Retry-After time, unless the next token takes longer.
 	maxReturn = 2 * time.Second
+	// FirstElection is for how long requests need no tokens when the first limits come into force. Homes learn of them within 2 s,
+	// and an election takes a little longer than joinDelay.
+	FirstElection = 2 * time.Second
 	// purseLifetime is how long an account is remembered that is not used.
 	purseLifetime = 10 * time.Second
 )
@@ -113,6 +116,8 @@
 	mu     sync.Mutex
 	config WalletConfig
 	limits map[string]Limit
+	// allowUntil is the time until which no limit is in force; see AllowUntil.
+	allowUntil time.Duration
 	// meanRate is the mean rate of the limits that have one.
 	meanRate float64
 	// place returns the number of hosts and this host's position for an account; see Bound.emergencyTokens.
@@ -157,6 +162,13 @@
 	w.meanRate /= float64(max(1, limited))
 }
 
+// AllowUntil makes all requests need no token until a time, because there has been no limit until now and no holder is elected yet.
+func (w *Wallet) AllowUntil(until time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.allowUntil = until
+}
+
 // SetPlace sets the function that returns, for an account, the number of hosts of the fleet and this host's position among them.
 func (w *Wallet) SetPlace(place func(account string) (hosts, position int)) {
 	w.mu.Lock()
@@ -183,7 +195,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	limit := w.limits[account]
-	if limit.Rate <= 0 {
+	if limit.Rate <= 0 || now < w.allowUntil {
 		return Token{}, Taken, 0
 	}
 	p := w.purse(now, account)
@@ -221,7 +233,7 @@
 func (w *Wallet) TryTake(now time.Duration, account string) (Token, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.limits[account].Rate <= 0 {
+	if w.limits[account].Rate <= 0 || now < w.allowUntil {
 		return Token{}, true
 	}
 	return w.purse(now, account).take(now, account)
@@ -377,14 +389,3 @@
 	p.promised += time.Duration(float64(time.Second) / limit.Rate)
 	return retryAfter
 }
-
-// Lost reports whether requests are waiting for a holder that does not answer.
-func (w *Wallet) Lost(now time.Duration) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.lost(now)
-}
-
-func (w *Wallet) lost(now time.Duration) bool {
-	return w.askedFirst > 0 && now-w.askedFirst > holderSilence
-}
