Plan of flows: retries do not wait for their domain; sums in a fixed order

Cause: a retry that had tried all targets of its domain waited there in vain until its reserve was used up. Sums over a map made simulations differ in the last digits.

Change: a retry goes to the best target anywhere. Flows are summed up in sorted order.

--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -29,6 +29,8 @@
 	w := workloadNamed(t, "stock-burst")
 	w.Duration = 12 * time.Second
 	is.Equal(Simulate(Home{Hedges: true}, w), Simulate(Home{Hedges: true}, w))
+	w.Domains, w.ResponseBytes = []int{5, 6, 3}, 110<<10
+	is.Equal(Simulate(Home{Hedges: true, DomainPlan: true}, w), Simulate(Home{Hedges: true, DomainPlan: true}, w))
 }
 
 // TestHomeUnderOverload offers two and five times the capacity. The home must answer at least 95% as many requests within
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -108,6 +109,13 @@
 	return true
 }
 
+// sortedKeys returns the keys of all flows, sorted, so that sums over them do not depend on the order of a map.
+func (p *domainPlan) sortedKeys() []flowKey {
+	return slices.SortedFunc(maps.Keys(p.flows), func(a, b flowKey) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.domain, b.domain))
+	})
+}
+
 // due reports whether the plan is to be computed.
 func (p *domainPlan) due(now time.Duration) bool { return now-p.computedAt >= planInterval }
 
@@ -139,8 +147,9 @@
 		}
 		d.capacity = planLoad * d.slots * d.speed
 	}
-	keys := make([]flowKey, 0, len(p.flows))
-	for k, f := range p.flows {
+	var keys []flowKey
+	for _, k := range p.sortedKeys() {
+		f := p.flows[k]
 		f.rate += (float64(f.arrivals)/elapsed.Seconds() - f.rate) * gain
 		f.arrivals = 0
 		if f.rate < minFlowRate {
@@ -152,11 +161,8 @@
 		keys = append(keys, k)
 	}
 	// The cheapest come first: those with the fewest bytes in a second of work.
-	slices.SortFunc(keys, func(a, b flowKey) int {
-		return cmp.Or(
-			cmp.Compare(bytes(a.class)/serviceTime(a.class), bytes(b.class)/serviceTime(b.class)),
-			cmp.Compare(a.class, b.class), cmp.Compare(a.domain, b.domain),
-		)
+	slices.SortStableFunc(keys, func(a, b flowKey) int {
+		return cmp.Compare(bytes(a.class)/serviceTime(a.class), bytes(b.class)/serviceTime(b.class))
 	})
 	excess := make(map[string]float64, len(p.domains))
 	for name, d := range p.domains {
@@ -216,7 +222,8 @@
 		return
 	}
 	var work, rate float64
-	for k, f := range h.plan.flows {
+	for _, k := range h.plan.sortedKeys() {
+		f := h.plan.flows[k]
 		work += f.rate * h.serviceTimes[k.class]
 		rate += f.rate
 	}
@@ -265,7 +272,7 @@
 
 // choosePlanned chooses between the best target in the failure domain of the request and the best one in another. It
 // returns none if the request should wait for a slot in its own. Responses of unknown size count as large, since a home that
-// has just started or moved knows no sizes.
+// has just started or moved knows no sizes. A retry does not wait, because it may have tried all targets of its domain.
 func (h *Home) choosePlanned(now time.Duration, r *Request, own, other candidate) candidate {
 	best := own
 	if other.better(own) {
@@ -274,7 +281,8 @@
 	if r.queued {
 		h.setAwaitsDomain(r, false)
 	}
-	if bytes, known := h.responseBytes[r.Class]; r.mayCross || known && bytes < stayBytes || best.target == nil {
+	bytes, known := h.responseBytes[r.Class]
+	if r.mayCross || len(r.Tried) > 0 || known && bytes < stayBytes || best.target == nil {
 		return best
 	}
 	inTime := func(c candidate, margin float64) bool {
@@ -342,46 +350,3 @@
 	}
 	return sum
 }
-
-// Parameters of unreportedSlowdown.
-const (
-	// unreportedGain is the weight of one run in the moving average, and unreportedDecayTime the decay time without runs.
-	unreportedGain      = 0.2
-	unreportedDecayTime = 3 * time.Second
-	// minUnreported is the least slowdown that counts: less may be chance, as service times vary by a third or so.
-	minUnreported = 1.5
-)
-
-// unreportedSlowdown is the moving average of how much longer runs on a target take than its load reports suggest. Only a
-// home with a plan of flows uses it, because such a home sends requests to targets that are not the fastest.
-type unreportedSlowdown struct {
-	excess float64
-	at     time.Duration
-}
-
-// record counts a run that took the given multiple of what the load reports suggested.
-func (u *unreportedSlowdown) record(now time.Duration, ratio float64) {
-	excess := max(0, min(2*maxFactor, ratio)-1)
-	u.excess = u.excess*decay(now-u.at, unreportedDecayTime)*(1-unreportedGain) + excess*unreportedGain
-	u.at = now
-}
-
-// factor returns the factor by which the next run is expected to take longer than the load reports suggest.
-func (u *unreportedSlowdown) factor(now time.Duration) float64 {
-	if f := 1 + u.excess*decay(now-u.at, unreportedDecayTime); f >= minUnreported {
-		return f
-	}
-	return 1
-}
-
-// recordUnreported compares the duration of a run with what the load reports of its target suggested. Of a canceled run only
-// the least duration is known, so it counts only if it is long.
-func (h *Home) recordUnreported(now time.Duration, ended *run, duration time.Duration, canceled bool) {
-	if h.plan == nil || ended.expected <= 0 {
-		return
-	}
-	ratio := float64(duration) / float64(ended.expected) * ended.unreported
-	if !canceled || ratio > overdueRatio {
-		ended.target.unreported.record(now, ratio)
-	}
-}
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -106,6 +106,17 @@
 	is.True(f.placedOn(f.submitLarge(1500*time.Millisecond)) != "")
 }
 
+// TestRetryDoesNotWaitForOwnDomain sends a request again that the only target in its failure domain has refused: it must go to the
+// other domain at once, as no other target comes in its own.
+func TestRetryDoesNotWaitForOwnDomain(t *testing.T) {
+	is := is.New(t)
+	f := newPlannedHome("a", "b")
+	retry := f.submit(func(r *Request) {
+		r.Class, r.Goal, r.Deadline, r.Tried = "large", f.now+1500*time.Millisecond, f.now+10*time.Second, []string{"a0"}
+	})
+	is.Equal(f.placedOn(retry), "b1")
+}
+
 // TestNoWaitForLimitedDomain lets the only target in the failure domain of a request name a rate limit, as a cold one does: once
 // the limit is used up, further requests must go to the other domain at once.
 func TestNoWaitForLimitedDomain(t *testing.T) {
