--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,12 +5,14 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
 	"briarcroft/internal/backend"
+	"briarcroft/internal/notice"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/record"
 
@@ -37,6 +39,8 @@
 	duration time.Duration
 	// blocked is set if nothing was sent because the target is evacuated or has said that it wants no requests.
 	blocked bool
+	// withheld is the reason why nothing was sent because the caller's key must not be accepted any more; it is empty otherwise.
+	withheld placement.Reason
 	// index is the position of the run among its hedgedRuns.
 	index int
 }
@@ -53,21 +57,41 @@
 // runOn sends the request to one target and reports the end of the run to the home that placed it.
 func (x *exchange) runOn(ctx context.Context, from placer, p placement.Placed) *runResult {
 	started := x.gateway.now()
-	r := x.roundTrip(ctx, from, p)
+	key, _ := x.gateway.noticeKey(p.Target)
+	r := x.roundTrip(ctx, from, p, key)
 	if r.duration == 0 {
 		r.duration = x.gateway.now() - started
 	}
 	x.gateway.stats.attempts.Add(1)
-	end := placement.RunEnd{Target: p.Target, Outcome: r.outcome, Duration: r.duration, Load: r.load, RateLimit: r.rateLimit, Notice: x.gateway.noticeOf(p.Target)}
-	if r.response != nil {
+	end := placement.RunEnd{Target: p.Target, Outcome: r.outcome, Duration: r.duration, Load: r.load, RateLimit: r.rateLimit, Notice: x.gateway.noticeOf(key)}
+	switch {
+	case r.response != nil:
 		end.Bytes = len(r.response.body)
+		if x.gateway.settings.Placement.DomainPlan {
+			// Of a very large response only the beginning has been read.
+			end.Bytes = int(max(int64(end.Bytes), min(math.MaxUint32, r.response.length)))
+		}
+		x.gateway.countTargetBytes(p.Target, end.Bytes)
+	case r.withheld != "":
+		// The target has refused nothing.
+		end.Outcome = placement.OutcomeCanceled
 	}
 	from.endRun(x.pending, end)
 	return r
 }
 
-// roundTrip sends the request to the target that a home has chosen and reads the response.
-func (x *exchange) roundTrip(ctx context.Context, from placer, p placement.Placed) *runResult {
+// countTargetBytes counts the bytes of a response by whether its target is in this host's failure domain.
+func (g *Gateway) countTargetBytes(target string, bytes int) {
+	if t, found := g.findTarget(target); found && t.Domain != g.settings.Host.Domain {
+		g.stats.otherDomainBytes.Add(int64(bytes))
+		return
+	}
+	g.stats.ownDomainBytes.Add(int64(bytes))
+}
+
+// roundTrip sends the request to the target that a home has chosen and reads the response. Notices of the target are recorded
+// under the key.
+func (x *exchange) roundTrip(ctx context.Context, from placer, p placement.Placed, key notice.Key) *runResult {
 	g := x.gateway
 	started := g.now()
 	response, err := x.send(ctx, from, p)
@@ -75,10 +99,13 @@
 		if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
 			g.recordTooLarge(p)
 		}
-		return &runResult{outcome: x.outcomeOfError(ctx, err), blocked: errorx.IsOfType(err, errBlocked) || errorx.IsOfType(err, errEvacuated)}
+		return &runResult{
+			outcome: x.outcomeOfError(ctx, err), blocked: errorx.IsOfType(err, errBlocked) || errorx.IsOfType(err, errEvacuated), withheld: withheldReason(err),
+		}
 	}
-	g.readNotice(p.Target, response.StatusCode, response.Header)
+	g.readNotice(key, response.StatusCode, response.Header)
 	r := &runResult{load: g.parseLoad(response.Header), rateLimit: g.parseRateLimit(response.Header), duration: g.now() - started}
+	g.pools.recordLoad(p.Target, p.Address, r.load)
 	if response.Header.Get(g.dialect.NotRunHeader) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		r.outcome = placement.OutcomeNotRun
 		if response.StatusCode == http.StatusMisdirectedRequest {
@@ -99,7 +126,7 @@
 		return placement.OutcomeUnreachable
 	case errorx.IsOfType(err, errEvacuated):
 		return placement.OutcomeBlocked
-	case errorx.IsOfType(err, backend.ErrPoolExhausted), errorx.IsOfType(err, errBlocked):
+	case errorx.IsOfType(err, backend.ErrPoolExhausted), errorx.IsOfType(err, errBlocked), withheldReason(err) != "":
 		return placement.OutcomeNotRun
 	case errorx.IsOfType(err, backend.ErrNotSent):
 		return placement.OutcomeNotRun
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -106,6 +106,7 @@
 	mux.HandleFunc("GET /Note", g.serveNote)
 	mux.HandleFunc("GET /Status", g.serveStatus)
 	mux.Handle("GET /Explain", g.records)
+	mux.HandleFunc("GET /Allowance", g.serveAllowance)
 	return serveHTTP(ctx, l, mux)
 }
 
@@ -129,10 +130,11 @@
 		Peers          []host.Member
 		Latency        []meter.Summary
 		Unwritten      int64
+		Allowances     *allowanceStatus `json:",omitempty"`
 		Evacuated      []evacuationStatus
 	}{
 		self.Name, self.Domain, g.incarnation, self.Ready, self.Leaving, self.Note, g.members.Peers(),
-		g.histograms.Summaries(), g.requestLog.unwritten.Load() + g.records.Unwritten(), g.evacuationStatuses(),
+		g.histograms.Summaries(), g.requestLog.unwritten.Load() + g.records.Unwritten(), g.allowanceStatus(), g.evacuationStatuses(),
 	})
 }
 
@@ -154,6 +156,8 @@
 		{"Attempts", func() any { return s.attempts.Load() }},
 		{"Probes", func() any { return s.primaryProbes.Load() + s.fallbackProbes.Load() }},
 		{"Quarantined", func() any { return s.quarantined.Load() }},
+		{"UnknownKeys", func() any { return s.unknownKeys.Load() }},
+		{"ConfigurationTooOld", func() any { return s.tooOld.Load() }},
 		{"PrimaryProbes", func() any { return s.primaryProbes.Load() }},
 		{"FallbackProbes", func() any { return s.fallbackProbes.Load() }},
 		{"PrimaryLimitedRuns", func() any { return s.primaryLimitedRuns.Load() }},
@@ -165,6 +169,7 @@
 		{"StoreCalls", func() any { return s.storeCalls.Load() }},
 		{"StoreChecks", func() any { return s.storeChecks.Load() }},
 		{"StoreAgeMilliseconds", func() any { return g.knowledgeAge().Milliseconds() }},
+		{"ProvenAgeMilliseconds", func() any { return g.provenAge().Milliseconds() }},
 		{"StoreLost", func() any { return g.storeWatch.unreachable.Load() }},
 		{"SilentHomes", func() any { return s.unresponsiveHomes.Load() }},
 		{"ResponsesTooLarge", func() any { return s.tooLarge.Load() }},
@@ -181,8 +186,12 @@
 		{"Note", func() any { return g.chain.Number() }},
 		{"UnwrittenLines", func() any { return g.requestLog.unwritten.Load() + g.records.Unwritten() }},
 		{"InnerBytesSent", func() any { return g.client.BytesSent() }},
+		{"OwnDomainBytes", func() any { return s.ownDomainBytes.Load() }},
+		{"OtherDomainBytes", func() any { return s.otherDomainBytes.Load() }},
+		{"InnerTraffic", func() any { return g.client.Traffic() }},
 		{"Latencies", func() any { return g.histograms.Summaries() }},
 		{"Queued", func() any { return g.homeServer.queuedByService() }},
+		{"Allowances", func() any { return g.allowanceStatus() }},
 	} {
 		vars.Set(v.name, expvar.Func(v.value))
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -32,10 +32,13 @@
 	request *request
 	rule    note.Rule
 	service string
+	identity
 	// goal is the latency goal of the rule, and deadline is when the caller stops waiting.
 	goal     time.Duration
 	deadline time.Duration
-	pending  *pendingRequest
+	// age is how long before its arrival the caller first sent the request; it is 0 without Overload.AgeOrder.
+	age     time.Duration
+	pending *pendingRequest
 	// placer is the home that the request was last sent to for placement; it is nil before the first call of place.
 	placer placer
 	// tried names the targets that the request was placed on, including those that could not be reached.
@@ -75,6 +78,7 @@
 func (x *exchange) run() *callerResponse {
 	g := x.gateway
 	g.stats.requests.Add(1)
+	mayAcceptKeys := g.mayAcceptKeys()
 	index := g.rules.Load()
 	x.noteNumber = index.number
 	if x.noteNumber == 0 {
@@ -84,6 +88,10 @@
 	if !found {
 		return localResponse(http.StatusNotFound, "NoRule", 0)
 	}
+	x.rule = rule
+	if response := x.authenticate(index, mayAcceptKeys); response != nil {
+		return response
+	}
 	x.ruleFound = true
 	x.applyRule(rule)
 	if q, found := g.quarantine.Lookup(g.now(), append([]uint64{x.fingerprint}, x.sharedFingerprints...)...); found {
@@ -96,9 +104,9 @@
 	return x.placeAndRun(ctx)
 }
 
-// applyRule chooses the service and computes the latency goal and the deadline.
+// applyRule chooses the service of the request's rule and computes the latency goal, which counts from the caller's first attempt,
+// and the deadline.
 func (x *exchange) applyRule(rule note.Rule) {
-	x.rule = rule
 	x.service = x.gateway.split.choose(rule)
 	limit := rule.Deadline
 	if limit == 0 {
@@ -109,8 +117,11 @@
 	}
 	x.deadline = x.request.arrived + limit
 	x.goal = x.deadline
+	if x.gateway.settings.Overload.AgeOrder {
+		x.age = x.gateway.ages.Observe(x.gateway.now(), rule.Name, x.request.callerAddress, x.request.timeout)
+	}
 	if rule.Goal > 0 {
-		x.goal = min(x.deadline, x.request.arrived+rule.Goal)
+		x.goal = min(x.deadline, x.request.arrived-x.age+rule.Goal)
 	}
 }
 
@@ -144,6 +155,9 @@
 		if r.blocked {
 			x.blocked++
 		}
+		if r.withheld != "" {
+			return x.refuseWithheld(r.withheld)
+		}
 		if x.mayRetry(ctx) {
 			return nil
 		}
@@ -252,7 +266,8 @@
 
 func (x *exchange) placementRequest(p placer) *placement.Request {
 	return &placement.Request{
-		Class: x.rule.Class, Priority: x.rule.Priority, Goal: x.goal, Deadline: x.deadline, Repeatable: x.repeatable(),
+		Class: x.rule.Class, Account: x.accountName(), AccountPriority: x.accountPriority(), Priority: x.rule.Priority,
+		Age: x.submissionAge(), Goal: x.goal, Deadline: x.deadline, Repeatable: x.repeatable(),
 		Tried: x.tried, Fingerprint: x.fingerprint, SharedFingerprints: x.sharedFingerprints, Domain: x.gateway.settings.Host.Domain,
 		Probes: x.gateway.homeClient.takeProbes(x.service, p.name()),
 	}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"briarcroft/internal/inner"
+	"briarcroft/internal/quota"
 	"briarcroft/internal/record"
 )
 
@@ -22,6 +24,12 @@
 // RelayedRequests returns how many runs peers have relayed for the gateway.
 func (g *Gateway) RelayedRequests() int64 { return g.stats.relayed.Load() }
 
+// Allowances returns the state of the holder on this host, and whether the host is waiting for another one.
+func (g *Gateway) Allowances() (holder quota.HolderStats, lost bool) {
+	now := g.allowances.bootTime()
+	return g.allowances.holder.Stats(now), g.allowances.wallet.Lost(now)
+}
+
 // Evacuations returns the evacuated failure domains with the number of requests that the gateway has running there.
 func (g *Gateway) Evacuations() map[string]int {
 	running := map[string]int{}
@@ -41,3 +49,12 @@
 	}
 	return details
 }
+
+// Traffic returns the traffic with peers on the connections that the gateway has opened.
+func (g *Gateway) Traffic() []inner.TrafficCount { return g.client.Traffic() }
+
+// OtherDomainBytes returns the bytes of responses of targets in other failure domains.
+func (g *Gateway) OtherDomainBytes() int64 { return g.stats.otherDomainBytes.Load() }
+
+// ProvenAge returns the proven age of the gateway's knowledge of the store; it is below zero if nothing is proven.
+func (g *Gateway) ProvenAge() time.Duration { return g.provenAge() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,9 @@
 	"sync/atomic"
 	"time"
 
+	"briarcroft/internal/account"
+	"briarcroft/internal/age"
+	"briarcroft/internal/bootclock"
 	"briarcroft/internal/duty"
 	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
@@ -88,6 +91,9 @@
 	// PauseHeader is the response header field of a refusal by which a backend server says for how many seconds it wants no
 	// requests from the host that it refuses.
 	PauseHeader string
+	// CredentialHeader is the request header field with the key of the caller's client account, and AccountHeader the one by which
+	// backend servers learn the name of the account.
+	CredentialHeader, AccountHeader string
 	// WarmUpHeader is the response header field by which a backend server says in health responses for how many milliseconds it stays
 	// cold; one that is warm omits it.
 	WarmUpHeader string
@@ -116,6 +122,8 @@
 	Listen func(network, address string) (net.Listener, error)
 	// Dial opens connections to backend servers and peers; nil means TCP.
 	Dial socket.DialFunc
+	// BootTime reads a clock that counts the time for which the host is suspended, and that nobody sets; nil means bootclock.Now.
+	BootTime func() time.Duration
 }
 
 // Gateway is one entry host. Its exported methods are safe for concurrent use.
@@ -145,6 +153,7 @@
 	// peersAhead holds a peer that knows more of the store than this host.
 	peersAhead *ring.Queue[peerAhead]
 	homeServer *homeServer
+	allowances *allowances
 	// quarantine lists the requests that are refused because they crash targets.
 	quarantine *quarantine.List
 	// rateLimits holds the rate limits that targets name.
@@ -164,15 +173,27 @@
 	relaysForPeers atomic.Int64
 	homeClient     *homeClient
 	rules          atomic.Pointer[ruleIndex]
-	split          trafficSplit
-	histograms     *meter.Histograms
-	stats          stats
-	followers      followers
-	storeWatch     watchState
+	// ages holds what callers name as their remaining time. It is used only with Overload.AgeOrder.
+	ages       *age.Table
+	split      trafficSplit
+	histograms *meter.Histograms
+	stats      stats
+	followers  followers
+	storeWatch watchState
 	// lastKnowledge is the number of this host's last call that showed what the store holds.
 	lastKnowledge atomic.Uint64
 	// passedOn is the AsOf of the knowledge of the store that was last passed on to followers.
 	passedOn atomic.Int64
+	// proof is what this host has proven of the age of its knowledge of the store, and restores decides what counts after the store
+	// has come back from an older copy. refusingKeys is set while all keys are refused because the proof is too old.
+	proof        account.Proof
+	restores     account.Restores
+	refusingKeys atomic.Bool
+	// knownAt is the time of Config.BootTime as of which this host last knew the store, by the ordinary age of its knowledge; 0 while
+	// there are no accounts.
+	knownAt atomic.Int64
+	// applied is the view of the store that is in force.
+	applied atomic.Pointer[roster.View]
 	// receiving is the number of streams on which an update of the store has arrived in part.
 	receiving atomic.Int32
 	// bodies bounds the memory for request bodies, and responses that for responses of unknown length.
@@ -200,6 +221,9 @@
 	if c.Listen == nil {
 		c.Listen = net.Listen
 	}
+	if c.BootTime == nil {
+		c.BootTime = bootclock.Now
+	}
 	g := &Gateway{
 		config: c, settings: c.Settings, dialect: c.Dialect, start: time.Now(), chain: &note.Chain{},
 		heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}), peersAhead: ring.NewQueue[peerAhead](ring.Config{Capacity: 1}), histograms: meter.NewHistograms(), logger: c.Logger,
@@ -212,7 +236,7 @@
 	var closeRecords, closeClient, closeLog func()
 	g.requestLog, closeLog = newRequestLog(c.Logger)
 	g.records, closeRecords = record.NewLog(record.LogConfig{Host: c.Settings.Host.Name, Incarnation: g.incarnation, Capacity: maxRecords, Logger: c.Logger})
-	g.client, closeClient = inner.NewClient(inner.ClientConfig{Dial: c.Dial})
+	g.client, closeClient = inner.NewClient(inner.ClientConfig{Dial: c.Dial, OtherDomain: g.isInOtherDomain})
 	g.members = host.NewMemberTable(host.Config{
 		Self: host.Member{
 			Name: c.Settings.Host.Name, Listen: c.Settings.Host.Listen, Inner: c.Settings.Host.PeerAddress(),
@@ -228,15 +252,21 @@
 		request.Notices = inner.EncodeNotices(g.notices.Share(g.now()))
 		request.Knowledge = g.knowledge()
 		return request
-	}, OnReply: func(r *inner.HeartbeatReply) { g.handlePeerState(r.Sender, r) }}
+	}, SendTime: g.sendTime, OnReply: func(r inner.ReceivedReply) {
+		g.handlePeerState(r.Sender, r)
+		g.proveByReply(r)
+	}}
 	var cancelBackground context.CancelFunc
 	g.background, cancelBackground = context.WithCancel(context.Background())
 	g.rules.Store(&ruleIndex{})
 	g.quarantine = quarantine.New(quarantine.Config{Targets: crashesToQuarantine})
 	g.rateLimits = ratelimit.New()
+	g.ages = age.New()
 	g.notices, g.malformedNotices = notice.New(), rate.NewLimiter(malformedNoticesPerSecond, 1)
 	g.evacuations = evacuations{began: map[string]time.Duration{}, ended: map[string]time.Duration{}}
 	g.registered.Store(&map[string]roster.Target{})
+	g.allowances = newAllowances(c, g.incarnation)
+	g.allowances.wallet.SetPlace(g.emergencyPlace)
 	g.homeServer = newHomeServer(g)
 	g.pools = newPools(g)
 	g.reach = reach.New()
@@ -270,7 +300,7 @@
 // Inner returns the address on which the host listens for peers.
 func (g *Gateway) Inner() string { return g.settings.Host.Inner }
 
-// Reload applies Peers.Seeds, Retries.Slack, Limits.AddressMaxAge and Limits.StopTimeout of new settings. Retries.Ratio
+// Reload applies Accounts, Peers.Seeds, Retries.Slack, Limits.AddressMaxAge and Limits.StopTimeout of new settings. Retries.Ratio
 // and Retries.Window apply only to services for which this host has not placed a request yet. All other settings take
 // effect only after a restart.
 func (g *Gateway) Reload(s settings.Settings) {
@@ -301,10 +331,12 @@
 	g.applyRegistered(v)
 	g.recordWarmUps(v, g.applyEvacuations(v))
 	g.recordTargetChanges(v)
-	g.rules.Store(newRuleIndex(v.Configuration))
+	g.allowances.setAccounts(v.Configuration)
+	g.rules.Store(newRuleIndex(v.Configuration, g.rules.Load()))
 	g.homeServer.applyView(v)
 	g.pools.applyView(v)
 	g.updateReady()
+	g.applied.Store(v)
 }
 
 // applyConfiguration appends a newer configuration to the chain, as a note that describes the differences.
@@ -377,7 +409,7 @@
 	}
 	tasks := duty.NewGroup()
 	defer tasks.Stop()
-	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runStoreChecks, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks} {
+	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runStoreChecks, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks, g.runPoolSweeps, g.runElection, g.runTokenRequests, g.runProofs} {
 		tasks.Go(task)
 	}
 	failed := make(chan error, len(listeners))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -13,6 +13,7 @@
 	"briarcroft/internal/backend"
 	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
+	"briarcroft/internal/notice"
 	"briarcroft/internal/placement"
 
 	"github.com/joomcode/errorx"
@@ -39,9 +40,12 @@
 )
 
 // send sends the request to a target and returns its response, of which the body was not read. It goes over this host's own
-// link, or through a peer if this host does not reach the target. Errors are those of backend.Pool.Do and maySend.
+// link, or through a peer if this host does not reach the target. Errors are those of backend.Pool.Do, maySend and checkKey.
 func (x *exchange) send(ctx context.Context, from placer, p placement.Placed) (*http.Response, error) {
 	g := x.gateway
+	if err := x.checkKey(); err != nil {
+		return nil, err
+	}
 	if err := g.maySend(p.Target); err != nil {
 		return nil, err
 	}
@@ -78,7 +82,7 @@
 // relayOr has a peer relay the request, and returns the given error if no peer can.
 func (x *exchange) relayOr(ctx context.Context, from placer, p placement.Placed, err error) (*http.Response, error) {
 	response, relayErr := x.relay(ctx, from, p)
-	if errorx.IsOfType(relayErr, backend.ErrNotSent) {
+	if errorx.IsOfType(relayErr, backend.ErrNotSent) || withheldReason(relayErr) != "" {
 		return nil, err
 	}
 	return response, relayErr
@@ -146,6 +150,9 @@
 		if g.evacuated(p.Target) {
 			break
 		}
+		if err := x.checkKey(); err != nil {
+			return nil, err
+		}
 		var response *http.Response
 		if response, err = g.relayThrough(ctx, peer, x.relayRequest(ctx, p)); !errorx.IsOfType(err, backend.ErrNotSent) || ctx.Err() != nil {
 			g.stats.relayed.Add(1)
@@ -381,7 +388,7 @@
 		return
 	}
 	g.recordInReach(r.Target)
-	g.readNotice(r.Target, response.StatusCode, response.Header)
+	g.readNotice(notice.Key{Target: r.Target, Incarnation: target.Incarnation}, response.StatusCode, response.Header)
 	defer response.Body.Close()
 	if send(&inner.RelayReply{Kind: inner.RelayKind_RelayHead, Status: int32(response.StatusCode), Headers: encodeHeader(response.Header), Length: response.ContentLength}) {
 		relayBody(response.Body, send)
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -36,6 +36,11 @@
 	homesTried, hedges       int
 	queued, sent, late       bool
 	duration, remaining      time.Duration
+	// account is the name of the client account, and key the fingerprint of a key that was refused; they are empty if there is none.
+	account, key string
+	// byAge is set with Overload.AgeOrder, and age is how long before its arrival the caller first sent the request.
+	byAge bool
+	age   time.Duration
 	// verdict is the last verdict about the request, with the estimates that it was based on.
 	verdict placement.Verdict
 	// relayedBy is the peer that relayed a run; it is empty if none did.
@@ -98,6 +103,9 @@
 		e.Dur("ExpectedMilliseconds", v.Expected).Dur("KnowledgeAgeMilliseconds", v.KnowledgeAge)
 	case placement.Refused:
 		e.Dur("ExpectedMilliseconds", v.Expected).Int("Waiting", v.Waiting).Int("Slots", v.Slots)
+		if entry.byAge {
+			e.Dur("TurnMilliseconds", v.Turn).Int("Free", v.Free)
+		}
 	}
 	if entry.fingerprint != 0 {
 		e.Str("Caller", entry.caller).Str("Path", entry.path).Str("Fingerprint", strconv.FormatUint(entry.fingerprint, 16))
@@ -107,9 +115,18 @@
 		}
 		e.Strs("SharedFingerprints", shared)
 	}
+	if entry.byAge {
+		e.Dur("AgeMilliseconds", entry.age)
+	}
 	if entry.relayedBy != "" {
 		e.Str("RelayedBy", entry.relayedBy)
 	}
+	if entry.account != "" {
+		e.Str("Account", entry.account)
+	}
+	if entry.key != "" {
+		e.Str("KeyFingerprint", entry.key)
+	}
 	e.
 		Time("At", entry.at).Str("Request", entry.id).Str("Rule", entry.rule).Str("Service", entry.service).Str("Home", entry.home).
 		Str("Targets", entry.targets).Str("Outcome", entry.outcome).Str("Reason", entry.reason).Int("Status", entry.status).Int("Note", entry.note).
@@ -139,6 +156,9 @@
 	notices atomic.Int64
 	// quarantined counts the requests that this host, as a home, has put in quarantine.
 	quarantined atomic.Int64
+	// unknownKeys counts requests without a valid key, and tooOld those that were refused because a key may have been added or
+	// withdrawn without this host knowing.
+	unknownKeys, tooOld atomic.Int64
 	// primaryProbes and fallbackProbes count health probes by the role in which they were sent.
 	primaryProbes, fallbackProbes atomic.Int64
 	// primaryLimitedRuns and fallbackLimitedRuns count runs placed on targets that name a rate limit, by the home's role.
@@ -146,6 +166,8 @@
 	// storeBytesSent and storeBytesReceived count the bytes of the streams on which hosts pass on changes of the store, and
 	// followsStarted this host's attempts to open one.
 	storeBytesSent, storeBytesReceived, followsStarted atomic.Int64
+	// ownDomainBytes counts the bytes of responses of targets in this host's failure domain, and otherDomainBytes those of others.
+	ownDomainBytes, otherDomainBytes atomic.Int64
 }
 
 // countersInterval is the time between two lines with the counters in the log.
@@ -163,6 +185,7 @@
 			Int64("PrimaryLimitedRuns", s.primaryLimitedRuns.Load()).Int64("FallbackLimitedRuns", s.fallbackLimitedRuns.Load()).
 			Int64("StoreCalls", s.storeCalls.Load()).Int64("StoreChecks", s.storeChecks.Load()).Dur("StoreAgeMilliseconds", g.knowledgeAge()).Int64("StoreBytesSent", s.storeBytesSent.Load()).
 			Int64("StoreBytesReceived", s.storeBytesReceived.Load()).Int64("FollowsStarted", s.followsStarted.Load()).
+			Int64("OwnDomainBytes", s.ownDomainBytes.Load()).Int64("OtherDomainBytes", s.otherDomainBytes.Load()).
 			Int("Followers", g.followers.count()).Int("LiveHosts", len(g.members.Live(g.now()))).
 			Msg("counters")
 	}
@@ -177,6 +200,9 @@
 		s.truncated.Add(1)
 	case response.reason == "":
 		s.answered.Add(1)
+	case response.reason == string(placement.ReasonAllowanceSpent):
+		s.refused.Add(1)
+		g.allowances.refused.Add(1)
 	case response.status == 503:
 		s.refused.Add(1)
 	case response.status == 404:
@@ -189,6 +215,7 @@
 		status: response.status, note: x.noteNumber, homesTried: x.homesTried, hedges: x.hedges, queued: x.queued, sent: sent, duration: duration,
 		remaining: x.deadline - g.now(), late: x.ruleFound && g.now() > x.goal, verdict: x.verdict,
 	}
+	entry.byAge, entry.age = g.settings.Overload.AgeOrder, x.age
 	if x.placer != nil {
 		entry.home = x.placer.name()
 	}
@@ -196,6 +223,7 @@
 		entry.caller, entry.path, entry.fingerprint = x.request.callerAddress, x.request.path[:min(len(x.request.path), maxLoggedPath)], x.fingerprint
 		entry.sharedFingerprints = x.sharedFingerprints
 	}
+	entry.account, entry.key = x.accountName(), x.refusedKey()
 	if peer := x.relayedBy.Load(); peer != nil {
 		entry.relayedBy = *peer
 	}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -7,6 +7,7 @@
 package model
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -25,10 +26,14 @@
 	Slow
 	// Mute means that the server runs requests but sends no response to a share of them, muteFaultDropShare.
 	Mute
+	// Paced means that neighbors slow the server down all the time, by Workload.NoisyPace.
+	Paced
+	// Gone means that the server cannot be reached.
+	Gone
 )
 
 // String implements fmt.Stringer.
-func (k FaultKind) String() string { return [...]string{"NoFault", "Slow", "Mute"}[k] }
+func (k FaultKind) String() string { return [...]string{"NoFault", "Slow", "Mute", "Paced", "Gone"}[k] }
 
 // Severity of the faults.
 const (
@@ -49,6 +54,15 @@
 	// LatencyGoal is the latency up to which a response has its full utility. CallerTimeout is how long callers wait.
 	LatencyGoal   time.Duration
 	CallerTimeout time.Duration
+	// RouteTimeout limits each attempt of a request at the entry host; zero means that only CallerTimeout does.
+	RouteTimeout time.Duration
+	// Retries is how often a caller comes back after a refusal. It waits as long as it is told, up to a third of the time that it
+	// has left; the share ImpatientShare of the callers comes back at once. CallerDelay is the one-way delay to callers.
+	Retries        int
+	ImpatientShare float64
+	CallerDelay    time.Duration
+	// Classes are the classes of requests; none means one class.
+	Classes []Class
 	// OfferedLoad is the arrival rate of requests as a multiple of Capacity.
 	OfferedLoad float64
 	// BurstOfferedLoad replaces OfferedLoad between BurstFrom and BurstUntil.
@@ -71,12 +85,28 @@
 	Fault                 FaultKind
 	FaultShare            float64
 	FaultFrom, FaultUntil time.Duration
+	// Domains holds the number of servers of each failure domain, in order; empty means that there is one domain. Each sends
+	// the same number of requests on average. A domain's part of the requests rises and falls by the factor 1 ± Wave over
+	// wavePeriod, and requests arrive Clump at a time from one domain.
+	Domains []int
+	Wave    float64
+	Clump   int
+	// ResponseBytes is the mean size of a response. Sizes are exponentially distributed.
+	ResponseBytes float64
 	// Repeatable is set if a request may run more than once, so that it may be hedged.
 	Repeatable bool
 	// Seed is the seed of all random numbers in the simulation.
 	Seed uint64
 }
 
+// Class is a class of requests of one service. Share is its share of all requests, and Worth the utility of one that is answered
+// within the goal.
+type Class struct {
+	Name         string
+	Priority     int
+	Share, Worth float64
+}
+
 // warmUpDuration is the time at the start whose requests are not counted, because policies have not yet learned the state
 // of the servers.
 const warmUpDuration = 2 * time.Second
@@ -105,6 +135,15 @@
 	ExtraAttempts float64
 	// LateRefusalShare is the share of refused requests whose refusal came after more than half of the caller's timeout.
 	LateRefusalShare float64
+	// RefusedAtOnce and RefusedWaiting count refused attempts: those that were refused when they were submitted, and others.
+	RefusedAtOnce, RefusedWaiting int
+	// Returns counts callers that came back after a refusal when they had been told to, and ReturnsServed those of them whose next
+	// attempt was answered.
+	Returns, ReturnsServed int
+	// PatientWorth and ImpatientWorth are the utility of callers that wait before they come back and of those that do not.
+	PatientWorth, ImpatientWorth float64
+	// CrossShare is the share of the bytes of responses that crossed between failure domains.
+	CrossShare float64
 }
 
 // lateUtility is the utility of a response after the latency goal.
@@ -122,8 +161,21 @@
 	extraAttempts int
 	probes        int
 	lateRefusals  int
+	// worth is the sum of the utilities, and patient and impatient those of callers that wait and do not wait before they return.
+	worth              float64
+	patient, impatient worthSum
+	// bytes counts those of responses, and crossBytes those that came from another failure domain than the request.
+	bytes, crossBytes float64
+}
+
+// worthSum is a sum of utilities of requests.
+type worthSum struct {
+	worth    float64
+	requests int
 }
 
+func (w worthSum) mean() float64 { return w.worth / float64(max(1, w.requests)) }
+
 // Simulate simulates a policy under a workload. The same arguments give the same result.
 func Simulate(p Policy, w Workload) Result {
 	s := &simulation{workload: w, random: rand.New(rand.NewPCG(w.Seed, 7)),
@@ -173,45 +225,49 @@
 	if s.now >= s.workload.Duration {
 		return
 	}
-	s.schedule(time.Duration(s.random.ExpFloat64()/s.arrivalRate()*float64(time.Second)), func() {
-		s.lastID++
-		j := &job{id: s.lastID, arrivedAt: s.now, goal: s.now + s.workload.LatencyGoal, deadline: s.now + s.workload.CallerTimeout,
-			serviceTime: drawServiceTime(s.random, s.workload)}
-		if s.now >= warmUpDuration {
-			s.result.Requests++
+	clump := max(1, s.workload.Clump)
+	s.schedule(time.Duration(s.random.ExpFloat64()/s.arrivalRate()*float64(clump)*float64(time.Second)), func() {
+		domain := s.drawDomain()
+		for range clump {
+			c := s.newCall(domain)
+			if s.now >= warmUpDuration {
+				s.result.Requests++
+				s.sumOf(c).requests++
+			}
+			s.submit(b, c)
 		}
-		b.submit(j)
 		s.scheduleArrivals(b)
 	})
 }
 
-// recordResponse records that a response has reached the caller.
-func (s *simulation) recordResponse(j *job) {
-	if j.finished {
-		return
-	}
-	j.finished = true
-	if j.arrivedAt < warmUpDuration || s.now > j.deadline {
-		return
+// wavePeriod is the time in which the demand of a failure domain rises and falls once.
+const wavePeriod = 8 * time.Second
+
+// drawDomain returns the failure domain of the host to which a request comes. The waves of the domains are evenly shifted
+// against each other, so that the demand of all of them together stays the same.
+func (s *simulation) drawDomain() int {
+	domains := float64(len(s.workload.Domains))
+	if domains == 0 {
+		return 0
 	}
-	if s.now <= j.goal {
-		s.result.InGoal++
-	} else {
-		s.result.Late++
+	for {
+		domain := s.random.IntN(len(s.workload.Domains))
+		phase := 2 * math.Pi * (s.now.Seconds()/wavePeriod.Seconds() + float64(domain)/domains)
+		if s.random.Float64()*(1+s.workload.Wave) < 1+s.workload.Wave*math.Sin(phase) {
+			return domain
+		}
 	}
-	// RecordValue fails above a minute, which latencies do not reach, since callers time out after seconds.
-	_ = s.latencies.RecordValue(int64((s.now - j.arrivedAt) / time.Microsecond))
 }
 
-// recordRefusal records that a request was refused.
-func (s *simulation) recordRefusal(j *job) {
-	if !j.finished && j.arrivedAt >= warmUpDuration {
-		s.result.Refused++
-		if 2*(s.now-j.arrivedAt) > s.workload.CallerTimeout {
-			s.lateRefusals++
-		}
+// recordBytes counts the bytes of a response that a server sends.
+func (s *simulation) recordBytes(j *job, from *server) {
+	if j.arrivedAt < warmUpDuration {
+		return
+	}
+	s.bytes += j.bytes
+	if from.domain != j.domain {
+		s.crossBytes += j.bytes
 	}
-	j.finished = true
 }
 
 // totalDuration returns the virtual time of the simulation, which ends when the last caller times out.
@@ -223,12 +279,16 @@
 	r := s.result
 	r.Lost = r.Requests - r.InGoal - r.Late - r.Refused
 	if r.Requests > 0 {
-		r.Utility = (float64(r.InGoal) + lateUtility*float64(r.Late)) / float64(r.Requests)
+		r.Utility = s.worth / float64(r.Requests)
+		r.PatientWorth, r.ImpatientWorth = s.patient.mean(), s.impatient.mean()
 		r.ExtraAttempts = float64(s.extraAttempts) / float64(r.Requests)
 	}
 	if r.Refused > 0 {
 		r.LateRefusalShare = float64(s.lateRefusals) / float64(r.Refused)
 	}
+	if s.bytes > 0 {
+		r.CrossShare = s.crossBytes / s.bytes
+	}
 	r.P50 = time.Duration(s.latencies.ValueAtQuantile(50)) * time.Microsecond
 	r.P99 = time.Duration(s.latencies.ValueAtQuantile(99)) * time.Microsecond
 	r.Probes = float64(s.probes) / float64(s.workload.Targets) / s.totalDuration().Seconds()
--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -64,6 +64,7 @@
 // recordOutcome updates the state of the target and the statistics of the service from the end of a run.
 func (h *Home) recordOutcome(now time.Duration, r *Request, ended *run, end RunEnd) {
 	t := ended.target
+	h.unspendToken(ended, end.Outcome)
 	if end.Outcome == OutcomeAnswered || end.Outcome == OutcomeFailed || end.Outcome == OutcomeNotRun && end.Load != nil {
 		t.recordResponse(now)
 	}
@@ -73,7 +74,8 @@
 		t.recordSuccess(now)
 		h.config.Quarantine.RecordSuccess(now, ended.fingerprints...)
 		h.recordDuration(r, ended, end.Duration)
-		h.responseBytes[r.Class] += (float64(end.Bytes) - h.responseBytes[r.Class]) * responseBytesGain
+		h.recordUnreported(now, ended, end.Duration, false)
+		h.recordResponseBytes(r.Class, end.Bytes)
 	case OutcomeFailed:
 		t.recordFailure(now, h.mayEject(now))
 	case OutcomeTimedOut:
@@ -98,6 +100,7 @@
 	case OutcomeOtherServer:
 		t.otherServer = true
 	case OutcomeCanceled:
+		h.recordUnreported(now, ended, now-ended.startedAt, true)
 		h.recordUnanswered(now, ended)
 	}
 }
@@ -158,6 +161,7 @@
 		return
 	}
 	r.queued = false
+	h.returnToken(r)
 	for i, other := range h.queue {
 		if other == r {
 			h.queue = append(h.queue[:i], h.queue[i+1:]...)
--- a/internal/placement/hedge.go
+++ b/internal/placement/hedge.go
@@ -19,7 +19,7 @@
 // queued, another target has a free slot and the retry budget allows it. This limits the latency that a target causes
 // when it becomes slow or drops a request.
 func (h *Home) startHedges(now time.Duration) {
-	if len(h.queue) > 0 || h.config.Budget.Remaining(now) < 1+hedgeReserve {
+	if len(h.queue) > h.awaitingDomain() || h.config.Budget.Remaining(now) < 1+hedgeReserve {
 		return
 	}
 	for _, t := range h.targets {
@@ -55,7 +55,11 @@
 	if !lastChance && (ageRatio < hedgeAgeRatio || !inTime && h.lateRank(now, r) == 0) {
 		return
 	}
+	if !h.reserveHedgeToken(now, r) {
+		return
+	}
 	if !h.config.Budget.Spend(now, hedgeReserve) {
+		h.returnToken(r)
 		return
 	}
 	r.hedged = true
