Targets of unknown temperature are not shared in heartbeats

Cause: after an evacuation all targets of the domain count as cold until they say more, for an hour at most, and each heartbeat carried up to 64 of them. Change: this state is kept on each host and not shared; statements of targets are shared as before. TestUnknownWarmUpIsNotShared fails without it (RecordWarmUp shares the entry).

--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -15,13 +15,9 @@
 	"briarcroft/internal/roster"
 )
 
-const (
-	// unknownWarmUp is how long a target counts as cold after an evacuation while nothing newer says how long it really is.
-	unknownWarmUp = ratelimit.MaxWarmUp
-	// clockMargin is by how much the time of day may differ between hosts and targets. Beyond it, an entry that this host finds in the
-	// store when it first reads it counts as written by a target that has been warm for long.
-	clockMargin = time.Minute
-)
+// clockMargin is by how much the time of day may differ between hosts and targets. Beyond it, an entry that this host finds in the
+// store when it first reads it counts as written by a target that has been warm for long.
+const clockMargin = time.Minute
 
 // warmUp returns what cold targets of a service take.
 func (g *Gateway) warmUp(s note.Service) placement.WarmUp {
@@ -62,7 +58,7 @@
 				g.rateLimits.RecordEntry(now, knownAt, k, left)
 			}
 			if slices.Contains(returned, t.Domain) {
-				g.rateLimits.RecordWarmUp(now, knownAt, k, now+unknownWarmUp)
+				g.rateLimits.RecordUnknown(now, knownAt, k)
 			}
 		}
 	}
--- a/internal/ratelimit/warmup.go
+++ b/internal/ratelimit/warmup.go
@@ -39,6 +39,19 @@
 	return t.recordWarmUp(now, at, k, until)
 }
 
+// RecordUnknown records that nothing said after the given time whether a target is cold, so that it counts as cold until a newer
+// statement. Unlike statements it is not shared: every host learns of what made it unknown by itself, and sharing it would add the
+// targets of a whole failure domain to each heartbeat.
+func (t *Table) RecordUnknown(now, at time.Duration, k Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	shared := t.warmUps[k].sharedUntil
+	t.recordWarmUp(now, at, k, now+MaxWarmUp)
+	w := t.warmUps[k]
+	w.sharedUntil = shared
+	t.warmUps[k] = w
+}
+
 // RecordEntry records that an entry of the store, written at some time from earliest until now, says how long a target stays cold. What
 // it says is taken for as late as possible if the target is cold and for as early as possible if not, so that it ends no warm-up that
 // began after it was written.
--- a/internal/ratelimit/warmup_test.go
+++ b/internal/ratelimit/warmup_test.go
@@ -57,6 +57,18 @@
 	}
 }
 
+// TestUnknownWarmUpIsNotShared guards against heartbeats that carry all targets of a failure domain for an hour after its evacuation.
+func TestUnknownWarmUpIsNotShared(t *testing.T) {
+	is := is.New(t)
+	table := New()
+	table.RecordUnknown(time.Minute, time.Minute, key)
+	is.Equal(table.ColdUntil(key), time.Minute+MaxWarmUp)
+	is.Equal(len(table.ShareWarmUps(time.Minute)), 0)
+	table.RecordWarmUp(2*time.Minute, 2*time.Minute, key, 0)
+	is.Equal(table.ColdUntil(key), time.Duration(0))
+	is.Equal(len(table.ShareWarmUps(2*time.Minute)), 0)
+}
+
 // TestHostsAgreeOnWarmUps records health responses on random hosts, which exchange their tables at random times: when all have exchanged
 // them, none takes the target for cold that was warm at last, and none for warm that is cold.
 func TestHostsAgreeOnWarmUps(t *testing.T) {
