--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"briarcroft/internal/backend"
+	"briarcroft/internal/notice"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/record"
 
@@ -22,6 +23,7 @@
 	placement.OutcomeAnswered: "Answered", placement.OutcomeFailed: "TargetFailed", placement.OutcomeNotRun: "TargetRefused",
 	placement.OutcomeUnreachable: "TargetUnreachable", placement.OutcomeConnectionBroke: "ConnectionBroke", placement.OutcomeTimedOut: "TimedOut",
 	placement.OutcomeCanceled: "Abandoned", placement.OutcomeOtherServer: "OtherTargetAtAddress",
+	placement.OutcomeBlocked: "TargetEvacuated",
 }
 
 // runResult is how a run on a target ended.
@@ -34,7 +36,7 @@
 	rateLimit *float64
 	// duration is the time until the response header arrived, or until the run ended without one.
 	duration time.Duration
-	// blocked is set if nothing was sent because the target has said that it wants no requests.
+	// blocked is set if nothing was sent because the target is evacuated or has said that it wants no requests.
 	blocked bool
 	// withheld is the reason why nothing was sent because the caller's key must not be accepted any more; it is empty otherwise.
 	withheld placement.Reason
@@ -45,7 +47,7 @@
 // notRun reports whether the target certainly did not run the request.
 func (r *runResult) notRun() bool {
 	switch r.outcome {
-	case placement.OutcomeNotRun, placement.OutcomeUnreachable, placement.OutcomeOtherServer:
+	case placement.OutcomeNotRun, placement.OutcomeUnreachable, placement.OutcomeOtherServer, placement.OutcomeBlocked:
 		return true
 	}
 	return false
@@ -54,12 +56,13 @@
 // runOn sends the request to one target and reports the end of the run to the home that placed it.
 func (x *exchange) runOn(ctx context.Context, from placer, p placement.Placed) *runResult {
 	started := x.gateway.now()
-	r := x.roundTrip(ctx, from, p)
+	key, _ := x.gateway.noticeKey(p.Target)
+	r := x.roundTrip(ctx, from, p, key)
 	if r.duration == 0 {
 		r.duration = x.gateway.now() - started
 	}
 	x.gateway.stats.attempts.Add(1)
-	end := placement.RunEnd{Target: p.Target, Outcome: r.outcome, Duration: r.duration, Load: r.load, RateLimit: r.rateLimit, Notice: x.gateway.noticeOf(p.Target)}
+	end := placement.RunEnd{Target: p.Target, Outcome: r.outcome, Duration: r.duration, Load: r.load, RateLimit: r.rateLimit, Notice: x.gateway.noticeOf(key)}
 	switch {
 	case r.response != nil:
 		end.Bytes = len(r.response.body)
@@ -71,8 +74,9 @@
 	return r
 }
 
-// roundTrip sends the request to the target that a home has chosen and reads the response.
-func (x *exchange) roundTrip(ctx context.Context, from placer, p placement.Placed) *runResult {
+// roundTrip sends the request to the target that a home has chosen and reads the response. Notices of the target are recorded
+// under the key.
+func (x *exchange) roundTrip(ctx context.Context, from placer, p placement.Placed, key notice.Key) *runResult {
 	g := x.gateway
 	started := g.now()
 	response, err := x.send(ctx, from, p)
@@ -80,10 +84,13 @@
 		if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
 			g.recordTooLarge(p)
 		}
-		return &runResult{outcome: x.outcomeOfError(ctx, err), blocked: errorx.IsOfType(err, errBlocked), withheld: withheldReason(err)}
+		return &runResult{
+			outcome: x.outcomeOfError(ctx, err), blocked: errorx.IsOfType(err, errBlocked) || errorx.IsOfType(err, errEvacuated), withheld: withheldReason(err),
+		}
 	}
-	g.readNotice(p.Target, response.StatusCode, response.Header)
+	g.readNotice(key, response.StatusCode, response.Header)
 	r := &runResult{load: g.parseLoad(response.Header), rateLimit: g.parseRateLimit(response.Header), duration: g.now() - started}
+	g.pools.recordLoad(p.Target, p.Address, r.load)
 	if response.Header.Get(g.dialect.NotRunHeader) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		r.outcome = placement.OutcomeNotRun
 		if response.StatusCode == http.StatusMisdirectedRequest {
@@ -102,6 +109,8 @@
 	switch {
 	case errorx.IsOfType(err, backend.ErrNotSent) && ctxErr == nil:
 		return placement.OutcomeUnreachable
+	case errorx.IsOfType(err, errEvacuated):
+		return placement.OutcomeBlocked
 	case errorx.IsOfType(err, backend.ErrPoolExhausted), errorx.IsOfType(err, errBlocked), withheldReason(err) != "":
 		return placement.OutcomeNotRun
 	case errorx.IsOfType(err, backend.ErrNotSent):
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -129,9 +129,10 @@
 		Peers          []host.Member
 		Latency        []meter.Summary
 		Unwritten      int64
+		Evacuated      []evacuationStatus
 	}{
 		self.Name, self.Domain, g.incarnation, self.Ready, self.Leaving, self.Note, g.members.Peers(),
-		g.histograms.Summaries(), g.requestLog.unwritten.Load() + g.records.Unwritten(),
+		g.histograms.Summaries(), g.requestLog.unwritten.Load() + g.records.Unwritten(), g.evacuationStatuses(),
 	})
 }
 
@@ -174,6 +175,8 @@
 		{"RelayedRequests", func() any { return s.relayed.Load() }},
 		{"RequestsForPeers", func() any { return s.relayedForPeers.Load() }},
 		{"StoreRestores", func() any { return s.restores.Load() }},
+		{"Evacuated", func() any { return g.evacuationStatuses() }},
+		{"ColdTargets", func() any { return g.rateLimits.ColdTargets(g.now()) }},
 		{"TargetNotices", func() any { return s.notices.Load() }},
 		{"ReachChecks", func() any { return s.reachChecks.Load() }},
 		{"SlowReaders", func() any { return s.slowReaders.Load() }},
@@ -181,6 +184,7 @@
 		{"Note", func() any { return g.chain.Number() }},
 		{"UnwrittenLines", func() any { return g.requestLog.unwritten.Load() + g.records.Unwritten() }},
 		{"InnerBytesSent", func() any { return g.client.BytesSent() }},
+		{"InnerTraffic", func() any { return g.client.Traffic() }},
 		{"Latencies", func() any { return g.histograms.Summaries() }},
 		{"Queued", func() any { return g.homeServer.queuedByService() }},
 	} {
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -41,12 +42,14 @@
 	lastPhase int
 	// logger is that of the gateways that start from now on.
 	logger zerolog.Logger
-	// accounts are the settings for client accounts of the gateways that start from now on.
-	accounts settings.Accounts
 	// suspended is by how much the clock of a host that counts suspension is ahead of the monotonic one.
 	suspended sync.Map
 	// tenants are the client accounts in the configurations that configure writes.
 	tenants []tenant
+	// maxConnections is that of the service in configurations; 0 means 100.
+	maxConnections int
+	// changeSettings changes the settings of gateways; it may be nil.
+	changeSettings func(*settings.Settings)
 }
 
 // tenant is one tenant of the platform's configuration.
@@ -67,16 +70,14 @@
 // withFleet runs a test in virtual time (testing/synctest) with a store, a configuration, targets of one service and
 // gateways, after the gateways have found each other.
 func withFleet(t *testing.T, hosts, targets int, run func(f *fleet)) {
-	withPreparedFleet(t, hosts, targets, func(*fleet) {}, run)
+	withSettings(t, nil, hosts, targets, run)
 }
 
-// withPreparedFleet is withFleet with changes before anything starts.
-func withPreparedFleet(t *testing.T, hosts, targets int, prepare, run func(f *fleet)) {
+// withSettings does the same with gateways whose settings change has changed.
+func withSettings(t *testing.T, change func(*settings.Settings), hosts, targets int, run func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{is: is.New(t), logger: zerolog.Nop(), net: fakenet.New(), store: standin.New(), hosts: map[string]*node{}, targets: map[string]*standin.Target{}}
-		f.accounts = settings.Default().Accounts
+		f := &fleet{is: is.New(t), logger: zerolog.Nop(), net: fakenet.New(), store: standin.New(), hosts: map[string]*node{}, targets: map[string]*standin.Target{}, changeSettings: change}
 		defer f.close()
-		prepare(f)
 		f.configure(1, safeRule("lookup", "/lookup/"), unsafeRule("order", "/order/"))
 		for i := range targets {
 			f.addTarget(fmt.Sprintf("t%d", i))
@@ -138,7 +139,7 @@
 func (f *fleet) configure(version int, rules ...rule) int {
 	value, err := json.Marshal(map[string]any{
 		"tenants": f.tenants, "version": fmt.Sprintf("%08x", version), "routes": rules,
-		"services": []any{map[string]any{"name": "stock", "health-path": "/health", "max-connections": 100}, map[string]any{"name": "other", "health-path": "/health", "max-connections": 100}},
+		"services": []any{map[string]any{"name": "stock", "health-path": "/health", "max-connections": cmp.Or(f.maxConnections, 100)}, map[string]any{"name": "other", "health-path": "/health", "max-connections": 100}},
 		"limits":   map[string]any{"max-header-bytes": 4096, "max-body-bytes": 1 << 20, "header-timeout-ms": 2000, "idle-timeout-ms": 15000},
 	})
 	f.is.NoErr(err)
@@ -159,10 +160,12 @@
 	s.Platform.Kind = "Native"
 	s.Limits.StopTimeout, s.Limits.AddressMaxAge = 6*time.Second, time.Second
 	s.Budget.ProbesPerSec = probesPerSecond
-	s.Accounts = f.accounts
 	if first := f.hosts["h0"]; first != nil && first != n {
 		s.Peers.Seeds = []string{first.inner}
 	}
+	if f.changeSettings != nil {
+		f.changeSettings(&s)
+	}
 	dial := f.net.Dialer(name)
 	storeAddress := f.serve("store", "", f.store.HandlerFor(name))
 	store, closeStore := platform.NewStore(platform.StoreConfig{URL: "http://" + storeAddress, Timeout: time.Second, Dial: dial})
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -136,10 +136,12 @@
 	if h == nil {
 		h = &serviceHome{server: s, service: service}
 		h.home = placement.New(placement.Config{
-			Random: rand.New(rand.NewPCG(s.gateway.incarnation, uint64(len(s.services)))), Budget: s.retryBudget(), Quarantine: s.gateway.quarantine, RateLimits: s.gateway.rateLimits, Notices: s.gateway.notices, OnVerdict: s.sendVerdict,
+			Random: rand.New(rand.NewPCG(s.gateway.incarnation, uint64(len(s.services)))), Budget: s.retryBudget(), AgeOrder: s.gateway.settings.Overload.AgeOrder, Quarantine: s.gateway.quarantine, RateLimits: s.gateway.rateLimits, Notices: s.gateway.notices, OnVerdict: s.sendVerdict,
+			DomainPlan:   s.gateway.settings.Placement.DomainPlan,
 			OnNotice:     func(n placement.TargetNotice) { s.gateway.recordNotice(n.Target, n.Notice, "") },
 			OnEjection:   func(e placement.Ejection) { s.recordEjection(service, e) },
 			OnRateLimit:  func(c placement.RateLimitChange) { s.recordRateLimit(service, c) },
+			OnWarmUp:     func(c placement.WarmUpChange) { s.recordWarmUp(service, c) },
 			OnQuarantine: func(fingerprint uint64, target string) { s.recordQuarantine(service, fingerprint, target) },
 		})
 		s.services[service] = h
@@ -222,10 +224,12 @@
 	registered := v.Targets[h.service]
 	targets := make([]placement.Target, 0, len(registered))
 	for _, t := range registered {
+		t.EvacuatedUntil = h.server.gateway.evacuations.endedAt(t.Domain)
 		targets = append(targets, t.Target)
 	}
 	if service, found := v.Configuration.Service(h.service); found {
 		h.healthPath = service.ReportPath
+		h.home.SetWarmUp(h.server.gateway.warmUp(service))
 	}
 	h.home.SetTargets(h.server.gateway.now(), targets)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -31,7 +31,7 @@
 	reply := inner.HandleHeartbeat(g.members, g.now(), r)
 	g.handlePeerState(r.Sender, r)
 	reply.Quarantines = inner.EncodeQuarantines(g.quarantine.All(g.now()))
-	reply.RateLimits = inner.EncodeRateLimits(g.rateLimits.Share(g.now()))
+	reply.RateLimits = g.sharedRateLimits()
 	reply.Notices = inner.EncodeNotices(g.notices.Share(g.now()))
 	reply.Knowledge = g.knowledge()
 	g.addProof(reply.Knowledge)
@@ -51,6 +51,7 @@
 func (g *Gateway) handlePeerState(sender string, state peerState) {
 	g.quarantine.Merge(g.now(), inner.DecodeQuarantines(state.GetQuarantines()))
 	g.rateLimits.Merge(g.now(), inner.DecodeRateLimits(state.GetRateLimits()))
+	g.rateLimits.MergeWarmUps(g.now(), inner.DecodeWarmUps(state.GetRateLimits()))
 	for _, news := range g.notices.Merge(g.now(), inner.DecodeNotices(state.GetNotices())) {
 		g.recordNotice(news.Target, news.Notice, sender)
 	}
@@ -142,3 +143,13 @@
 		g.records.Add(record.FromMembershipEvent(e, g.chain.Number()))
 	}
 }
+
+// isInOtherDomain reports whether the host with an inner address is in another failure domain. It is false for unknown hosts.
+func (g *Gateway) isInOtherDomain(inner string) bool {
+	for _, m := range g.members.Live(g.now()) {
+		if m.Inner == inner {
+			return m.Domain != g.settings.Host.Domain
+		}
+	}
+	return false
+}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -52,6 +52,10 @@
 // probe requests a target's health path and passes the result and the reported load to the placement state.
 func (h *serviceHome) probe(ctx context.Context, p placement.Placed) {
 	g := h.server.gateway
+	if g.evacuated(p.Target) {
+		h.use(func(home *placement.Home) { home.RecordProbe(g.now(), p.Target, placement.ProbeNotSent, nil) })
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	health, load, err := g.checkHealth(ctx, p, h.healthPath)
@@ -77,6 +81,8 @@
 	if err != nil {
 		return placement.ProbeNoResponse, nil, backend.ErrPoolExhausted.New("the health path %q of target %s is invalid: %v; correct the configuration", path, p.Target, err)
 	}
+	key, registered := g.noticeKey(p.Target)
+	sent := g.now()
 	response, err := g.pools.get(p.Target, p.Address).Do(r, backend.Options{})
 	if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
 		g.recordTooLarge(p)
@@ -91,8 +97,12 @@
 	if name := response.Header.Get(g.dialect.InstanceHeader); name != "" && name != p.Target {
 		return placement.ProbeOtherServer, nil, nil
 	}
-	g.readNotice(p.Target, response.StatusCode, response.Header)
+	if registered {
+		g.readNotice(key, response.StatusCode, response.Header)
+	}
+	g.readWarmUp(p.Target, sent, response)
 	load := g.parseLoad(response.Header)
+	g.pools.recordLoad(p.Target, p.Address, load)
 	switch {
 	case response.StatusCode == http.StatusOK, response.Header.Get(g.dialect.NotRunHeader) != "":
 		return placement.ProbeHealthy, load, nil
--- a/internal/gateway/withdrawal_test.go
+++ b/internal/gateway/withdrawal_test.go
@@ -7,18 +7,24 @@
 	"testing"
 	"time"
 
+	"briarcroft/internal/settings"
 	"briarcroft/platform/standin"
 )
 
 // withdrawalLimit is the time after which a withdrawn key must not be accepted by any host, from the requirements of the platform.
 const withdrawalLimit = 5 * time.Second
 
+// strictWithdrawal returns the change of the settings that makes hosts keep withdrawalLimit, or not.
+func strictWithdrawal(strict bool) func(*settings.Settings) {
+	return func(s *settings.Settings) {
+		s.Accounts.WithdrawalLimit, s.Accounts.StrictWithdrawal = withdrawalLimit, strict
+	}
+}
+
 // withStrictAccounts runs a test with a fleet that must keep withdrawalLimit. Its accounts are those of withAccounts.
 func withStrictAccounts(t *testing.T, hosts int, run func(f *fleet)) {
-	withPreparedFleet(t, hosts, 2, func(f *fleet) {
-		f.accounts.WithdrawalLimit, f.accounts.StrictWithdrawal = withdrawalLimit, true
+	withSettings(t, strictWithdrawal(true), hosts, 2, func(f *fleet) {
 		f.tenants = []tenant{{"name": "north", "api-keys": []string{"n1", "n2"}}, {"name": "south", "api-keys": []string{"s1"}}}
-	}, func(f *fleet) {
 		f.configureAccounts(2)
 		time.Sleep(configurationBound)
 		run(f)
@@ -271,10 +277,9 @@
 	const hosts, duration = 106, 30 * time.Second
 	var calls [2]int
 	for i, strict := range []bool{false, true} {
-		withPreparedFleet(t, hosts, 4, func(f *fleet) {
-			f.accounts.WithdrawalLimit, f.accounts.StrictWithdrawal = withdrawalLimit, strict
+		withSettings(t, strictWithdrawal(strict), hosts, 4, func(f *fleet) {
 			f.tenants = []tenant{{"name": "north", "api-keys": []string{"n1"}}}
-		}, func(f *fleet) {
+			f.configureAccounts(2)
 			time.Sleep(5 * time.Second) // until the watchers have registered
 			before := f.store.CallCount()
 			var oldest time.Duration
