--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -153,6 +153,7 @@
 	// peersAhead holds a peer that knows more of the store than this host.
 	peersAhead *ring.Queue[peerAhead]
 	homeServer *homeServer
+	allowances *allowances
 	// quarantine lists the requests that are refused because they crash targets.
 	quarantine *quarantine.List
 	// rateLimits holds the rate limits that targets name.
@@ -264,6 +265,8 @@
 	g.notices, g.malformedNotices = notice.New(), rate.NewLimiter(malformedNoticesPerSecond, 1)
 	g.evacuations = evacuations{began: map[string]time.Duration{}, ended: map[string]time.Duration{}}
 	g.registered.Store(&map[string]roster.Target{})
+	g.allowances = newAllowances(c, g.incarnation)
+	g.allowances.wallet.SetPlace(g.emergencyPlace)
 	g.homeServer = newHomeServer(g)
 	g.pools = newPools(g)
 	g.reach = reach.New()
@@ -328,6 +331,7 @@
 	g.applyRegistered(v)
 	g.recordWarmUps(v, g.applyEvacuations(v))
 	g.recordTargetChanges(v)
+	g.allowances.setAccounts(v.Configuration)
 	g.rules.Store(newRuleIndex(v.Configuration, g.rules.Load()))
 	g.homeServer.applyView(v)
 	g.pools.applyView(v)
@@ -405,7 +409,7 @@
 	}
 	tasks := duty.NewGroup()
 	defer tasks.Stop()
-	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runStoreChecks, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks, g.runPoolSweeps, g.runProofs} {
+	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runStoreChecks, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks, g.runPoolSweeps, g.runElection, g.runTokenRequests, g.runProofs} {
 		tasks.Go(task)
 	}
 	failed := make(chan error, len(listeners))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -40,7 +40,7 @@
 )
 
 // send sends the request to a target and returns its response, of which the body was not read. It goes over this host's own
-// link, or through a peer if this host does not reach the target. Errors are those of backend.Pool.Do and maySend, and errWithheld.
+// link, or through a peer if this host does not reach the target. Errors are those of backend.Pool.Do, maySend and checkKey.
 func (x *exchange) send(ctx context.Context, from placer, p placement.Placed) (*http.Response, error) {
 	g := x.gateway
 	if err := x.checkKey(); err != nil {
@@ -147,12 +147,12 @@
 	}
 	err := error(backend.ErrNotSent.New("no peer relays to target %s", p.Target))
 	for _, peer := range g.relayPeers(from, p) {
-		if err := x.checkKey(); err != nil {
-			return nil, err
-		}
 		if g.evacuated(p.Target) {
 			break
 		}
+		if err := x.checkKey(); err != nil {
+			return nil, err
+		}
 		var response *http.Response
 		if response, err = g.relayThrough(ctx, peer, x.relayRequest(ctx, p)); !errorx.IsOfType(err, backend.ErrNotSent) || ctx.Err() != nil {
 			g.stats.relayed.Add(1)
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -38,6 +38,9 @@
 	duration, remaining      time.Duration
 	// account is the name of the client account, and key the fingerprint of a key that was refused; they are empty if there is none.
 	account, key string
+	// byAge is set with Overload.AgeOrder, and age is how long before its arrival the caller first sent the request.
+	byAge bool
+	age   time.Duration
 	// verdict is the last verdict about the request, with the estimates that it was based on.
 	verdict placement.Verdict
 	// relayedBy is the peer that relayed a run; it is empty if none did.
@@ -100,6 +103,9 @@
 		e.Dur("ExpectedMilliseconds", v.Expected).Dur("KnowledgeAgeMilliseconds", v.KnowledgeAge)
 	case placement.Refused:
 		e.Dur("ExpectedMilliseconds", v.Expected).Int("Waiting", v.Waiting).Int("Slots", v.Slots)
+		if entry.byAge {
+			e.Dur("TurnMilliseconds", v.Turn).Int("Free", v.Free)
+		}
 	}
 	if entry.fingerprint != 0 {
 		e.Str("Caller", entry.caller).Str("Path", entry.path).Str("Fingerprint", strconv.FormatUint(entry.fingerprint, 16))
@@ -109,6 +115,9 @@
 		}
 		e.Strs("SharedFingerprints", shared)
 	}
+	if entry.byAge {
+		e.Dur("AgeMilliseconds", entry.age)
+	}
 	if entry.relayedBy != "" {
 		e.Str("RelayedBy", entry.relayedBy)
 	}
@@ -157,6 +166,8 @@
 	// storeBytesSent and storeBytesReceived count the bytes of the streams on which hosts pass on changes of the store, and
 	// followsStarted this host's attempts to open one.
 	storeBytesSent, storeBytesReceived, followsStarted atomic.Int64
+	// ownDomainBytes counts the bytes of responses of targets in this host's failure domain, and otherDomainBytes those of others.
+	ownDomainBytes, otherDomainBytes atomic.Int64
 }
 
 // countersInterval is the time between two lines with the counters in the log.
@@ -174,6 +185,7 @@
 			Int64("PrimaryLimitedRuns", s.primaryLimitedRuns.Load()).Int64("FallbackLimitedRuns", s.fallbackLimitedRuns.Load()).
 			Int64("StoreCalls", s.storeCalls.Load()).Int64("StoreChecks", s.storeChecks.Load()).Dur("StoreAgeMilliseconds", g.knowledgeAge()).Int64("StoreBytesSent", s.storeBytesSent.Load()).
 			Int64("StoreBytesReceived", s.storeBytesReceived.Load()).Int64("FollowsStarted", s.followsStarted.Load()).
+			Int64("OwnDomainBytes", s.ownDomainBytes.Load()).Int64("OtherDomainBytes", s.otherDomainBytes.Load()).
 			Int("Followers", g.followers.count()).Int("LiveHosts", len(g.members.Live(g.now()))).
 			Msg("counters")
 	}
@@ -188,6 +200,9 @@
 		s.truncated.Add(1)
 	case response.reason == "":
 		s.answered.Add(1)
+	case response.reason == string(placement.ReasonAllowanceSpent):
+		s.refused.Add(1)
+		g.allowances.refused.Add(1)
 	case response.status == 503:
 		s.refused.Add(1)
 	case response.status == 404:
@@ -200,6 +215,7 @@
 		status: response.status, note: x.noteNumber, homesTried: x.homesTried, hedges: x.hedges, queued: x.queued, sent: sent, duration: duration,
 		remaining: x.deadline - g.now(), late: x.ruleFound && g.now() > x.goal, verdict: x.verdict,
 	}
+	entry.byAge, entry.age = g.settings.Overload.AgeOrder, x.age
 	if x.placer != nil {
 		entry.home = x.placer.name()
 	}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -19,6 +20,9 @@
 	planLoad = 0.9
 	// minFlowRate is the rate in requests per second below which a flow is forgotten.
 	minFlowRate = 0.01
+	// meanResponses is the number of responses over which their mean size is taken. With the 20 responses of responseBytesGain,
+	// a class would count as one with small responses most of the time if a few very large ones make up most of its bytes.
+	meanResponses = 500
 )
 
 // domainPlan decides how much of the demand of each failure domain goes to targets of other failure domains: what its own
@@ -34,6 +38,8 @@
 	flows      map[flowKey]*flow
 	domains    map[string]*domainLoad
 	computedAt time.Duration
+	// responses counts the responses of each class, up to meanResponses.
+	responses map[string]int
 }
 
 // flowKey names the demand for one class of requests from the hosts of one failure domain.
@@ -57,6 +63,9 @@
 	slots float64
 	// speed is the moving average of the inverse of the pace of these slots; 0 before the first computation.
 	speed float64
+	// unlimited is the part of slots on targets that name no rate limit. Requests wait only for these: cold targets get a
+	// request only when they have room for it.
+	unlimited float64
 	// work is the work that the domain's own hosts bring. capacity is the work that its targets can take beside planLoad.
 	work, capacity float64
 	// waiting is the number of requests that wait for a slot in this domain.
@@ -64,7 +73,14 @@
 }
 
 func newDomainPlan() *domainPlan {
-	return &domainPlan{flows: map[flowKey]*flow{}, domains: map[string]*domainLoad{}, computedAt: -time.Hour}
+	return &domainPlan{flows: map[flowKey]*flow{}, domains: map[string]*domainLoad{}, computedAt: -time.Hour, responses: map[string]int{}}
+}
+
+// responseGain counts a response of a class and returns its weight in the mean size. The first one sets the mean, as otherwise the home
+// would take the responses for small ones after each start.
+func (p *domainPlan) responseGain(class string) float64 {
+	p.responses[class] = min(meanResponses, p.responses[class]+1)
+	return 1 / float64(p.responses[class])
 }
 
 // domain returns the state of a failure domain.
@@ -93,12 +109,19 @@
 	return true
 }
 
+// sortedKeys returns the keys of all flows, sorted, so that sums over them do not depend on the order of a map.
+func (p *domainPlan) sortedKeys() []flowKey {
+	return slices.SortedFunc(maps.Keys(p.flows), func(a, b flowKey) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.domain, b.domain))
+	})
+}
+
 // due reports whether the plan is to be computed.
 func (p *domainPlan) due(now time.Duration) bool { return now-p.computedAt >= planInterval }
 
 // domainSupply is what the available targets of a failure domain have at present: slots, and of these the sum of the
-// inverses of their paces.
-type domainSupply struct{ slots, speed float64 }
+// inverses of their paces. Unlimited is the part of the slots on targets that name no rate limit.
+type domainSupply struct{ slots, speed, unlimited float64 }
 
 // compute plans anew. Supplies are by failure domain; serviceTime returns the service time of a class in seconds, and bytes
 // its mean response size.
@@ -108,13 +131,13 @@
 	p.computedAt = now
 	for name, d := range p.domains {
 		if _, found := supplies[name]; !found {
-			d.slots, d.capacity = 0, 0
+			d.slots, d.unlimited, d.capacity = 0, 0, 0
 		}
 		d.work = 0
 	}
 	for name, supply := range supplies {
 		d := p.domain(name)
-		d.slots = supply.slots
+		d.slots, d.unlimited = supply.slots, supply.unlimited
 		if supply.slots > 0 {
 			speed := supply.speed / supply.slots
 			if d.speed == 0 {
@@ -124,8 +147,9 @@
 		}
 		d.capacity = planLoad * d.slots * d.speed
 	}
-	keys := make([]flowKey, 0, len(p.flows))
-	for k, f := range p.flows {
+	var keys []flowKey
+	for _, k := range p.sortedKeys() {
+		f := p.flows[k]
 		f.rate += (float64(f.arrivals)/elapsed.Seconds() - f.rate) * gain
 		f.arrivals = 0
 		if f.rate < minFlowRate {
@@ -137,11 +161,8 @@
 		keys = append(keys, k)
 	}
 	// The cheapest come first: those with the fewest bytes in a second of work.
-	slices.SortFunc(keys, func(a, b flowKey) int {
-		return cmp.Or(
-			cmp.Compare(bytes(a.class)/serviceTime(a.class), bytes(b.class)/serviceTime(b.class)),
-			cmp.Compare(a.class, b.class), cmp.Compare(a.domain, b.domain),
-		)
+	slices.SortStableFunc(keys, func(a, b flowKey) int {
+		return cmp.Compare(bytes(a.class)/serviceTime(a.class), bytes(b.class)/serviceTime(b.class))
 	})
 	excess := make(map[string]float64, len(p.domains))
 	for name, d := range p.domains {
@@ -201,7 +222,8 @@
 		return
 	}
 	var work, rate float64
-	for k, f := range h.plan.flows {
+	for _, k := range h.plan.sortedKeys() {
+		f := h.plan.flows[k]
 		work += f.rate * h.serviceTimes[k.class]
 		rate += f.rate
 	}
@@ -219,6 +241,9 @@
 			// The rate limit in work, with the mean service time of the requests of late.
 			speed = min(speed, t.limiter.rate(h.limitShare)*work/rate)
 		}
+		if !t.limiter.limited() {
+			s.unlimited += usable
+		}
 		s.slots += usable
 		s.speed += speed
 		supplies[t.Domain] = s
@@ -247,7 +272,7 @@
 
 // choosePlanned chooses between the best target in the failure domain of the request and the best one in another. It
 // returns none if the request should wait for a slot in its own. Responses of unknown size count as large, since a home that
-// has just started or moved knows no sizes.
+// has just started or moved knows no sizes. A retry does not wait, because it may have tried all targets of its domain.
 func (h *Home) choosePlanned(now time.Duration, r *Request, own, other candidate) candidate {
 	best := own
 	if other.better(own) {
@@ -256,7 +281,8 @@
 	if r.queued {
 		h.setAwaitsDomain(r, false)
 	}
-	if bytes, known := h.responseBytes[r.Class]; r.mayCross || known && bytes < stayBytes || best.target == nil {
+	bytes, known := h.responseBytes[r.Class]
+	if r.mayCross || len(r.Tried) > 0 || known && bytes < stayBytes || best.target == nil {
 		return best
 	}
 	inTime := func(c candidate, margin float64) bool {
@@ -280,10 +306,10 @@
 // mayAwaitDomain reports whether a request may wait for a slot in its own failure domain.
 func (h *Home) mayAwaitDomain(now time.Duration, r *Request) bool {
 	d := h.plan.domains[r.Domain]
-	if d == nil || d.slots == 0 || now+time.Duration(stayReserve*float64(h.serviceTime(r))) > r.Goal {
+	if d == nil || d.unlimited == 0 || now+time.Duration(stayReserve*float64(h.serviceTime(r))) > r.Goal {
 		return false
 	}
-	return float64(d.waiting) < stayWaiting*d.slots
+	return float64(d.waiting) < stayWaiting*d.unlimited
 }
 
 // setAwaitsDomain records whether a queued request waits for a slot in its own failure domain.
@@ -324,46 +350,3 @@
 	}
 	return sum
 }
-
-// Parameters of unreportedSlowdown.
-const (
-	// unreportedGain is the weight of one run in the moving average, and unreportedDecayTime the decay time without runs.
-	unreportedGain      = 0.2
-	unreportedDecayTime = 3 * time.Second
-	// minUnreported is the least slowdown that counts: less may be chance, as service times vary by a third or so.
-	minUnreported = 1.5
-)
-
-// unreportedSlowdown is the moving average of how much longer runs on a target take than its load reports suggest. Only a
-// home with a plan of flows uses it, because such a home sends requests to targets that are not the fastest.
-type unreportedSlowdown struct {
-	excess float64
-	at     time.Duration
-}
-
-// record counts a run that took the given multiple of what the load reports suggested.
-func (u *unreportedSlowdown) record(now time.Duration, ratio float64) {
-	excess := max(0, min(2*maxFactor, ratio)-1)
-	u.excess = u.excess*decay(now-u.at, unreportedDecayTime)*(1-unreportedGain) + excess*unreportedGain
-	u.at = now
-}
-
-// factor returns the factor by which the next run is expected to take longer than the load reports suggest.
-func (u *unreportedSlowdown) factor(now time.Duration) float64 {
-	if f := 1 + u.excess*decay(now-u.at, unreportedDecayTime); f >= minUnreported {
-		return f
-	}
-	return 1
-}
-
-// recordUnreported compares the duration of a run with what the load reports of its target suggested. Of a canceled run only
-// the least duration is known, so it counts only if it is long.
-func (h *Home) recordUnreported(now time.Duration, ended *run, duration time.Duration, canceled bool) {
-	if h.plan == nil || ended.expected <= 0 {
-		return
-	}
-	ratio := float64(duration) / float64(ended.expected) * ended.unreported
-	if !canceled || ratio > overdueRatio {
-		ended.target.unreported.record(now, ratio)
-	}
-}
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -14,6 +14,8 @@
 import (
 	"slices"
 	"time"
+
+	"briarcroft/internal/quota"
 )
 
 // RequestID identifies a request at its home.
@@ -58,8 +60,18 @@
 	submittedAt time.Duration
 	hedged      bool
 	queued      bool
+	// promised is set by admission: the request's turn is expected while it can meet its goal. It is used only with AgeOrder.
+	promised bool
+	// accepted is set if the request was late or without a promise when it was submitted, and has been queued because there will be
+	// room.
+	accepted bool
 	// answered is set once a run has been answered.
 	answered bool
+	// allowance is the request's part of its account's allowance. fairStart and fairRank order it among the requests of other
+	// accounts; see sortFairly.
+	allowance tokenState
+	fairStart float64
+	fairRank  int
 	// mayCross is set if the plan of flows sends the request to another failure domain, and awaitsDomain while the request is
 	// queued for a slot in its own. Both are set only with Config.DomainPlan.
 	mayCross, awaitsDomain bool
@@ -90,6 +102,10 @@
 	Waiting  int
 	Slots    int
 	Expected time.Duration
+	// Turn is the expected time until the request's turn, an hour if none is expected while the load lasts, and Free the number of
+	// free slots, which may be kept for work in time. Both are 0 without Config.AgeOrder.
+	Turn time.Duration
+	Free int
 }
 
 // Hedge asks for a second run on another target, because the first one takes longer than expected.
@@ -114,6 +130,8 @@
 	// ReasonTargetsPausing means that no target is available, and that some will be when the time has passed for which they
 	// want no requests.
 	ReasonTargetsPausing Reason = "TargetsPausing"
+	// ReasonAllowanceSpent means that the account has no room in its allowance now.
+	ReasonAllowanceSpent Reason = "AllowanceSpent"
 	// ReasonTargetsCold means that all available targets are cold and have no room for the request now.
 	ReasonTargetsCold Reason = "TargetsCold"
 	// ReasonTargetsEvacuated means that the failure domains of all targets that accept requests are evacuated.
@@ -172,6 +190,8 @@
 	slowdown float64
 	// nearlyFull is set if the run took one of the target's last slots.
 	nearlyFull bool
+	// token is that of the account's allowance with which the run was placed.
+	token quota.Token
 	// late is set if the request was late at the start.
 	late bool
 	// unreported is the part of slowdown that the target's load reports did not show.
