Watchers fall back to short waits if the store refuses longer ones

Cause: with proofs, watchers wait up to 4 s for changes; a store that allows only short waits would fail each of these calls. Until now a wait that ended early counted, which costs nothing, and no test covered it. Change: after a longer wait has failed before its end, waits are as without proofs for a minute. moreConclusive moves to attempt.go. Result: TestStoreThatAllowsShortWaitsIsFollowed failed without the fall-back (more than 66 calls in 30 s) and passes with it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,6 +54,18 @@
 	return false
 }
 
+// moreConclusive returns the result that decides what the caller gets: a response first, then a run that may have
+// reached the target, then one that certainly did not. The result b may be nil.
+func moreConclusive(a, b *runResult) *runResult {
+	if b == nil || a.outcome == placement.OutcomeAnswered || a.outcome == placement.OutcomeFailed {
+		return a
+	}
+	if b.outcome == placement.OutcomeFailed || !b.notRun() {
+		return b
+	}
+	return a
+}
+
 // runOn sends the request to one target and reports the end of the run to the home that placed it.
 func (x *exchange) runOn(ctx context.Context, from placer, p placement.Placed) *runResult {
 	started := x.gateway.now()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -387,18 +387,6 @@
 	}
 }
 
-// moreConclusive returns the result that decides what the caller gets: a response first, then a run that may have
-// reached the target, then one that certainly did not. The result b may be nil.
-func moreConclusive(a, b *runResult) *runResult {
-	if b == nil || a.outcome == placement.OutcomeAnswered || a.outcome == placement.OutcomeFailed {
-		return a
-	}
-	if b.outcome == placement.OutcomeFailed || !b.notRun() {
-		return b
-	}
-	return a
-}
-
 // finish releases the runs and logs how the exchange ended; sent reports whether the whole response was written.
 func (x *exchange) finish(response *callerResponse, sent bool) {
 	x.cancel()
--- a/internal/gateway/proof.go
+++ b/internal/gateway/proof.go
@@ -31,7 +31,7 @@
 	// provingWaitFactor is how much longer calls of watchers wait for changes while the proof matters. A wait proves only what was
 	// when it began, so each watcher makes half as many, and a call without a wait in each.
 	provingWaitFactor = 2
-	// shortWaitTime is for how long waits are as short as without proofs after a longer one has failed or ended early, because the
+	// shortWaitTime is for how long waits are as short as without proofs after a longer one has failed before its end, because the
 	// store may not allow longer ones.
 	shortWaitTime = time.Minute
 )
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -136,7 +136,7 @@
 		started := g.now()
 		w.revision, changes, err = g.readChanges(ctx, w.revision, wait)
 		endProof()
-		if proofDelay > 0 && changes == 0 && g.now()-started < wait {
+		if proofDelay > 0 && err != nil && g.now()-started < wait {
 			g.storeWatch.longWaitsFrom = g.now() + shortWaitTime
 		}
 		if undisturbed = err == nil && changes == 0; changes > 0 {
--- a/internal/gateway/withdrawal_test.go
+++ b/internal/gateway/withdrawal_test.go
@@ -266,6 +266,23 @@
 	})
 }
 
+// TestStoreThatAllowsShortWaitsIsFollowed makes the store refuse longer waits than those of hosts that prove nothing: it must be
+// followed with as few calls, and keys must be accepted.
+func TestStoreThatAllowsShortWaitsIsFollowed(t *testing.T) {
+	withStrictAccounts(t, 6, func(f *fleet) {
+		f.store.SetMaxWait(2 * time.Second)
+		time.Sleep(6 * time.Second)          // until longer waits have failed
+		f.register(f.targets["t0"], "ready") // after a change, the waits of the watchers end in turn
+		time.Sleep(time.Second)
+		before := f.store.CallCount()
+		for range 30 {
+			time.Sleep(time.Second)
+			f.expectServed("h1")
+		}
+		f.is.True(f.store.CallCount()-before <= 3*(30*2/3+2)) // as in TestStoreCalls
+	})
+}
+
 // TestProofsOnCalmDay guards against refusals and further calls to the store while nothing fails, with a hundred hosts.
 func TestProofsOnCalmDay(t *testing.T) {
 	const hosts, duration = 106, 30 * time.Second
