--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"briarcroft/internal/account"
 	"briarcroft/internal/note"
 	"briarcroft/internal/placement"
 )
@@ -33,12 +32,13 @@
 	request *request
 	rule    note.Rule
 	service string
-	// account is the client account that sent the request, by its credential; it is nil without accounts and on public rules.
-	account    *account.Account
-	credential account.Credential
+	identity
 	// goal is the latency goal of the rule, and deadline is when the caller stops waiting.
 	goal     time.Duration
 	deadline time.Duration
+	// sendBy is the deadline on the clock of Config.BootTime, after which nothing is sent to targets: the token for it would count in
+	// another window. It is 0 without allowances.
+	sendBy time.Duration
 	// age is how long before its arrival the caller first sent the request; it is 0 without Overload.AgeOrder.
 	age     time.Duration
 	pending *pendingRequest
@@ -81,6 +81,7 @@
 func (x *exchange) run() *callerResponse {
 	g := x.gateway
 	g.stats.requests.Add(1)
+	mayAcceptKeys := g.mayAcceptKeys()
 	index := g.rules.Load()
 	x.noteNumber = index.number
 	if x.noteNumber == 0 {
@@ -91,11 +92,14 @@
 		return localResponse(http.StatusNotFound, "NoRule", 0)
 	}
 	x.rule = rule
-	if response := x.authenticate(index); response != nil {
+	if response := x.authenticate(index, mayAcceptKeys); response != nil {
 		return response
 	}
 	x.ruleFound = true
 	x.applyRule(rule)
+	if x.account != nil && g.allowances.limited.Load() {
+		x.sendBy = g.config.BootTime() + x.deadline - g.now()
+	}
 	if q, found := g.quarantine.Lookup(g.now(), append([]uint64{x.fingerprint}, x.sharedFingerprints...)...); found {
 		return x.refuse(placement.Refused{Reason: placement.ReasonQuarantined, RetryAfter: q.Remaining})
 	}
@@ -157,6 +161,9 @@
 		if r.blocked {
 			x.blocked++
 		}
+		if r.withheld != "" {
+			return x.refuseWithheld(r.withheld)
+		}
 		if x.mayRetry(ctx) {
 			return nil
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -34,6 +34,7 @@
 	reply.RateLimits = g.sharedRateLimits()
 	reply.Notices = inner.EncodeNotices(g.notices.Share(g.now()))
 	reply.Knowledge = g.knowledge()
+	g.addProof(reply.Knowledge)
 	return reply, nil
 }
 
