--- a/internal/command/native_test.go
+++ b/internal/command/native_test.go
@@ -65,6 +65,10 @@
 	code, out := run("explain", "--target", "i-1")
 	is.Equal(code, ExitSuccess)
 	is.True(strings.Contains(out, "i-1"))
+	code, out = run("explain", "--account", "north")
+	is.Equal(code, ExitSuccess)
+	is.True(strings.Contains(out, "no allowance in its configuration"))
+	is.True(strings.Contains(out, `account "north" on 1 hosts: spent 0, refused 0`))
 	cancel()
 	is.NoErr(<-done)
 }
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"briarcroft/internal/placement"
 	"briarcroft/platform/standin"
 )
 
@@ -122,3 +123,37 @@
 		f.is.Equal(f.holder(), "")
 	})
 }
+
+// TestSuspendedHostSendsNothingLate guards against requests that a host sends after it was suspended for longer than their time:
+// their tokens belong to a window that is over.
+func TestSuspendedHostSendsNothingLate(t *testing.T) {
+	withFleet(t, 3, 2, func(f *fleet) {
+		f.tenants = []tenant{{"name": "a", "api-keys": []string{"k"}, "rate-per-s": 1000, "burst": 1000}}
+		f.configureAccounts(2)
+		time.Sleep(5 * time.Second)
+		for _, x := range f.targets {
+			x.Update(func(t *standin.Target) { t.RunDuration = 300 * time.Millisecond })
+		}
+		var calls sync.WaitGroup
+		for i := range 12 {
+			id := fmt.Sprint("early-", i)
+			calls.Go(func() { f.callWithKeys("h1", "/lookup/"+id, id, "k") })
+		}
+		time.Sleep(20 * time.Millisecond)
+		for _, host := range []string{"h0", "h2"} {
+			calls.Go(func() {
+				r := f.callWithKeys(host, "/lookup/"+host, host, "k")
+				if host == "h0" {
+					f.is.Equal(r.status, 503)
+					f.is.Equal(r.header.Get("Briarcroft-Reason"), string(placement.ReasonDeadlineCannotBeMet))
+				}
+			})
+		}
+		time.Sleep(20 * time.Millisecond)
+		f.is.Equal(f.arrivalsOf("h0")+f.arrivalsOf("h2"), 0)
+		f.suspend("h0", time.Minute)
+		calls.Wait()
+		f.is.Equal(f.arrivalsOf("h0"), 0)
+		f.is.Equal(f.arrivalsOf("h2"), 1)
+	})
+}
