Refusals at once while there is no holder for more than an election takes

Cause: a home cut off from all electors let each request wait 0.25 s and refused it then. Change: after 1.2 s without an answer only emergency tokens are given out, and other requests refused at once.

--- a/internal/placement/quota_test.go
+++ b/internal/placement/quota_test.go
@@ -193,3 +193,23 @@
 	}
 	is.True(len(f.finish) <= 2*sweptAccounts)
 }
+
+// TestOrderWithoutAccounts guards against another order of the queue than that of compareQueued where requests have no account, or
+// all the same one.
+func TestOrderWithoutAccounts(t *testing.T) {
+	for _, account := range []string{"", "a"} {
+		is := is.New(t)
+		f := newTestHome(1, ampleBudget)
+		f.limitAccounts(map[string]quota.Limit{"b": {Rate: 1, Burst: 1}})
+		for i := range 12 {
+			f.submit(func(r *Request) {
+				r.Account, r.Priority = account, i%2
+				r.Goal += time.Duration(i*i%7) * 40 * time.Millisecond
+			})
+		}
+		queue := f.home.queue
+		is.True(len(queue) > 6)
+		is.Equal(f.home.fairOrder(f.now), queue)
+		is.True(slices.IsSortedFunc(queue, func(a, b *Request) int { return f.home.compareQueued(f.now, a, b) }))
+	}
+}
--- a/internal/quota/wallet.go
+++ b/internal/quota/wallet.go
@@ -32,6 +32,9 @@
 	holderSilence = 300 * time.Millisecond
 	// MaxWait is how long a request waits for its first token.
 	MaxWait = 250 * time.Millisecond
+	// lostWait is how long after its first unanswered request a home lets requests wait for a new holder, which is longer than an
+	// election takes. After that it refuses them at once.
+	lostWait = 1200 * time.Millisecond
 	// lostRetryDelay is the Retry-After time while no holder answers.
 	lostRetryDelay = 500 * time.Millisecond
 	// maxReturn is the longest Retry-After time, unless the next token takes longer.
@@ -213,7 +216,7 @@
 	case (lost || last || young && now < p.spentUntil) && w.takeEmergency(now, account, p, limit):
 		return Token{Account: account, Kind: KindEmergency}, Taken, 0
 	case now < p.spentUntil:
-	case !last:
+	case !last && !(lost && now-w.askedFirst > lostWait):
 		p.waiting++
 		return Token{}, Waiting, 0
 	}
--- a/internal/quota/wallet_test.go
+++ b/internal/quota/wallet_test.go
@@ -17,7 +17,7 @@
 
 func newPair(limit Limit) *pair {
 	limits := map[string]Limit{"a": limit}
-	p := &pair{time.Minute, NewHolder(HolderConfig{Self: "h", Bound: bound}), NewWallet(WalletConfig{Host: "w", Bound: bound})}
+	p := &pair{time.Minute, NewHolder(HolderConfig{Self: "h", Bound: bound}), NewWallet(WalletConfig{Host: "w", Bound: bound, Start: 2 * time.Minute})}
 	p.holder.SetLimits(limits)
 	p.wallet.SetLimits(limits)
 	p.advance(20 * time.Second)
@@ -69,6 +69,32 @@
 	}
 }
 
+// TestLostHolder guards against requests that wait in vain for tokens while there is no holder, and against more emergency tokens
+// than a host's part, or any before one window has passed since the start.
+func TestLostHolder(t *testing.T) {
+	is := is.New(t)
+	p := newPair(Limit{10, 10})
+	p.wallet.SetPlace(func(string) (int, int) { return 3, 0 })
+	for i, want := range []Answer{Waiting, Waiting, Spent, Taken, Taken, Taken, Spent} {
+		switch i {
+		case 1:
+			p.now += holderSilence + 1
+		case 2:
+			p.now += lostWait + 1
+		case 3:
+			p.now = p.wallet.config.Start + bound.Window
+			p.wallet.askedFirst = p.now - 2*lostWait
+		}
+		p.wallet.NextRequest(p.now)
+		token, answer, _ := p.wallet.Take(p.now, "a", false, false)
+		is.Equal(answer, want)
+		if answer == Taken {
+			is.Equal(token.Kind, KindEmergency)
+			p.wallet.Spend(p.now, token)
+		}
+	}
+}
+
 // TestOddRequests guards against tokens that are created by values that no home sends, and by requests that are late or repeated.
 func TestOddRequests(t *testing.T) {
 	is := is.New(t)
