--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -36,6 +36,9 @@
 	// goal is the latency goal of the rule, and deadline is when the caller stops waiting.
 	goal     time.Duration
 	deadline time.Duration
+	// sendBy is the deadline on the clock of Config.BootTime, after which nothing is sent to targets: the token for it would count in
+	// another window. It is 0 without allowances.
+	sendBy time.Duration
 	// age is how long before its arrival the caller first sent the request; it is 0 without Overload.AgeOrder.
 	age     time.Duration
 	pending *pendingRequest
@@ -94,6 +97,9 @@
 	}
 	x.ruleFound = true
 	x.applyRule(rule)
+	if x.account != nil && g.allowances.limited.Load() {
+		x.sendBy = g.config.BootTime() + x.deadline - g.now()
+	}
 	if q, found := g.quarantine.Lookup(g.now(), append([]uint64{x.fingerprint}, x.sharedFingerprints...)...); found {
 		return x.refuse(placement.Refused{Reason: placement.ReasonQuarantined, RetryAfter: q.Remaining})
 	}
--- a/internal/placement/quota.go
+++ b/internal/placement/quota.go
@@ -91,7 +91,7 @@
 // unspendToken gives back the token of a run that certainly did not run.
 func (h *Home) unspendToken(ended *run, outcome Outcome) {
 	switch outcome {
-	case OutcomeNotRun, OutcomeUnreachable, OutcomeOtherServer:
+	case OutcomeNotRun, OutcomeUnreachable, OutcomeOtherServer, OutcomeBlocked:
 		if h.config.Allowances != nil {
 			h.config.Allowances.Unspend(ended.token)
 		}
