Plan of flows: a busy service spares requests with tight goals

Cause: near the capacity each run on a slower target makes other requests late.

Change: while the work of a service exceeds 0.55 of its capacity, requests with less than five service times until their goal take the best target by its score.

--- a/internal/model/domain_test.go
+++ b/internal/model/domain_test.go
@@ -48,6 +48,10 @@
 		{"load of 90", func(w *Workload) { w.OfferedLoad = 0.9 }, 0.3},
 		{"load of 120", func(w *Workload) { w.OfferedLoad = 1.2 }, 0.5},
 		{"small", small, 0.2},
+		{"tight goal, load of 90", func(w *Workload) {
+			small(w)
+			w.ResponseBytes, w.OfferedLoad = 30<<10, 0.9
+		}, 0.55},
 		{"small, load of 90", func(w *Workload) { small(w); w.OfferedLoad = 0.9 }, 0.52},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -38,6 +38,8 @@
 	flows      map[flowKey]*flow
 	domains    map[string]*domainLoad
 	computedAt time.Duration
+	// busy is set while the work of all domains exceeds busyLoad of what all of them can take.
+	busy bool
 	// responses counts the responses of each class, up to meanResponses.
 	responses map[string]int
 }
@@ -164,6 +166,12 @@
 	slices.SortStableFunc(keys, func(a, b flowKey) int {
 		return cmp.Compare(bytes(a.class)/serviceTime(a.class), bytes(b.class)/serviceTime(b.class))
 	})
+	work, capacity := 0.0, 0.0
+	for _, name := range slices.Sorted(maps.Keys(p.domains)) {
+		work += p.domains[name].work
+		capacity += p.domains[name].capacity / planLoad
+	}
+	p.busy = work > busyLoad*capacity
 	excess := make(map[string]float64, len(p.domains))
 	for name, d := range p.domains {
 		excess[name] = max(0, d.work-d.capacity)
@@ -204,6 +212,10 @@
 	// smallCrossFactor is the penalty for traffic between failure domains for classes with small responses. It is too low
 	// to choose a slowed or nearly full target.
 	smallCrossFactor = 1.25
+	// busyLoad is the share of the capacity of all failure domains from which on a service is busy. Requests with less time than
+	// busyReserve service times until their goal then take the best target by its score, as each slower run makes others late.
+	busyLoad    = 0.55
+	busyReserve = 5.0
 	// noSpareFactor is a further penalty for targets in a failure domain that has no room for requests from others.
 	noSpareFactor = 1.1
 )
@@ -282,7 +294,7 @@
 		h.setAwaitsDomain(r, false)
 	}
 	bytes, known := h.responseBytes[r.Class]
-	if r.mayCross || len(r.Tried) > 0 || known && bytes < stayBytes || best.target == nil {
+	if r.mayCross || len(r.Tried) > 0 || known && bytes < stayBytes || best.target == nil || !h.maySpendTime(now, r) {
 		return best
 	}
 	inTime := func(c candidate, margin float64) bool {
@@ -303,6 +315,11 @@
 	return best
 }
 
+// maySpendTime reports whether a request may take a slower target for the sake of its failure domain.
+func (h *Home) maySpendTime(now time.Duration, r *Request) bool {
+	return !h.plan.busy || now+time.Duration(busyReserve*float64(h.serviceTime(r))) <= r.Goal
+}
+
 // mayAwaitDomain reports whether a request may wait for a slot in its own failure domain.
 func (h *Home) mayAwaitDomain(now time.Duration, r *Request) bool {
 	d := h.plan.domains[r.Domain]
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -130,6 +130,22 @@
 	}
 }
 
+// TestBusyServiceSparesTightGoals submits requests with large responses and little time until their goal: they must stay on a slower
+// target of their failure domain only while the service is not busy. Under load each slower run made others late.
+func TestBusyServiceSparesTightGoals(t *testing.T) {
+	for _, test := range []struct {
+		busy   bool
+		target string
+	}{{false, "a0"}, {true, "b1"}} {
+		is := is.New(t)
+		f := newPlannedHome("a", "b")
+		f.home.RecordProbe(f.now, "a0", ProbeHealthy, &LoadReport{Slots: 3, Pace: 1.7})
+		f.home.updatePlan(f.now)
+		f.home.plan.busy = test.busy
+		is.Equal(f.placedOn(f.submitLarge(400*time.Millisecond)), test.target)
+	}
+}
+
 // TestRareLargeResponsesCount lets one response in 100 have 10 MB and the others 5 KB. The class must count as one with large
 // responses all the time from the first such response on; a mean of the last 20 responses forgot it.
 func TestRareLargeResponsesCount(t *testing.T) {
