--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -106,6 +106,7 @@
 	mux.HandleFunc("GET /Note", g.serveNote)
 	mux.HandleFunc("GET /Status", g.serveStatus)
 	mux.Handle("GET /Explain", g.records)
+	mux.HandleFunc("GET /Allowance", g.serveAllowance)
 	return serveHTTP(ctx, l, mux)
 }
 
@@ -129,10 +130,11 @@
 		Peers          []host.Member
 		Latency        []meter.Summary
 		Unwritten      int64
+		Allowances     *allowanceStatus `json:",omitempty"`
 		Evacuated      []evacuationStatus
 	}{
 		self.Name, self.Domain, g.incarnation, self.Ready, self.Leaving, self.Note, g.members.Peers(),
-		g.histograms.Summaries(), g.requestLog.unwritten.Load() + g.records.Unwritten(), g.evacuationStatuses(),
+		g.histograms.Summaries(), g.requestLog.unwritten.Load() + g.records.Unwritten(), g.allowanceStatus(), g.evacuationStatuses(),
 	})
 }
 
@@ -167,6 +169,7 @@
 		{"StoreCalls", func() any { return s.storeCalls.Load() }},
 		{"StoreChecks", func() any { return s.storeChecks.Load() }},
 		{"StoreAgeMilliseconds", func() any { return g.knowledgeAge().Milliseconds() }},
+		{"ProvenAgeMilliseconds", func() any { return g.provenAge().Milliseconds() }},
 		{"StoreLost", func() any { return g.storeWatch.unreachable.Load() }},
 		{"SilentHomes", func() any { return s.unresponsiveHomes.Load() }},
 		{"ResponsesTooLarge", func() any { return s.tooLarge.Load() }},
@@ -175,6 +178,7 @@
 		{"RequestsForPeers", func() any { return s.relayedForPeers.Load() }},
 		{"StoreRestores", func() any { return s.restores.Load() }},
 		{"Evacuated", func() any { return g.evacuationStatuses() }},
+		{"ColdTargets", func() any { return g.rateLimits.ColdTargets(g.now()) }},
 		{"TargetNotices", func() any { return s.notices.Load() }},
 		{"ReachChecks", func() any { return s.reachChecks.Load() }},
 		{"SlowReaders", func() any { return s.slowReaders.Load() }},
@@ -187,6 +191,7 @@
 		{"InnerTraffic", func() any { return g.client.Traffic() }},
 		{"Latencies", func() any { return g.histograms.Summaries() }},
 		{"Queued", func() any { return g.homeServer.queuedByService() }},
+		{"Allowances", func() any { return g.allowanceStatus() }},
 	} {
 		vars.Set(v.name, expvar.Func(v.value))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,7 +22,9 @@
 	"sync/atomic"
 	"time"
 
+	"briarcroft/internal/account"
 	"briarcroft/internal/age"
+	"briarcroft/internal/bootclock"
 	"briarcroft/internal/duty"
 	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
@@ -92,6 +94,9 @@
 	// CredentialHeader is the request header field with the key of the caller's client account, and AccountHeader the one by which
 	// backend servers learn the name of the account.
 	CredentialHeader, AccountHeader string
+	// WarmUpHeader is the response header field by which a backend server says in health responses for how many milliseconds it stays
+	// cold; one that is warm omits it.
+	WarmUpHeader string
 	// Decode decodes entries of the store.
 	Decode roster.DecodeFunc
 	// PeerKey returns the store key under which a host registers its inner address.
@@ -117,6 +122,8 @@
 	Listen func(network, address string) (net.Listener, error)
 	// Dial opens connections to backend servers and peers; nil means TCP.
 	Dial socket.DialFunc
+	// BootTime reads a clock that counts the time for which the host is suspended, and that nobody sets; nil means bootclock.Now.
+	BootTime func() time.Duration
 }
 
 // Gateway is one entry host. Its exported methods are safe for concurrent use.
@@ -146,6 +153,7 @@
 	// peersAhead holds a peer that knows more of the store than this host.
 	peersAhead *ring.Queue[peerAhead]
 	homeServer *homeServer
+	allowances *allowances
 	// quarantine lists the requests that are refused because they crash targets.
 	quarantine *quarantine.List
 	// rateLimits holds the rate limits that targets name.
@@ -176,6 +184,16 @@
 	lastKnowledge atomic.Uint64
 	// passedOn is the AsOf of the knowledge of the store that was last passed on to followers.
 	passedOn atomic.Int64
+	// proof is what this host has proven of the age of its knowledge of the store, and restores decides what counts after the store
+	// has come back from an older copy. refusingKeys is set while all keys are refused because the proof is too old.
+	proof        account.Proof
+	restores     account.Restores
+	refusingKeys atomic.Bool
+	// knownAt is the time of Config.BootTime as of which this host last knew the store, by the ordinary age of its knowledge; 0 while
+	// there are no accounts.
+	knownAt atomic.Int64
+	// applied is the view of the store that is in force.
+	applied atomic.Pointer[roster.View]
 	// receiving is the number of streams on which an update of the store has arrived in part.
 	receiving atomic.Int32
 	// bodies bounds the memory for request bodies, and responses that for responses of unknown length.
@@ -183,6 +201,8 @@
 	// applyMu serializes applyView and guards targetStates, which holds the recorded state of each target by name.
 	applyMu      sync.Mutex
 	targetStates map[string]string
+	// warmUpEntries is guarded by applyMu too.
+	warmUpEntries warmUpEntries
 	// stopping is set once a graceful stop has begun.
 	stopping atomic.Bool
 	// inForceSince is when the note in force took effect, in Unix milliseconds.
@@ -201,6 +221,9 @@
 	if c.Listen == nil {
 		c.Listen = net.Listen
 	}
+	if c.BootTime == nil {
+		c.BootTime = bootclock.Now
+	}
 	g := &Gateway{
 		config: c, settings: c.Settings, dialect: c.Dialect, start: time.Now(), chain: &note.Chain{},
 		heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}), peersAhead: ring.NewQueue[peerAhead](ring.Config{Capacity: 1}), histograms: meter.NewHistograms(), logger: c.Logger,
@@ -225,11 +248,14 @@
 	g.heartbeats = &inner.Heartbeats{Table: g.members, Client: g.client, Now: g.now, NewRequest: func(n host.Gossip) *inner.HeartbeatRequest {
 		request := inner.NewHeartbeatRequest(c.Settings.Host.Name, n)
 		request.Quarantines = inner.EncodeQuarantines(g.quarantine.All(g.now()))
-		request.RateLimits = inner.EncodeRateLimits(g.rateLimits.Share(g.now()))
+		request.RateLimits = g.sharedRateLimits()
 		request.Notices = inner.EncodeNotices(g.notices.Share(g.now()))
 		request.Knowledge = g.knowledge()
 		return request
-	}, OnReply: func(r *inner.HeartbeatReply) { g.handlePeerState(r.Sender, r) }}
+	}, SendTime: g.sendTime, OnReply: func(r inner.ReceivedReply) {
+		g.handlePeerState(r.Sender, r)
+		g.proveByReply(r)
+	}}
 	var cancelBackground context.CancelFunc
 	g.background, cancelBackground = context.WithCancel(context.Background())
 	g.rules.Store(&ruleIndex{})
@@ -239,6 +265,8 @@
 	g.notices, g.malformedNotices = notice.New(), rate.NewLimiter(malformedNoticesPerSecond, 1)
 	g.evacuations = evacuations{began: map[string]time.Duration{}, ended: map[string]time.Duration{}}
 	g.registered.Store(&map[string]roster.Target{})
+	g.allowances = newAllowances(c, g.incarnation)
+	g.allowances.wallet.SetPlace(g.emergencyPlace)
 	g.homeServer = newHomeServer(g)
 	g.pools = newPools(g)
 	g.reach = reach.New()
@@ -258,6 +286,11 @@
 	}
 }
 
+// sharedRateLimits returns what this host tells peers of the rate limits of targets and of cold targets.
+func (g *Gateway) sharedRateLimits() []*inner.RateLimit {
+	return append(inner.EncodeRateLimits(g.rateLimits.Share(g.now())), inner.EncodeWarmUps(g.rateLimits.ShareWarmUps(g.now()))...)
+}
+
 // now returns the time since the gateway was created, on the monotonic clock.
 func (g *Gateway) now() time.Duration { return time.Since(g.start) }
 
@@ -267,7 +300,7 @@
 // Inner returns the address on which the host listens for peers.
 func (g *Gateway) Inner() string { return g.settings.Host.Inner }
 
-// Reload applies Peers.Seeds, Retries.Slack, Limits.AddressMaxAge and Limits.StopTimeout of new settings. Retries.Ratio
+// Reload applies Accounts, Peers.Seeds, Retries.Slack, Limits.AddressMaxAge and Limits.StopTimeout of new settings. Retries.Ratio
 // and Retries.Window apply only to services for which this host has not placed a request yet. All other settings take
 // effect only after a restart.
 func (g *Gateway) Reload(s settings.Settings) {
@@ -296,12 +329,14 @@
 	v := g.roster.View()
 	g.applyConfiguration(v.Configuration)
 	g.applyRegistered(v)
-	g.applyEvacuations(v)
+	g.recordWarmUps(v, g.applyEvacuations(v))
 	g.recordTargetChanges(v)
+	g.allowances.setAccounts(v.Configuration)
 	g.rules.Store(newRuleIndex(v.Configuration, g.rules.Load()))
 	g.homeServer.applyView(v)
 	g.pools.applyView(v)
 	g.updateReady()
+	g.applied.Store(v)
 }
 
 // applyConfiguration appends a newer configuration to the chain, as a note that describes the differences.
@@ -374,7 +409,7 @@
 	}
 	tasks := duty.NewGroup()
 	defer tasks.Stop()
-	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runStoreChecks, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks, g.runPoolSweeps} {
+	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runStoreChecks, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks, g.runPoolSweeps, g.runElection, g.runTokenRequests, g.runProofs} {
 		tasks.Go(task)
 	}
 	failed := make(chan error, len(listeners))
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -47,6 +47,8 @@
 	// EvacuationEnded that it is no longer. Evidence.Detail also says how old the host's knowledge of the store was.
 	EvacuationBegan Kind = "EvacuationBegan"
 	EvacuationEnded Kind = "EvacuationEnded"
+	// TargetCold means that a target has become cold (Cause Cold), for as long as Evidence.Detail says, or is warm (Warm).
+	TargetCold Kind = "TargetCold"
 	// ResponseTooLarge means that a target sent more bytes than a response may have and its connection was closed.
 	ResponseTooLarge Kind = "ResponseTooLarge"
 	// BudgetExhausted means that probes of targets are skipped because the budget for measuring is spent.
@@ -59,6 +61,10 @@
 	StoreReturned Kind = "StoreReturned"
 	// StoreRestored means that the platform's store has come back from an older copy; Evidence.Detail holds its eras and revisions.
 	StoreRestored Kind = "StoreRestored"
+	// KeysRefused means that this host refuses all requests with keys of client accounts, because it cannot tell whether one was
+	// withdrawn, and KeysAccepted that it can tell again. Evidence.Detail holds the proven age of its knowledge of the store.
+	KeysRefused  Kind = "KeysRefused"
+	KeysAccepted Kind = "KeysAccepted"
 	// TargetsLost means that this host reaches no target over its own link, so that other hosts relay its requests, and
 	// TargetsReturned that it reaches targets again.
 	TargetsLost     Kind = "TargetsLost"
