--- /dev/null
+++ b/internal/model/ladder_test.go
@@ -0,0 +1,93 @@
+package model
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// ladderServiceNames are the services of Ladder that tests simulate; the largest takes too long.
+var ladderServiceNames = []string{"stock", "lookup", "ranked"}
+
+// ladderWorkload returns a steady load or a burst of Ladder.
+func ladderWorkload(t *testing.T, name string) Workload {
+	t.Helper()
+	for _, w := range Ladder() {
+		if w.Name == name {
+			return w
+		}
+	}
+	t.Fatalf("there is no ladder load named %q", name)
+	return Workload{}
+}
+
+var (
+	homeByAge = Home{Hedges: true, AgeOrder: true}
+	home      = Home{Hedges: true}
+)
+
+// TestInTimeAnswersUnderOverload guards against overload that costs answers in time: at 2, 3 and 5 times the capacity there must be
+// at least nine tenths of the most at any load. Refusals must come at once, and callers that repeat at once must gain nothing.
+func TestInTimeAnswersUnderOverload(t *testing.T) {
+	for _, service := range ladderServiceNames {
+		t.Run(service, func(t *testing.T) {
+			is := is.New(t)
+			results := map[string]Result{}
+			most := 0
+			for _, step := range []string{"085", "100", "120", "200", "300", "500"} {
+				w := ladderWorkload(t, "ladder-"+service+"-steady-"+step)
+				w.Duration = 14 * time.Second
+				r := Simulate(homeByAge, w)
+				t.Logf("%+v", r)
+				results[step] = r
+				most = max(most, r.InGoal)
+			}
+			for _, step := range []string{"200", "300", "500"} {
+				r := results[step]
+				is.True(float64(r.InGoal) >= 0.9*float64(most))
+				is.True(100*r.RefusedWaiting < r.RefusedAtOnce+r.RefusedWaiting)
+				is.True(r.ImpatientWorth <= 1.1*r.PatientWorth)
+			}
+		})
+	}
+}
+
+// TestBelowFullLoad guards against requests that are refused or late because of AgeOrder although there is room.
+func TestBelowFullLoad(t *testing.T) {
+	for _, service := range ladderServiceNames {
+		for _, step := range []string{"050", "070", "085"} {
+			t.Run(service+" "+step, func(t *testing.T) {
+				is := is.New(t)
+				w := ladderWorkload(t, "ladder-"+service+"-steady-"+step)
+				w.Duration = 14 * time.Second
+				var on, off Result
+				for seed := range uint64(4) {
+					w.Seed = seed + 1
+					x, y := Simulate(homeByAge, w), Simulate(home, w)
+					on.Requests, on.InGoal, on.Refused = on.Requests+x.Requests, on.InGoal+x.InGoal, on.Refused+x.Refused
+					off.InGoal, off.Refused = off.InGoal+y.InGoal, off.Refused+y.Refused
+				}
+				t.Logf("of %d requests in time %d, without AgeOrder %d; refused %d, without %d", on.Requests, on.InGoal, off.InGoal, on.Refused, off.Refused)
+				is.True(on.Refused <= off.Refused+on.Requests/500)
+				is.True(float64(on.InGoal) >= 0.99*float64(off.InGoal))
+			})
+		}
+	}
+}
+
+// TestBurstOfReturningCallers guards against a burst in which half of the work is late: there must be a fifth more answers in time
+// than without AgeOrder.
+func TestBurstOfReturningCallers(t *testing.T) {
+	for _, service := range []string{"stock", "lookup"} {
+		t.Run(service, func(t *testing.T) {
+			is := is.New(t)
+			w := ladderWorkload(t, "ladder-"+service+"-burst-300")
+			on, off := Simulate(homeByAge, w), Simulate(home, w)
+			t.Logf("on %+v", on)
+			t.Logf("off %+v", off)
+			is.True(float64(on.InGoal) >= 1.2*float64(off.InGoal))
+			is.True(on.Utility >= off.Utility)
+		})
+	}
+}
--- a/internal/placement/order_test.go
+++ b/internal/placement/order_test.go
@@ -28,7 +28,7 @@
 		for _, t := range f.home.targets {
 			for _, active := range append([]*run{}, t.runs...) {
 				if f.now-active.startedAt >= 90*time.Millisecond {
-					f.endRun(active.request.ID.Number, OutcomeAnswered)
+					f.home.RunEnded(f.now, RunEnd{ID: active.request.ID, Target: t.Name, Outcome: OutcomeAnswered, Duration: 90 * time.Millisecond, Load: &LoadReport{Running: len(t.runs), Slots: 3, Pace: 1}})
 				}
 			}
 		}
