--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -19,6 +19,8 @@
 	// minLateShare is the share of the slots that late work is expected to get at least below full load, where the estimate is too
 	// coarse to say that there are none.
 	minLateShare = 0.1
+	// overloadFrom is the lasting demand in relation to the usable slots above which late work gets none.
+	overloadFrom = 1.15
 	// surgeFrom is the demand in relation to the usable slots that is overload even if it has just begun.
 	surgeFrom = 1.5
 	// lastChanceRatio is the time that a late request has left, in relation to its run, from which it need not wait for room below
@@ -159,7 +161,7 @@
 
 // overloaded reports whether work in time needs more than the usable slots for longer, or far more of them now.
 func (r room) overloaded() bool {
-	return r.lasting > r.lastingUsable || r.needed > surgeFrom*r.lastingUsable
+	return r.lasting > overloadFrom*r.lastingUsable || r.needed > surgeFrom*r.lastingUsable
 }
 
 // lateSlots returns the number of slots that late work gets on average.
