--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -137,11 +137,14 @@
 		h = &serviceHome{server: s, service: service}
 		h.home = placement.New(placement.Config{
 			Random: rand.New(rand.NewPCG(s.gateway.incarnation, uint64(len(s.services)))), Budget: s.retryBudget(), AgeOrder: s.gateway.settings.Overload.AgeOrder, Quarantine: s.gateway.quarantine, RateLimits: s.gateway.rateLimits, Notices: s.gateway.notices, OnVerdict: s.sendVerdict,
-			DomainPlan:   s.gateway.settings.Placement.DomainPlan,
-			OnNotice:     func(n placement.TargetNotice) { s.gateway.recordNotice(n.Target, n.Notice, "") },
-			OnEjection:   func(e placement.Ejection) { s.recordEjection(service, e) },
-			OnRateLimit:  func(c placement.RateLimitChange) { s.recordRateLimit(service, c) },
-			OnQuarantine: func(fingerprint uint64, target string) { s.recordQuarantine(service, fingerprint, target) },
+			DomainPlan: s.gateway.settings.Placement.DomainPlan,
+			Allowances: s.gateway.allowances.wallet, BootTime: s.gateway.allowances.bootTime,
+			OnTokenWanted: func() { s.gateway.allowances.tokenWanted.Push(struct{}{}) },
+			OnNotice:      func(n placement.TargetNotice) { s.gateway.recordNotice(n.Target, n.Notice, "") },
+			OnEjection:    func(e placement.Ejection) { s.recordEjection(service, e) },
+			OnRateLimit:   func(c placement.RateLimitChange) { s.recordRateLimit(service, c) },
+			OnWarmUp:      func(c placement.WarmUpChange) { s.recordWarmUp(service, c) },
+			OnQuarantine:  func(fingerprint uint64, target string) { s.recordQuarantine(service, fingerprint, target) },
 		})
 		s.services[service] = h
 		h.applyView(s.gateway.roster.View())
@@ -228,6 +231,7 @@
 	}
 	if service, found := v.Configuration.Service(h.service); found {
 		h.healthPath = service.ReportPath
+		h.home.SetWarmUp(h.server.gateway.warmUp(service))
 	}
 	h.home.SetTargets(h.server.gateway.now(), targets)
 }
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -82,6 +82,7 @@
 		return placement.ProbeNoResponse, nil, backend.ErrPoolExhausted.New("the health path %q of target %s is invalid: %v; correct the configuration", path, p.Target, err)
 	}
 	key, registered := g.noticeKey(p.Target)
+	sent := g.now()
 	response, err := g.pools.get(p.Target, p.Address).Do(r, backend.Options{})
 	if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
 		g.recordTooLarge(p)
@@ -99,7 +100,9 @@
 	if registered {
 		g.readNotice(key, response.StatusCode, response.Header)
 	}
+	g.readWarmUp(p.Target, sent, response)
 	load := g.parseLoad(response.Header)
+	g.pools.recordLoad(p.Target, p.Address, load)
 	switch {
 	case response.StatusCode == http.StatusOK, response.Header.Get(g.dialect.NotRunHeader) != "":
 		return placement.ProbeHealthy, load, nil
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -1,12 +1,14 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"briarcroft/internal/notice"
 	"briarcroft/internal/quarantine"
+	"briarcroft/internal/quota"
 	"briarcroft/internal/ratelimit"
 )
 
@@ -40,6 +42,12 @@
 	RateLimits *ratelimit.Table
 	// Notices holds what targets say of themselves. All homes of a host share one.
 	Notices *notice.Table
+	// Allowances holds the tokens that this host has of the allowances of client accounts, nil if there are none. All homes of a
+	// host share one. BootTime is its clock, which goes on while the host is suspended. OnTokenWanted is called when a request
+	// begins to wait for a token; it must not call the home, and may be nil.
+	Allowances    *quota.Wallet
+	BootTime      func() time.Duration
+	OnTokenWanted func()
 	// OnNotice is called when a target first says that it leaves, or wants no requests for a time. It must not call the home. It
 	// may be nil.
 	OnNotice func(TargetNotice)
@@ -49,6 +57,8 @@
 	OnEjection func(Ejection)
 	// OnRateLimit is called when a target begins or stops to name a rate limit. It must not call the home. It may be nil.
 	OnRateLimit func(RateLimitChange)
+	// OnWarmUp is called when a target becomes cold or warm, unless this is a fallback home. It must not call the home. It may be nil.
+	OnWarmUp func(WarmUpChange)
 	// OnQuarantine is called when a request is put in quarantine because the given target has broken its connection. It must
 	// not call the home. It may be nil.
 	OnQuarantine func(fingerprint uint64, target string)
@@ -106,8 +116,16 @@
 	limitShare    LimitShare
 	limitsVersion uint64
 	anyLimited    bool
-	// limitedRuns counts the runs on targets that named a rate limit when they started, since TakeLimitedRuns.
+	// warmUp is what cold targets take, and nextWarm when the first of those that are cold now will be warm. coldReturnAt is when the
+	// last caller that was refused because all targets are cold was told to return.
+	warmUp       WarmUp
+	nextWarm     time.Duration
+	coldReturnAt time.Duration
+	// limitedRuns counts the runs on targets that named a rate limit or were cold when they started, since TakeLimitedRuns.
 	limitedRuns int64
+	fair        fairShares
+	// lastBootTime is the time of Config.BootTime at bootTimeAt.
+	lastBootTime, bootTimeAt time.Duration
 	// demand measures what work in time needs. It is used only with Config.AgeOrder.
 	demand demandMeter
 	// room is the room for late work in the present Dispatch, once it is known.
@@ -136,7 +154,7 @@
 func New(c Config) *Home {
 	h := &Home{
 		config: c, byName: map[string]*targetState{}, requests: map[RequestID]*Request{}, serviceTimes: map[string]float64{}, responseBytes: map[string]float64{},
-		averagePace: initialPace, nearlyFullSlowdown: initialNearlyFullSlowdown, lastRequestAt: -time.Hour, running: map[uint64]int{}, limitShare: LimitShare{Share: 1, Majority: true},
+		averagePace: initialPace, nearlyFullSlowdown: initialNearlyFullSlowdown, lastRequestAt: -time.Hour, running: map[uint64]int{}, limitShare: LimitShare{Share: 1, Majority: true}, nextWarm: math.MaxInt64,
 	}
 	if c.DomainPlan {
 		h.plan = newDomainPlan()
@@ -160,6 +178,9 @@
 			// The target has written its store entry again: the new warm-up time counts from now.
 			t.warmUpUntil = now + registered.WarmUpLeft
 		}
+		if h.warmUp.Rate > 0 {
+			t.warmUpUntil = 0 // targetState.cold knows better than an entry of unknown age
+		}
 		if t.Evacuated && !registered.Evacuated {
 			t.probe.down, t.probe.unhealthy = false, false // outdated
 		}
@@ -174,6 +195,9 @@
 	}
 	h.targets, h.byName = next, byName
 	h.limitsVersion, h.noticesVersion = 0, 0
+	if h.warmUp.Rate > 0 {
+		h.nextWarm = 0
+	}
 	h.Dispatch(now)
 }
 
@@ -190,6 +214,10 @@
 		h.refuse(now, r, ReasonQuarantined)
 		return
 	}
+	if !h.reserveToken(now, r) {
+		h.refuse(now, r, ReasonAllowanceSpent)
+		return
+	}
 	if len(r.Tried) == 0 {
 		h.config.Budget.AddRequest(now)
 	} else if !h.config.Budget.Spend(now, 0) {
@@ -261,6 +289,7 @@
 		return
 	}
 	slices.SortStableFunc(h.queue, func(a, b *Request) int { return h.compareQueued(now, a, b) })
+	h.sortFairly(now)
 	remaining := h.queueBuffer[:0]
 	ahead, lateAhead := 0, 0
 	h.room, h.blocked, h.spareAhead = nil, false, 0
@@ -286,8 +315,12 @@
 // placeOrRefuse places or refuses a queued request, unless it is better kept in the queue, and reports whether the
 // request has left the queue. The number of queued requests ahead of it is ahead, of which lateAhead are late.
 func (h *Home) placeOrRefuse(now time.Duration, r *Request, ahead, lateAhead int) bool {
+	if !h.reserveToken(now, r) {
+		h.refuse(now, r, ReasonAllowanceSpent)
+		return true
+	}
 	t, e := h.pickQueued(now, r)
-	if t != nil && !h.awaitsOtherRun(now, r) && h.shouldPlaceNow(now, r, e.expected) {
+	if t != nil && !r.allowance.waiting && !h.awaitsOtherRun(now, r) && h.shouldPlaceNow(now, r, e.expected) {
 		if h.shouldAwaitProbe(now, r, t) {
 			return false
 		}
@@ -302,6 +335,10 @@
 		h.refuse(now, r, h.noTargetsReason(now))
 		return true
 	}
+	if t == nil && h.allCold(now) {
+		h.refuse(now, r, ReasonTargetsCold)
+		return true
+	}
 	if h.turnTooLate(now, r, ahead, lateAhead) {
 		h.refuse(now, r, h.lateReason(now))
 		return true
@@ -316,7 +353,8 @@
 }
 
 func (h *Home) startRun(now time.Duration, r *Request, t *targetState, e runEstimate) {
-	started := &run{request: r, target: t, startedAt: now, fingerprints: r.fingerprints(), expected: e.expected, slowdown: e.slowdown, nearlyFull: e.nearlyFull, unreported: t.unreported.factor(now)}
+	started := &run{request: r, target: t, startedAt: now, fingerprints: r.fingerprints(), expected: e.expected, slowdown: e.slowdown, nearlyFull: e.nearlyFull, unreported: t.unreported.factor(now), token: h.spendToken(now, r)}
+	h.chargeAccount(r)
 	h.recordStart(now, started)
 	clear(h.picks)
 	if t.doubtful(now) {
@@ -324,6 +362,7 @@
 	}
 	t.runs = append(t.runs, started)
 	r.runs = append(r.runs, started)
+	t.unconfirmed++
 	for _, f := range started.fingerprints {
 		h.running[f]++
 	}
@@ -351,6 +390,7 @@
 // refuse refuses a request and tells the caller when to retry.
 func (h *Home) refuse(now time.Duration, r *Request, reason Reason) {
 	r.queued = false
+	h.returnToken(r)
 	if len(r.runs) == 0 {
 		delete(h.requests, r.ID)
 	}
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -40,8 +40,9 @@
 		return h.limitWait(now) + turn
 	}
 	ahead := 0
+	fair := h.setFairStarts(r)
 	for _, other := range h.queue {
-		if other != r && queuedBefore(other, r) {
+		if other != r && queuedBefore(other, r) && (!fair || fairlyBefore(other, r)) {
 			ahead++
 		}
 	}
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -14,6 +14,8 @@
 import (
 	"slices"
 	"time"
+
+	"briarcroft/internal/quota"
 )
 
 // RequestID identifies a request at its home.
@@ -65,6 +67,11 @@
 	accepted bool
 	// answered is set once a run has been answered.
 	answered bool
+	// allowance is the request's part of its account's allowance. fairStart and fairRank order it among the requests of other
+	// accounts; see sortFairly.
+	allowance tokenState
+	fairStart float64
+	fairRank  int
 	// mayCross is set if the plan of flows sends the request to another failure domain, and awaitsDomain while the request is
 	// queued for a slot in its own. Both are set only with Config.DomainPlan.
 	mayCross, awaitsDomain bool
@@ -123,6 +130,10 @@
 	// ReasonTargetsPausing means that no target is available, and that some will be when the time has passed for which they
 	// want no requests.
 	ReasonTargetsPausing Reason = "TargetsPausing"
+	// ReasonAllowanceSpent means that the account has no room in its allowance now.
+	ReasonAllowanceSpent Reason = "AllowanceSpent"
+	// ReasonTargetsCold means that all available targets are cold and have no room for the request now.
+	ReasonTargetsCold Reason = "TargetsCold"
 	// ReasonTargetsEvacuated means that the failure domains of all targets that accept requests are evacuated.
 	ReasonTargetsEvacuated Reason = "TargetsEvacuated"
 )
@@ -179,6 +190,8 @@
 	slowdown float64
 	// nearlyFull is set if the run took one of the target's last slots.
 	nearlyFull bool
+	// token is that of the account's allowance with which the run was placed.
+	token quota.Token
 	// late is set if the request was late at the start.
 	late bool
 	// unreported is the part of slowdown that the target's load reports did not show.
--- a/internal/placement/returns.go
+++ b/internal/placement/returns.go
@@ -54,6 +54,8 @@
 	_, fraction := math.Modf(float64(h.refusals) * goldenRatio)
 	delay := minRetryDelay
 	switch reason {
+	case ReasonAllowanceSpent:
+		return r.allowance.retryAfter
 	case ReasonQuarantined:
 		quarantined, _ := h.quarantined(now, r)
 		return quarantined.Remaining
@@ -62,6 +64,8 @@
 		delay = max(minRetryDelay, left)
 	case ReasonNoTargets:
 		delay = noTargetsRetryDelay
+	case ReasonTargetsCold:
+		delay = h.coldReturn(now)
 	case ReasonTargetsEvacuated:
 		delay = evacuatedRetryDelay
 	case ReasonDeadlineCannotBeMet, ReasonRateLimited, ReasonRetryBudgetSpent:
