Under overload no run starts on targets that are slowed down at present

Cause: on a service with 237 targets and goals of 1.5 s, runs on targets slowed by four still met the goal, and kept a slot for the time of several others. Change: with AgeOrder and under overload a run waits if it would take twice as long as others do; fair shares count in promises. The test fails without the change.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -104,27 +104,6 @@
 	return x.placeAndRun(ctx)
 }
 
-// applyRule chooses the service of the request's rule and computes the latency goal, which counts from the caller's first attempt,
-// and the deadline.
-func (x *exchange) applyRule(rule note.Rule) {
-	x.service = x.gateway.split.choose(rule)
-	limit := rule.Deadline
-	if limit == 0 {
-		limit = defaultTimeout
-	}
-	if x.request.timeout > 0 {
-		limit = min(limit, x.request.timeout)
-	}
-	x.deadline = x.request.arrived + limit
-	x.goal = x.deadline
-	if x.gateway.settings.Overload.AgeOrder {
-		x.age = x.gateway.ages.Observe(x.gateway.now(), rule.Name, x.request.callerAddress, x.request.timeout)
-	}
-	if rule.Goal > 0 {
-		x.goal = min(x.deadline, x.request.arrived-x.age+rule.Goal)
-	}
-}
-
 // repeatable reports whether the request is idempotent, so that it may run more than once.
 func (x *exchange) repeatable() bool { return x.rule.IsIdempotent(x.request.method) }
 
--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -69,11 +69,12 @@
 	r.promised = h.promisedTurn(now, r) <= time.Duration(waitShare*float64(slack))
 }
 
-// promisedTurn returns the expected time until a request in time gets its turn if it gets a promise.
+// promisedTurn returns the expected time until a request in time gets its turn if it gets a promise. Those before it are others with
+// a promise, of the same or higher priority, and with several accounts those that their fair shares put before it.
 func (h *Home) promisedTurn(now time.Duration, r *Request) time.Duration {
-	ahead := 0.0
+	ahead, fair := 0.0, h.setFairStarts(r)
 	for _, other := range h.queue {
-		if other != r && other.queued && h.ageRank(now, other) == rankPromised && comparePriority(other, r) <= 0 {
+		if other != r && other.queued && h.ageRank(now, other) == rankPromised && comparePriority(other, r) <= 0 && (!fair || fairlyBefore(other, r)) {
 			ahead += h.serviceTime(other).Seconds()
 		}
 	}
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -386,19 +386,3 @@
 		}
 	}
 }
-
-// refuse refuses a request and tells the caller when to retry.
-func (h *Home) refuse(now time.Duration, r *Request, reason Reason) {
-	r.queued = false
-	h.returnToken(r)
-	if len(r.runs) == 0 {
-		delete(h.requests, r.ID)
-	}
-	verdict := Refused{
-		Reason: reason, RetryAfter: h.retryAfter(now, r, reason), Waiting: len(h.queue), Slots: h.availableSlots(now), Expected: h.serviceTime(r),
-	}
-	if h.config.AgeOrder {
-		verdict.Turn, verdict.Free = h.turn(now, r), h.currentRoom(now).free()
-	}
-	h.config.OnVerdict(r, verdict)
-}
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -11,6 +11,9 @@
 	// lateFreeShare is the share of slots that late requests leave free for requests that can still meet their goal: a
 	// late request is placed only while more than this share is free. With Config.AgeOrder, room decides instead.
 	lateFreeShare = 0.7
+	// slowRunRatio is the expected duration of a run in relation to that of other runs from which it does not start under overload.
+	// Targets are slowed by neighbors for some hundred ms; a run that starts then keeps a slot for the time of several.
+	slowRunRatio = 2.0
 )
 
 // cannotServe reports whether a new request must be refused, because no target is available or the request is not
@@ -127,7 +130,7 @@
 // target or for requests that are not late.
 func (h *Home) shouldPlaceNow(now time.Duration, r *Request, expected time.Duration) bool {
 	if now+time.Duration(float64(expected)*goalMargin) <= r.Goal {
-		return true
+		return !h.config.AgeOrder || float64(expected) <= slowRunRatio*float64(h.lateRunTime(r)) || !h.currentRoom(now).overloaded()
 	}
 	if h.lateRank(now, r) == 0 {
 		// A faster target may get a free slot in time to meet the goal.
--- a/internal/placement/order_test.go
+++ b/internal/placement/order_test.go
@@ -94,3 +94,20 @@
 	f.home.config.AgeOrder = true
 	is.True(f.placedOn(f.submit(late)) != "")
 }
+
+// TestSlowTargetsAreLeftUnderOverload guards against runs on targets that neighbors slow down at present: under overload each keeps a
+// slot for the time of several others. Without overload the request is served there.
+func TestSlowTargetsAreLeftUnderOverload(t *testing.T) {
+	for _, overload := range []bool{false, true} {
+		is := is.New(t)
+		f := newAgeHome(10)
+		patient := func(r *Request) { r.Goal, r.Deadline = f.now+2*time.Second, f.now+5*time.Second }
+		f.offer(map[bool]int{false: 100, true: 1500}[overload], time.Second, patient)
+		f.home.EndStream(f.now, 0) // all slots are free now
+		for _, target := range f.home.targets {
+			f.home.RecordProbe(f.now, target.Name, ProbeHealthy, &LoadReport{Slots: 3, Pace: 3})
+		}
+		is.Equal(f.home.measureRoom(f.now).overloaded(), overload)
+		is.Equal(f.placedOn(f.submit(patient)) == "", overload)
+	}
+}
--- a/internal/placement/returns.go
+++ b/internal/placement/returns.go
@@ -94,3 +94,19 @@
 	room := h.currentRoom(now)
 	return h.returns.book(now, drained, h.serviceTime(r).Seconds(), room.lateSlots()/max(1, h.demand.slowdown), fraction)
 }
+
+// refuse refuses a request and tells the caller when to retry.
+func (h *Home) refuse(now time.Duration, r *Request, reason Reason) {
+	r.queued = false
+	h.returnToken(r)
+	if len(r.runs) == 0 {
+		delete(h.requests, r.ID)
+	}
+	verdict := Refused{
+		Reason: reason, RetryAfter: h.retryAfter(now, r, reason), Waiting: len(h.queue), Slots: h.availableSlots(now), Expected: h.serviceTime(r),
+	}
+	if h.config.AgeOrder {
+		verdict.Turn, verdict.Free = h.turn(now, r), h.currentRoom(now).free()
+	}
+	h.config.OnVerdict(r, verdict)
+}
