Electors vote after 2.7 s in all cases but the start of a fleet

Change: one delay of 2.7 s for hosts that become electors; 1 s while the whole fleet has just started.

--- a/internal/quota/election.go
+++ b/internal/quota/election.go
@@ -9,13 +9,12 @@
 	// VoteTime is how long a vote is valid: for the candidate from the time at which it asked, for the elector from the time at
 	// which it answered, which is later.
 	VoteTime = 450 * time.Millisecond
-	// joinDelay is how long a host must have been an elector before it votes. Hosts notice at different times that others are
-	// gone, up to this far apart, so that the electors of two sides of a partition may differ for as long.
-	joinDelay = time.Second
-	// majorityDelay replaces joinDelay for a host that has not seen most of the fleet before, or that has stood still. A host that
-	// has gone over from one part of a divided fleet to another is seen there at once, and in its former part for 2.5 s
-	// (host.deadAfter). It does not apply while the whole fleet has just started.
-	majorityDelay = 2700 * time.Millisecond
+	// joinDelay is how long a host must have been an elector that sees most of the fleet, without standing still, before it votes.
+	// Others see a host for up to 2.5 s after it has gone (host.deadAfter), so that the electors of two parts of a divided fleet may
+	// differ for as long. With 1 s there were two holders when a host went over to the other part soon after the division.
+	joinDelay = 2700 * time.Millisecond
+	// youngDelay replaces joinDelay while the whole fleet has just started.
+	youngDelay = time.Second
 	// standDelay is for how long the vote of an elector must have been free before it asks for votes itself, for each elector
 	// that ranks before it. Otherwise all of them would ask at the same time, and none would get a majority.
 	standDelay = 100 * time.Millisecond
@@ -40,8 +39,6 @@
 	electors  []string
 	elector   bool
 	votesFrom time.Duration
-	// majority is set while this host sees most hosts of the fleet.
-	majority bool
 	// updatedAt is when setElectors was last called.
 	updatedAt time.Duration
 	// voted is the candidate that has this host's vote until votedUntil.
@@ -55,15 +52,13 @@
 // holds, as another part of the fleet may elect a holder. YoungFleet is set while all hosts that it sees have just started.
 func (e *election) setElectors(now time.Duration, electors []string, majority, youngFleet bool) {
 	is := majority && slices.Contains(electors, e.self.host)
-	if is && !e.elector {
-		e.votesFrom = max(e.votesFrom, now+joinDelay)
-	}
-	if majority && !youngFleet && (!e.majority || now-e.updatedAt > maxUpdateGap) {
-		e.votesFrom = now + majorityDelay
+	if is && (!e.elector || now-e.updatedAt > maxUpdateGap) {
+		e.votesFrom = now + joinDelay
+		if youngFleet {
+			e.votesFrom = now + youngDelay
+		}
 	}
-	e.majority, e.elector, e.electors = majority, is, electors
-	e.updatedAt = now
-	e.elector, e.electors = is, electors
+	e.elector, e.electors, e.updatedAt = is, electors, now
 	for host := range e.votes {
 		if !slices.Contains(electors, host) {
 			delete(e.votes, host)
--- a/internal/quota/wallet.go
+++ b/internal/quota/wallet.go
@@ -40,7 +40,7 @@
 	// maxReturn is the longest Retry-After time, unless the next token takes longer.
 	maxReturn = 2 * time.Second
 	// FirstElection is for how long requests need no tokens when the first limits come into force. Homes learn of them within 2 s,
-	// and an election takes a little longer than joinDelay.
+	// and an election takes a little longer than youngDelay.
 	FirstElection = 2 * time.Second
 	// purseLifetime is how long an account is remembered that is not used.
 	purseLifetime = 10 * time.Second
