--- a/internal/gateway/accounts.go
+++ b/internal/gateway/accounts.go
@@ -124,6 +124,10 @@
 	if !g.mayAcceptKeys() {
 		return errWithheld.New("the key may have been withdrawn, and this host cannot tell").WithProperty(withheldProperty, reasonConfigurationTooOld)
 	}
+	if x.sendBy > 0 && g.config.BootTime() > x.sendBy {
+		// The time for which the host was suspended does not count in the context's deadline.
+		return errWithheld.New("the request's time has passed while the host stood still").WithProperty(withheldProperty, placement.ReasonDeadlineCannotBeMet)
+	}
 	index := g.rules.Load()
 	if index.accounts != x.accounts && index.accounts != nil && index.accounts.Find(x.credential) == nil {
 		return errWithheld.New("the key was withdrawn").WithProperty(withheldProperty, placement.Reason(reasonUnknownKey))
@@ -138,6 +142,8 @@
 		return x.refuseAllKeys()
 	case x.mayHaveRun || x.targetFailure != nil:
 		return x.refuse(placement.Refused{Reason: reason})
+	case reason == placement.ReasonDeadlineCannotBeMet:
+		return x.refuse(placement.Refused{Reason: reason, RetryAfter: refusedRetryAfter})
 	}
 	return x.refuseKey()
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -36,6 +36,9 @@
 	// goal is the latency goal of the rule, and deadline is when the caller stops waiting.
 	goal     time.Duration
 	deadline time.Duration
+	// sendBy is the deadline on the clock of Config.BootTime, after which nothing is sent to targets: the token for it would count in
+	// another window. It is 0 without allowances.
+	sendBy time.Duration
 	// age is how long before its arrival the caller first sent the request; it is 0 without Overload.AgeOrder.
 	age     time.Duration
 	pending *pendingRequest
@@ -94,6 +97,9 @@
 	}
 	x.ruleFound = true
 	x.applyRule(rule)
+	if x.account != nil && g.allowances.limited.Load() {
+		x.sendBy = g.config.BootTime() + x.deadline - g.now()
+	}
 	if q, found := g.quarantine.Lookup(g.now(), append([]uint64{x.fingerprint}, x.sharedFingerprints...)...); found {
 		return x.refuse(placement.Refused{Reason: placement.ReasonQuarantined, RetryAfter: q.Remaining})
 	}
@@ -366,18 +372,6 @@
 	}
 }
 
-// moreConclusive returns the result that decides what the caller gets: a response first, then a run that may have
-// reached the target, then one that certainly did not. The result b may be nil.
-func moreConclusive(a, b *runResult) *runResult {
-	if b == nil || a.outcome == placement.OutcomeAnswered || a.outcome == placement.OutcomeFailed {
-		return a
-	}
-	if b.outcome == placement.OutcomeFailed || !b.notRun() {
-		return b
-	}
-	return a
-}
-
 // finish releases the runs and logs how the exchange ended; sent reports whether the whole response was written.
 func (x *exchange) finish(response *callerResponse, sent bool) {
 	x.cancel()
--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -128,8 +128,9 @@
 		return h.promisedTurn(now, r)
 	}
 	ahead := 0
+	fair := h.setFairStarts(r)
 	for _, other := range h.queue {
-		if other != r && other.queued && h.ageRank(now, other) != rankPromised {
+		if other != r && other.queued && h.ageRank(now, other) != rankPromised && (!fair || fairlyBefore(other, r)) {
 			ahead++
 		}
 	}
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -13,7 +13,7 @@
 // renderTemplate fills in a template as the platform does: a section in {{#field}} and {{/field}} stays only if the field has a
 // value.
 func renderTemplate(template string, fields map[string]string) string {
-	section := regexp.MustCompile(`\{\{#([^}]+)\}\}(.*?)\{\{/[^}]+\}\}`)
+	section := regexp.MustCompile(`(?s)\{\{#([^}]+)\}\}(.*?)\{\{/[^}]+\}\}`)
 	template = section.ReplaceAllStringFunc(template, func(s string) string {
 		parts := section.FindStringSubmatch(s)
 		if fields[parts[1]] == "" {
