Second runs within a limit that operators set: limit, decision, counters

Cause: second runs were started by fixed ratios of the expected duration, and only the retry budget bounded them. Change: [SecondRuns] Runs and Work, and SecondRuns and SecondRunWork of a service, bound them over all homes in a sliding window. With a limit, a second run starts when the expected remaining time of the first exceeds its own by a margin that rises as the limit is used up. First runs that win raise the margin. Without a limit nothing changes.

--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -195,6 +195,12 @@
 			return "write a number of zero or more"
 		}
 		value.SetFloat(f)
+	case *float64:
+		number := new(float64)
+		if remedy := parseInto(reflect.ValueOf(number).Elem(), text); remedy != "" {
+			return remedy
+		}
+		value.Set(reflect.ValueOf(number))
 	case []string:
 		value.Set(reflect.ValueOf(splitList(text)))
 	case []int:
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -192,6 +192,7 @@
 		{"Latencies", func() any { return g.histograms.Summaries() }},
 		{"Queued", func() any { return g.homeServer.queuedByService() }},
 		{"Allowances", func() any { return g.allowanceStatus() }},
+		{"SecondRuns", func() any { return s.secondRuns.status() }},
 	} {
 		vars.Set(v.name, expvar.Func(v.value))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -300,7 +300,7 @@
 // Inner returns the address on which the host listens for peers.
 func (g *Gateway) Inner() string { return g.settings.Host.Inner }
 
-// Reload applies Accounts, Peers.Seeds, Retries.Slack, Limits.AddressMaxAge and Limits.StopTimeout of new settings. Retries.Ratio
+// Reload applies Accounts, Peers.Seeds, Retries.Slack, SecondRuns, Limits.AddressMaxAge and Limits.StopTimeout of new settings. Retries.Ratio
 // and Retries.Window apply only to services for which this host has not placed a request yet. All other settings take
 // effect only after a restart.
 func (g *Gateway) Reload(s settings.Settings) {
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -9,6 +9,7 @@
 
 	"briarcroft/internal/duty"
 	"briarcroft/internal/inner"
+	"briarcroft/internal/note"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/record"
 	"briarcroft/internal/ring"
@@ -69,6 +70,9 @@
 	healthPath string
 	// primary is set while this host is the service's primary home, which all hosts try first.
 	primary bool
+	// configured is the service in the configuration in force, and secondShare the host's share of its limit on second runs.
+	configured  note.Service
+	secondShare placement.SecondRunShare
 }
 
 // session is the placement stream of one host that sends requests here. Verdicts are delivered in order.
@@ -230,7 +234,7 @@
 		targets = append(targets, t.Target)
 	}
 	if service, found := v.Configuration.Service(h.service); found {
-		h.healthPath = service.ReportPath
+		h.healthPath, h.configured = service.ReportPath, service
 		h.home.SetWarmUp(h.server.gateway.warmUp(service))
 	}
 	h.home.SetTargets(h.server.gateway.now(), targets)
@@ -247,6 +251,7 @@
 	h.home.SetPrimary(primary)
 	h.home.SetRetrySlack(s.retrySlack(primary, len(ranked)))
 	h.home.SetLimitShare(s.limitShare(primary, len(ranked)))
+	h.applySecondRuns(primary, len(ranked))
 	h.home.Submit(s.gateway.now(), r)
 	h.sendProbes()
 	// The timers must run while the service has requests: they start hedges and refuse queued requests that are too late.
@@ -332,6 +337,7 @@
 				}
 				h.sendProbes()
 				h.countLimitedRuns()
+				h.countSecondRuns()
 			})
 		}
 		if now := g.now(); now-lastKeepAlive >= keepAliveInterval {
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -168,6 +168,8 @@
 	storeBytesSent, storeBytesReceived, followsStarted atomic.Int64
 	// ownDomainBytes counts the bytes of responses of targets in this host's failure domain, and otherDomainBytes those of others.
 	ownDomainBytes, otherDomainBytes atomic.Int64
+	// secondRuns counts second runs under a limit of the operators, by this host as a home.
+	secondRuns secondRunStats
 }
 
 // countersInterval is the time between two lines with the counters in the log.
@@ -178,7 +180,11 @@
 func (g *Gateway) runCounterLog(ctx context.Context) {
 	s := &g.stats
 	for duty.Sleep(ctx, countersInterval) {
-		g.logger.Info().
+		line := g.logger.Info()
+		if second := s.secondRuns.status(); second != nil {
+			line.Interface("SecondRuns", second)
+		}
+		line.
 			Int64("Requests", s.requests.Load()).Int64("Quarantined", s.quarantined.Load()).
 			Bool("TargetsLost", g.reach.Lost()).Int64("RelayedRequests", s.relayed.Load()).Int64("RequestsForPeers", s.relayedForPeers.Load()).
 			Int64("PrimaryProbes", s.primaryProbes.Load()).Int64("FallbackProbes", s.fallbackProbes.Load()).
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -128,6 +128,12 @@
 	// P50 and P99 are quantiles of the latency of responses.
 	P50 time.Duration
 	P99 time.Duration
+	// P999 is the quantile 0.999.
+	P999 time.Duration
+	// HedgeWork is the share of the server time that hedges took, and ServerTime all server time per counted request, both with the
+	// warm-up.
+	HedgeWork  float64
+	ServerTime time.Duration
 	// Probes is the number of health probes per target and second.
 	Probes float64
 	// ExtraAttempts is the number of hedges, those during the warm-up included, per counted request. There are no retries
@@ -166,6 +172,8 @@
 	patient, impatient worthSum
 	// bytes counts those of responses, and crossBytes those that came from another failure domain than the request.
 	bytes, crossBytes float64
+	// serverTime is the time that all runs took on servers, and hedgeTime that of hedges.
+	serverTime, hedgeTime time.Duration
 }
 
 // worthSum is a sum of utilities of requests.
@@ -270,6 +278,17 @@
 	}
 }
 
+// recordServerTime counts the time that a run took on its server, until it was finished or canceled.
+func (s *simulation) recordServerTime(r *run) {
+	if !r.started {
+		return
+	}
+	s.serverTime += s.now - r.startedAt
+	if r.hedge {
+		s.hedgeTime += s.now - r.startedAt
+	}
+}
+
 // totalDuration returns the virtual time of the simulation, which ends when the last caller times out.
 func (s *simulation) totalDuration() time.Duration {
 	return s.workload.Duration + s.workload.CallerTimeout
@@ -291,6 +310,11 @@
 	}
 	r.P50 = time.Duration(s.latencies.ValueAtQuantile(50)) * time.Microsecond
 	r.P99 = time.Duration(s.latencies.ValueAtQuantile(99)) * time.Microsecond
+	r.P999 = time.Duration(s.latencies.ValueAtQuantile(99.9)) * time.Microsecond
+	if s.serverTime > 0 {
+		r.HedgeWork = s.hedgeTime.Seconds() / s.serverTime.Seconds()
+		r.ServerTime = s.serverTime / time.Duration(max(1, r.Requests))
+	}
 	r.Probes = float64(s.probes) / float64(s.workload.Targets) / s.totalDuration().Seconds()
 	return r
 }
--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -32,6 +32,8 @@
 	AgeOrder bool
 	// DomainPlan makes the home plan how much traffic crosses between failure domains.
 	DomainPlan bool
+	// SecondRuns is the operators' limit on hedges; the zero value means that there is none.
+	SecondRuns placement.SecondRunLimit
 }
 
 // LeastInFlight sends each request immediately to the server with the fewest requests in flight. Requests arrive at
@@ -170,6 +172,8 @@
 	retryBudgetRatio  = 0.18
 	retryBudgetSlack  = 22
 	retryBudgetWindow = 10 * time.Second
+	// secondRunShare is the home's share of the limit on second runs.
+	secondRunShare = 0.8
 	// probesPerTarget is the number of health probes that a target may get per second.
 	probesPerTarget = 30
 	// homeTickInterval is the period at which Home.Tick is called.
@@ -214,6 +218,7 @@
 	}
 	slices.SortFunc(targets, func(a, b placement.Target) int { return cmp.Compare(a.Name, b.Name) })
 	b.home.SetTargets(0, targets)
+	b.home.SetSecondRuns(p.SecondRuns, secondRunShare)
 	b.tick()
 	return b
 }
@@ -282,10 +287,10 @@
 	j := b.jobs[r.ID.Number]
 	switch v := v.(type) {
 	case placement.Placed:
-		b.sim.schedule(2*b.sim.workload.NetworkDelay, func() { b.send(j, v.Target) })
+		b.sim.schedule(2*b.sim.workload.NetworkDelay, func() { b.send(j, v.Target, false) })
 	case placement.Hedge:
 		b.sim.extraAttempts++
-		b.sim.schedule(2*b.sim.workload.NetworkDelay, func() { b.send(j, v.Target) })
+		b.sim.schedule(2*b.sim.workload.NetworkDelay, func() { b.send(j, v.Target, true) })
 	case placement.Refused:
 		j.refusedAtOnce = !j.submitted
 		b.sim.schedule(b.sim.workload.NetworkDelay, func() { b.sim.recordRefusal(j, v.RetryAfter) })
@@ -293,8 +298,8 @@
 }
 
 // send sends a request to the target as an entry host does. If the request has been answered or refused meanwhile, it
-// instead reports the run to the home as canceled.
-func (b *homeBalancer) send(j *job, target string) {
+// instead reports the run to the home as canceled. Hedge is set if the run is a hedge.
+func (b *homeBalancer) send(j *job, target string, hedge bool) {
 	server := b.serverByName(target)
 	if j.finished {
 		b.reportRunEnd(j, target, placement.OutcomeCanceled, 0, nil)
@@ -308,7 +313,7 @@
 		})
 		return
 	}
-	r := &run{job: j}
+	r := &run{job: j, hedge: hedge}
 	r.onResponse = func(bool) {
 		report := server.loadReport()
 		b.sim.schedule(b.sim.workload.NetworkDelay, func() {
--- a/internal/model/server.go
+++ b/internal/model/server.go
@@ -48,6 +48,8 @@
 	server    *server
 	startedAt time.Duration
 	finished  bool
+	// hedge is set if the run is a hedge, and started once it has left the queue of the server.
+	hedge, started bool
 	// onResponse is called when the server sends the response, with true. Dropped and canceled runs do not call it.
 	onResponse func(answered bool)
 }
@@ -72,7 +74,7 @@
 func (s *server) start(r *run) {
 	workload := s.sim.workload
 	s.running = append(s.running, r)
-	r.startedAt = s.sim.now
+	r.startedAt, r.started = s.sim.now, true
 	factor := s.pace
 	if float64(len(s.running)) > workload.NearlyFullShare*float64(workload.Slots) {
 		factor *= workload.NearlyFullSlowdown
@@ -108,6 +110,7 @@
 
 // release frees the slot of a run, or removes it from the queue, and starts queued runs.
 func (s *server) release(r *run) {
+	s.sim.recordServerTime(r)
 	isSameRun := func(other *run) bool { return other == r }
 	s.queued = slices.DeleteFunc(s.queued, isSameRun)
 	s.running = slices.DeleteFunc(s.running, isSameRun)
--- a/internal/note/account_test.go
+++ b/internal/note/account_test.go
@@ -95,3 +95,21 @@
 	is.NoErr(err)
 	is.Equal(applied, next)
 }
+
+// TestParseSecondRuns guards against a limit of 0, which forbids second runs, being taken for none, and against limits that do not
+// survive the JSON text of a record.
+func TestParseSecondRuns(t *testing.T) {
+	is := is.New(t)
+	n, err := Parse("n.ini", []byte("[Note]\nFollows = 1\nOperator = o\nReason = r\n[Service a]\nSecondRuns = 0\nSecondRunWork = 2.5\n[Service b]\n"))
+	is.NoErr(err)
+	text, err := json.Marshal(n)
+	is.NoErr(err)
+	is.NoErr(json.Unmarshal(text, &n))
+	is.Equal(*n.Services[0].SecondRuns, 0.0)
+	is.Equal(*n.Services[0].SecondRunWork, 2.5)
+	is.True(n.Services[1].SecondRuns == nil && n.Services[1].SecondRunWork == nil)
+	for _, wrong := range []string{"SecondRuns = -1", "SecondRuns = 101", "SecondRunWork = x"} {
+		_, err = Parse("n.ini", []byte("[Note]\nFollows = 1\nOperator = o\nReason = r\n[Service a]\n"+wrong+"\n"))
+		is.True(err != nil)
+	}
+}
--- a/internal/note/note.go
+++ b/internal/note/note.go
@@ -46,6 +46,10 @@
 	// target takes from all entry hosts together; zero means no limit.
 	WarmUpTime time.Duration `json:",omitempty"`
 	WarmUpRate float64       `json:",omitempty"`
+	// SecondRuns is the number of second runs in 100 requests, and SecondRunWork their share in 100 of the server time. They go
+	// before the settings of a host; zero means no second runs, and nil that the settings apply.
+	SecondRuns    *float64 `json:",omitempty"`
+	SecondRunWork *float64 `json:",omitempty"`
 }
 
 // Target is one backend server that runs requests of a service.
--- a/internal/note/parse.go
+++ b/internal/note/parse.go
@@ -88,6 +88,10 @@
 		return d.FieldError(section, "Homes", "must be 1 or more")
 	case s.QueueLimit < 1:
 		return d.FieldError(section, "QueueLimit", "must be 1 or more")
+	case s.SecondRuns != nil && *s.SecondRuns > 100:
+		return d.FieldError(section, "SecondRuns", "must be between 0 and 100")
+	case s.SecondRunWork != nil && *s.SecondRunWork > 100:
+		return d.FieldError(section, "SecondRunWork", "must be between 0 and 100")
 	case s.RetryRatio > 1:
 		return d.FieldError(section, "RetryRatio", "must be between 0 and 1")
 	case s.ReportPath != "" && !strings.HasPrefix(s.ReportPath, "/"):
--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -64,6 +64,7 @@
 // recordOutcome updates the state of the target and the statistics of the service from the end of a run.
 func (h *Home) recordOutcome(now time.Duration, r *Request, ended *run, end RunEnd) {
 	t := ended.target
+	h.endSecond(now, ended, end.Outcome, end.Duration)
 	h.unspendToken(ended, end.Outcome)
 	if end.Outcome == OutcomeAnswered || end.Outcome == OutcomeFailed || end.Outcome == OutcomeNotRun && end.Load != nil {
 		t.recordResponse(now)
--- a/internal/placement/hedge.go
+++ b/internal/placement/hedge.go
@@ -19,6 +19,10 @@
 // queued, another target has a free slot and the retry budget allows it. This limits the latency that a target causes
 // when it becomes slow or drops a request.
 func (h *Home) startHedges(now time.Duration) {
+	if h.second != nil {
+		h.startLimited(now)
+		return
+	}
 	if len(h.queue) > h.awaitingDomain() || h.config.Budget.Remaining(now) < 1+hedgeReserve {
 		return
 	}
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -148,6 +148,8 @@
 	refusals uint64
 	// plan decides which requests may go to another failure domain; it is nil unless Config.DomainPlan is set.
 	plan *domainPlan
+	// second limits second runs; it is nil unless operators have set a limit.
+	second *secondRuns
 }
 
 // New returns a home without targets.
@@ -220,6 +222,9 @@
 	}
 	if len(r.Tried) == 0 {
 		h.config.Budget.AddRequest(now)
+		if h.second != nil {
+			h.second.window.addRequest(now)
+		}
 	} else if !h.config.Budget.Spend(now, 0) {
 		h.refuse(now, r, ReasonRetryBudgetSpent)
 		return
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -196,6 +196,11 @@
 	late bool
 	// unreported is the part of slowdown that the target's load reports did not show.
 	unreported float64
+	// second is set if the run is a second one under a limit that operators have set, and longest is the time from its start to the
+	// deadline. refusals holds the reasons for which a second run was refused, one bit each.
+	second   bool
+	longest  time.Duration
+	refusals uint16
 }
 
 // goalLength returns the time from the caller's first attempt to the goal.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -310,6 +310,11 @@
 			return d.FieldError(section, "CoreShare", "must be between 0 and 1")
 		}
 	}
+	for key, limit := range map[string]float64{"Runs": s.SecondRuns.Runs, "Work": s.SecondRuns.Work} {
+		if limit > 100 {
+			return d.FieldError("SecondRuns", key, "must be between 0 and 100")
+		}
+	}
 	t := s.TLS
 	if (t.CallerCertificate == "") != (t.CallerKey == "") {
 		return d.FieldError("TLS", "CallerKey", "needs CallerCertificate and CallerKey together")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -30,6 +30,7 @@
 		{"key without certificate", minimalSettings + "[TLS]\nCallerKey = k.pem\n", "together"},
 		{"value too small", minimalSettings + "[Limits]\nKeptEntries = 0\n", "is too small"},
 		{"share above 1", minimalSettings + "[Budget]\nCoreShare = 3\n", "between 0 and 1"},
+		{"second runs above 100 in 100", minimalSettings + "[SecondRuns]\nRuns = 101\n", "section [SecondRuns] key Runs must be between 0 and 100"},
 		{"host's share above 1", strings.Replace(minimalSettings, "[Platform]", "CoreShare = 1.5\n[Platform]", 1), "section [Host] key CoreShare must be between 0 and 1"},
 		{"negative bandwidth", strings.Replace(minimalSettings, "[Platform]", "LinkMbps = -1\n[Platform]", 1), "key LinkMbps has value \"-1\"; write a number of zero or more"},
 		{"bad announced address", strings.Replace(minimalSettings, "[Platform]", "Announced = x\n[Platform]", 1), "key Announced has value \"x\""},
