--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -124,6 +124,9 @@
 	// limitedRuns counts the runs on targets that named a rate limit or were cold when they started, since TakeLimitedRuns.
 	limitedRuns int64
 	fair        fairShares
+	// fairAccounts and fairBuffer are kept for the next call of setFairStarts and fairOrder.
+	fairAccounts map[string]fairAccount
+	fairBuffer   []*Request
 	// lastBootTime is the time of Config.BootTime at bootTimeAt.
 	lastBootTime, bootTimeAt time.Duration
 	// demand measures what work in time needs. It is used only with Config.AgeOrder.
@@ -148,6 +151,8 @@
 	refusals uint64
 	// plan decides which requests may go to another failure domain; it is nil unless Config.DomainPlan is set.
 	plan *domainPlan
+	// second limits second runs; it is nil unless operators have set a limit.
+	second *secondRuns
 }
 
 // New returns a home without targets.
@@ -220,6 +225,9 @@
 	}
 	if len(r.Tried) == 0 {
 		h.config.Budget.AddRequest(now)
+		if h.second != nil {
+			h.second.window.addRequest(now)
+		}
 	} else if !h.config.Budget.Spend(now, 0) {
 		h.refuse(now, r, ReasonRetryBudgetSpent)
 		return
@@ -289,12 +297,10 @@
 		return
 	}
 	slices.SortStableFunc(h.queue, func(a, b *Request) int { return h.compareQueued(now, a, b) })
-	h.sortFairly(now)
-	remaining := h.queueBuffer[:0]
 	ahead, lateAhead := 0, 0
 	h.room, h.blocked, h.spareAhead = nil, false, 0
 	clear(h.picks)
-	for _, r := range h.queue {
+	for _, r := range h.fairOrder(now) {
 		if h.placeOrRefuse(now, r, ahead, lateAhead) {
 			r.queued = false
 			continue
@@ -304,7 +310,12 @@
 		if h.config.AgeOrder && h.ageRank(now, r) != rankPromised {
 			h.spareAhead++
 		}
-		remaining = append(remaining, r)
+	}
+	remaining := h.queueBuffer[:0]
+	for _, r := range h.queue {
+		if r.queued {
+			remaining = append(remaining, r)
+		}
 	}
 	h.lateWait.setQueued(now, lateAhead)
 	h.drain.setBlocked(now, h.blocked)
@@ -386,19 +397,3 @@
 		}
 	}
 }
-
-// refuse refuses a request and tells the caller when to retry.
-func (h *Home) refuse(now time.Duration, r *Request, reason Reason) {
-	r.queued = false
-	h.returnToken(r)
-	if len(r.runs) == 0 {
-		delete(h.requests, r.ID)
-	}
-	verdict := Refused{
-		Reason: reason, RetryAfter: h.retryAfter(now, r, reason), Waiting: len(h.queue), Slots: h.availableSlots(now), Expected: h.serviceTime(r),
-	}
-	if h.config.AgeOrder {
-		verdict.Turn, verdict.Free = h.turn(now, r), h.currentRoom(now).free()
-	}
-	h.config.OnVerdict(r, verdict)
-}
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -11,6 +11,9 @@
 	// lateFreeShare is the share of slots that late requests leave free for requests that can still meet their goal: a
 	// late request is placed only while more than this share is free. With Config.AgeOrder, room decides instead.
 	lateFreeShare = 0.7
+	// slowRunRatio is the expected duration of a run in relation to that of other runs from which it does not start under overload.
+	// Targets are slowed by neighbors for some hundred ms; a run that starts then keeps a slot for the time of several.
+	slowRunRatio = 2.0
 )
 
 // cannotServe reports whether a new request must be refused, because no target is available or the request is not
@@ -30,11 +33,13 @@
 // queueWait estimates how long a new request will wait behind the queued requests that are placed before it.
 func (h *Home) queueWait(now time.Duration, r *Request) time.Duration {
 	if h.config.AgeOrder {
-		if t, e := h.pickTarget(now, r, r.Tried); t != nil && h.shouldPlaceNow(now, r, e.expected) {
+		room := h.currentRoom(now)
+		// A slot that is free for a moment under overload is for the next new request, or callers that repeat at once would gain.
+		if t, e := h.pickTarget(now, r, r.Tried); t != nil && h.shouldPlaceNow(now, r, e.expected) && (r.promised || r.Age == 0 || !room.overloaded()) {
 			return 0
 		}
 		turn := h.turn(now, r)
-		if room := h.currentRoom(now); !r.promised && r.Age == 0 && room.needed > room.lastingUsable {
+		if !r.promised && r.Age == 0 && room.needed > room.lastingUsable {
 			turn = time.Duration(float64(turn) / acceptShare)
 		}
 		return h.limitWait(now) + turn
@@ -127,7 +132,7 @@
 // target or for requests that are not late.
 func (h *Home) shouldPlaceNow(now time.Duration, r *Request, expected time.Duration) bool {
 	if now+time.Duration(float64(expected)*goalMargin) <= r.Goal {
-		return true
+		return !h.config.AgeOrder || float64(expected) <= slowRunRatio*float64(h.lateRunTime(r)) || !h.currentRoom(now).overloaded()
 	}
 	if h.lateRank(now, r) == 0 {
 		// A faster target may get a free slot in time to meet the goal.
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -68,7 +68,7 @@
 	// answered is set once a run has been answered.
 	answered bool
 	// allowance is the request's part of its account's allowance. fairStart and fairRank order it among the requests of other
-	// accounts; see sortFairly.
+	// accounts; see fairOrder.
 	allowance tokenState
 	fairStart float64
 	fairRank  int
@@ -196,6 +196,11 @@
 	late bool
 	// unreported is the part of slowdown that the target's load reports did not show.
 	unreported float64
+	// second is set if the run is a second one under a limit that operators have set, and longest is the time from its start to the
+	// deadline. refusals holds the reasons for which a second run was refused, one bit each.
+	second   bool
+	longest  time.Duration
+	refusals uint16
 }
 
 // goalLength returns the time from the caller's first attempt to the goal.
