--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"briarcroft/internal/settings"
 	"briarcroft/platform/standin"
 )
 
@@ -53,3 +54,35 @@
 		})
 	}
 }
+
+// TestOverloadByAge guards against refusals that come after a wait, or without a time to return, on hosts that order by age, and
+// against any refusal at half of the capacity.
+func TestOverloadByAge(t *testing.T) {
+	const targets, normalRun = 8, 90 * time.Millisecond
+	const capacity = targets * 3 * int(time.Second/normalRun)
+	for _, load := range []int{50, 300} {
+		withSettings(t, func(s *settings.Settings) { s.Overload.AgeOrder = true }, 13, targets, func(f *fleet) {
+			f.slowTargets(normalRun)
+			f.sendToHosts(capacity/2, time.Second)
+			replies := f.sendToHosts(capacity*load/100, 3*time.Second)
+			refused, waited := 0, 0
+			for _, r := range replies {
+				if r.status != 503 {
+					continue
+				}
+				refused++
+				f.is.True(r.header.Get("Retry-After") != "")
+				if r.duration > 100*time.Millisecond {
+					waited++
+				}
+			}
+			t.Logf("load %d in 100: %d of %d answered, %d refused, %d of these after a wait", load, answered(replies), len(replies), refused, waited)
+			if load == 50 {
+				f.is.Equal(answered(replies), len(replies))
+				return
+			}
+			f.is.True(answered(replies) >= 9*capacity*3/10)
+			f.is.True(waited*20 <= refused)
+		})
+	}
+}
