--- a/internal/gateway/secondruns.go
+++ b/internal/gateway/secondruns.go
@@ -10,7 +10,7 @@
 )
 
 // secondRunLimit returns the limit on second runs of a service: that of the configuration or else that of the settings.
-func secondRunLimit(s settings.Settings, configured note.Service) placement.SecondRunLimit {
+func secondRunLimit(s *settings.Settings, configured note.Service) placement.SecondRunLimit {
 	choose := func(configured *float64, setting float64) float64 {
 		switch {
 		case configured != nil:
@@ -26,7 +26,7 @@
 // applySecondRuns sets the limit on second runs and the host's share of it; the caller holds h.mu.
 func (h *serviceHome) applySecondRuns(primary bool, live int) {
 	g := h.server.gateway
-	limit := secondRunLimit(*g.reloadable.Load(), h.configured)
+	limit := secondRunLimit(g.reloadable.Load(), h.configured)
 	if !limit.IsSet() {
 		h.home.SetSecondRuns(limit, 0)
 		return
--- a/internal/gateway/secondruns_test.go
+++ b/internal/gateway/secondruns_test.go
@@ -31,7 +31,7 @@
 		s := settings.Default()
 		s.SecondRuns, s.Retries.Window = c.setting, 10*time.Second
 		c.want.Window = 10 * time.Second
-		got := secondRunLimit(s, c.note)
+		got := secondRunLimit(&s, c.note)
 		is.Equal(got, c.want)
 		is.Equal(got.IsSet(), c.limitSet)
 	}
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -222,9 +222,6 @@
 	}
 	if len(r.Tried) == 0 {
 		h.config.Budget.AddRequest(now)
-		if h.second != nil {
-			h.second.window.addRequest(now)
-		}
 	} else if !h.config.Budget.Spend(now, 0) {
 		h.refuse(now, r, ReasonRetryBudgetSpent)
 		return
@@ -359,6 +356,9 @@
 
 func (h *Home) startRun(now time.Duration, r *Request, t *targetState, e runEstimate) {
 	started := &run{request: r, target: t, startedAt: now, fingerprints: r.fingerprints(), expected: e.expected, slowdown: e.slowdown, nearlyFull: e.nearlyFull, unreported: t.unreported.factor(now), token: h.spendToken(now, r)}
+	if h.second != nil && len(r.Tried) == 0 && !r.hedged {
+		h.second.window.addRequest(now)
+	}
 	h.chargeAccount(r)
 	h.recordStart(now, started)
 	clear(h.picks)
--- a/internal/placement/secondrun.go
+++ b/internal/placement/secondrun.go
@@ -52,7 +52,7 @@
 //
 // Requests and server time count with the share that the home has when they are recorded. The shares of all homes are at most 1 in
 // sum, so the limit holds over all homes even if each of them counts the same request. It holds in this sense: the second runs that
-// start in any window are at most the limit for the requests that arrived, and the runs that ended, in it or within one window
+// start in any window are at most the limit for the requests whose first run started, and the runs that ended, in it or within one window
 // before, and at each start it holds exactly for the window that ends then. The work of a second run counts from its start: as the
 // longest time that it may take until it has ended, then as the measured time.
 type secondRunWindow struct {
@@ -92,7 +92,7 @@
 	return b
 }
 
-// addRequest counts the first attempt of a request, and addServerTime the time that a run has taken, second or not.
+// addRequest counts a request whose first run starts, and addServerTime the time that a run has taken, second or not.
 func (w *secondRunWindow) addRequest(now time.Duration) { w.bucket(now).requests += w.share }
 
 func (w *secondRunWindow) addServerTime(now, d time.Duration) {
--- a/internal/placement/secondrun_test.go
+++ b/internal/placement/secondrun_test.go
@@ -356,6 +356,16 @@
 	}
 }
 
+// TestUnsetSecondRunsKeepNoState guards against a limit that goes on to bind, or to cost memory, when operators have removed it.
+func TestUnsetSecondRunsKeepNoState(t *testing.T) {
+	is := is.New(t)
+	f := newTestHome(1, ampleBudget)
+	f.home.SetSecondRuns(SecondRunLimit{Runs: 0, Work: math.Inf(1), Window: time.Second}, 1)
+	is.True(f.home.second != nil)
+	f.home.SetSecondRuns(SecondRunLimit{Runs: math.Inf(1), Work: math.Inf(1), Window: time.Second}, 1)
+	is.True(f.home.second == nil)
+}
+
 // report records the same load report of every target, and each calls a function with every target.
 func (f *testHome) report(l LoadReport) {
 	f.each(func(t *targetState) { f.home.RecordProbe(f.now, t.Name, ProbeHealthy, &l) })
