--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -58,3 +58,11 @@
 
 // ProvenAge returns the proven age of the gateway's knowledge of the store; it is below zero if nothing is proven.
 func (g *Gateway) ProvenAge() time.Duration { return g.provenAge() }
+
+// SecondRuns returns how many second runs the gateway has started under a limit as a home, and whether it has one.
+func (g *Gateway) SecondRuns() (started int64, limited bool) {
+	if s := g.stats.secondRuns.status(); s != nil {
+		return s.Started, true
+	}
+	return 0, false
+}
