Count a broken connection against a request only where targets serve others

Callers saw 503 for a sound request that one of them repeats while most targets break the connections of everybody, and for 10 s afterwards.

Cause: three broken connections put a request in quarantine by its own fingerprint, whatever the same targets did to others meanwhile.

A break no longer counts if the target broke the connection of another request before and has answered none since. A quarantine because of broken connections needs them to be unlikely by chance, given how often those of others break. Targets that have ended count as before, for a request's own fingerprint too.

--- a/internal/placement/crash.go
+++ b/internal/placement/crash.go
@@ -81,6 +81,8 @@
 type brokenRun struct {
 	*run
 	endedAt time.Duration
+	// targetFails is that of quarantine.Break.
+	targetFails bool
 }
 
 // recordResponse records that the target responds, so that it has not crashed.
@@ -124,9 +126,20 @@
 	}
 }
 
+// newBrokenRun returns a run whose connection has broken now, or whose target has ended.
+func newBrokenRun(now time.Duration, ended *run) brokenRun {
+	t := ended.target
+	b := brokenRun{run: ended, endedAt: now}
+	if t.firstBroken == nil {
+		t.firstBroken = &b
+	}
+	b.targetFails = t.firstBroken.endedAt <= ended.startedAt && t.firstBroken.fingerprints[0] != ended.fingerprints[0]
+	return b
+}
+
 // recordBroken records that the connection of a run broke.
 func (h *Home) recordBroken(now time.Duration, ended *run) {
-	b, t := brokenRun{ended, now}, ended.target
+	b, t := newBrokenRun(now, ended), ended.target
 	h.recordBreak(now, b)
 	if t.probe.down {
 		h.recordEnd(now, b)
@@ -137,7 +150,7 @@
 
 // recordCrash records that a run has ended without a response because its target has crashed.
 func (h *Home) recordCrash(now time.Duration, ended *run) {
-	b := brokenRun{ended, now}
+	b := newBrokenRun(now, ended)
 	h.recordBreak(now, b)
 	h.recordEnd(now, b)
 }
@@ -169,5 +182,5 @@
 func (b brokenRun) evidence() quarantine.Break {
 	// A target that has crashed may return under its old name.
 	incarnation := b.target.Name + " " + strconv.FormatInt(b.target.Incarnation, 10)
-	return quarantine.Break{Target: incarnation, Started: b.startedAt, Ended: b.endedAt, Fingerprints: b.fingerprints}
+	return quarantine.Break{Target: incarnation, Started: b.startedAt, Ended: b.endedAt, TargetFails: b.targetFails, Fingerprints: b.fingerprints}
 }
--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -72,6 +72,7 @@
 	switch end.Outcome {
 	case OutcomeAnswered:
 		r.answered = true
+		t.firstBroken = nil
 		t.recordSuccess(now)
 		h.config.Quarantine.RecordSuccess(now, ended.fingerprints...)
 		h.recordDuration(r, ended, end.Duration)
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -86,7 +86,9 @@
 	// unanswered holds runs that ended without a response while the target was not known to be down.
 	unanswered []*run
 	// broken holds the last runs whose connection broke since the target responded.
-	broken       []brokenRun
+	broken []brokenRun
+	// firstBroken is the first run whose connection broke since the target answered a request.
+	firstBroken  *brokenRun
 	ejectedUntil time.Duration
 	// ejections counts the ejections since the last success.
 	ejections int
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -28,6 +28,11 @@
 	minEndResponses   = 3
 	minBreakResponses = 20
 	maxOtherBreaks    = 0.1
+	// expectedBreakShare is the highest share of runs that are assumed to break their connections while no connection of another
+	// request has broken.
+	expectedBreakShare = 0.2
+	// seriesGap is the time without a broken connection after which the next one begins a new series.
+	seriesGap = 10 * time.Second
 	// targetsToRunAlone is the number of targets that requests with something in common must crash before only one of them
 	// runs at a time.
 	targetsToRunAlone = 2
@@ -63,8 +68,9 @@
 	// targets are those that broke their connection since the last response to the request.
 	targets   []string
 	lastBreak time.Duration
-	// ended are those of the targets that have ended then, and lastEnd is when the last of their connections broke. They are
-	// not kept for a request's own fingerprint.
+	// recordedAt is when a break was recorded last, whether it counts or not.
+	recordedAt time.Duration
+	// ended are those of the targets that have ended then, and lastEnd is when the last of their connections broke.
 	ended   []string
 	lastEnd time.Duration
 	// variants are fingerprints of the different requests that broke the connections, up to minVariants. They are the next
@@ -92,7 +98,7 @@
 
 // expires returns when the request is forgotten.
 func (s *suspect) expires() time.Duration {
-	return max(s.lastBreak+suspicionTime, s.until+s.duration())
+	return max(s.recordedAt+suspicionTime, s.until+s.duration())
 }
 
 // List holds the requests that a host has seen crash targets, and those that peers have put in quarantine. It is safe for
@@ -106,6 +112,10 @@
 	responses atomic.Int64
 	mu        sync.Mutex
 	breaks    int64
+	// lastBreak is when a connection broke last. seriesBreaks and seriesResponses are the numbers of breaks and responses before
+	// the present series of breaks.
+	lastBreak                     time.Duration
+	seriesBreaks, seriesResponses int64
 	// suspects are keyed by the fingerprint of a request.
 	suspects map[uint64]*suspect
 }
@@ -120,13 +130,16 @@
 	Target string
 	// Started and Ended are when the run began and when its connection broke.
 	Started, Ended time.Duration
+	// TargetFails is set if the target broke the connection of another request before the run and has answered none since. The
+	// break is then no evidence against the request itself.
+	TargetFails bool
 	// Fingerprints are the request's own fingerprint and those of what it shares with others, from few others to many.
 	Fingerprints []uint64
 }
 
 // RecordBreak records a broken connection and returns the fingerprint by which the request is put in quarantine because of it.
-// Requests that share something are put in quarantine together only if several of them have broken connections, and if targets
-// answer others meanwhile.
+// A request is put in quarantine because of broken connections only if targets break those of others far less often, and
+// requests that share something only if several of them have broken connections and targets answer others meanwhile.
 //
 // A run that started before the last recorded break does not count: targets that fail at the same time break the connections
 // of many requests that are not at fault.
@@ -134,25 +147,33 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sweep(now)
+	if now-l.lastBreak >= seriesGap {
+		l.seriesBreaks, l.seriesResponses = l.breaks, l.responses.Load()
+	}
+	l.lastBreak = now
 	l.breaks++
 	var variant uint64
 	for i, f := range b.Fingerprints {
 		s := l.suspect(f)
 		counts := l.addBreak(s, b, variant)
 		variant = f
-		if counts && !quarantined && s.crashed(s.targets, l.config.Targets) && (i == 0 || l.othersServed(s)) && l.convict(now, s) {
+		if !counts || quarantined || len(s.targets) < s.needed(l.config.Targets) {
+			continue
+		}
+		apart := i == 0 && l.breaksApart(s) || i > 0 && l.othersServed(s)
+		if apart && l.convict(now, s) {
 			fingerprint, quarantined = f, true
 		}
 	}
 	return fingerprint, quarantined
 }
 
-// RecordEnd records that a target has ended during a run that RecordBreak was told of, which is stronger evidence against what
-// the request shares with others than a broken connection. It returns the fingerprint by which these are put in quarantine.
+// RecordEnd records that a target has ended during a run that RecordBreak was told of, which is stronger evidence than a broken
+// connection. It returns the fingerprint by which the request, or what it shares with others, is put in quarantine.
 func (l *List) RecordEnd(now time.Duration, b Break) (fingerprint uint64, quarantined bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, f := range b.Fingerprints[1:] {
+	for i, f := range b.Fingerprints {
 		s := l.suspects[f]
 		if s == nil || b.Started < s.lastEnd {
 			continue
@@ -161,7 +182,7 @@
 		if !slices.Contains(s.ended, b.Target) {
 			s.ended = append(s.ended, b.Target)
 		}
-		if !quarantined && s.crashed(s.ended, l.config.Targets) && l.responsesSince(s) >= minEndResponses && l.convict(now, s) {
+		if !quarantined && len(s.ended) >= s.needed(l.config.Targets) && (i == 0 || l.responsesSince(s) >= minEndResponses) && l.convict(now, s) {
 			fingerprint, quarantined = f, true
 		}
 	}
@@ -175,7 +196,8 @@
 		s.breaks, s.listBreaks, s.listResponses = 0, l.breaks-1, l.responses.Load()
 	}
 	s.breaks++
-	if b.Started < s.lastBreak {
+	s.recordedAt = b.Ended
+	if b.Started < s.lastBreak || b.TargetFails && variant == 0 {
 		return false
 	}
 	s.lastBreak = b.Ended
@@ -188,20 +210,50 @@
 	return true
 }
 
-// crashed reports whether the targets that a suspect has crashed are enough for a quarantine: any after the first one.
-func (s *suspect) crashed(targets []string, needed int) bool {
-	return s.times > 0 || len(targets) >= needed
+// needed returns how many targets a suspect must crash before it is put in quarantine: one after its first quarantine, before
+// that the given number.
+func (s *suspect) needed(atFirst int) int {
+	if s.times > 0 {
+		return 1
+	}
+	return atFirst
 }
 
 // responsesSince returns the number of responses since the first break of a suspect, or since its last quarantine began. None
 // of them was to the suspect.
 func (l *List) responsesSince(s *suspect) int64 { return l.responses.Load() - s.listResponses }
 
+// breaksApart reports whether a suspect breaks connections so much more often than others that this is no more likely to be
+// chance than if the needed number of targets, and one more if connections of others break too, had broken its connections at
+// the expected share. The others are considered in the time of responsesSince and in the whole series of breaks.
+func (l *List) breaksApart(s *suspect) bool {
+	needed, recent, series := s.needed(l.config.Targets), l.otherBreaks(s), max(0, l.breaks-l.seriesBreaks-s.breaks)
+	if recent > 0 || series > 0 {
+		needed++
+	}
+	share := max(breakShare(recent, l.responsesSince(s)), breakShare(series, l.responses.Load()-l.seriesResponses))
+	return math.Pow(share, float64(len(s.targets))) <= math.Pow(expectedBreakShare, float64(needed))
+}
+
+// breakShare returns an upper estimate, by a standard deviation, of the share of runs that break their connections from the
+// numbers of breaks and responses.
+func breakShare(breaks, responses int64) float64 {
+	expected := float64(breaks + 1)
+	share := min(1, (expected+math.Sqrt(expected))/float64(breaks+responses+2))
+	if breaks == 0 {
+		return min(share, expectedBreakShare)
+	}
+	return share
+}
+
+// otherBreaks returns the number of connections that runs of others than the suspect broke in the time of responsesSince.
+func (l *List) otherBreaks(s *suspect) int64 { return l.breaks - s.listBreaks - s.breaks }
+
 // othersServed reports whether targets have answered others, and have hardly broken their connections, in the time of
 // responsesSince.
 func (l *List) othersServed(s *suspect) bool {
-	responses, otherBreaks := l.responsesSince(s), l.breaks-s.listBreaks-s.breaks
-	return responses >= minBreakResponses && float64(otherBreaks) <= maxOtherBreaks*float64(responses)
+	responses := l.responsesSince(s)
+	return responses >= minBreakResponses && float64(l.otherBreaks(s)) <= maxOtherBreaks*float64(responses)
 }
 
 // convict puts a suspect in quarantine and reports whether it was not there. A suspect that stands for what requests share
@@ -228,8 +280,8 @@
 	if len(l.suspects) >= maxSuspects {
 		l.removeFirstToExpire()
 	}
-	// A request without a recorded break has a last one before the start of the host.
-	s := &suspect{lastBreak: -suspicionTime}
+	// A request without a recorded break is forgotten at once.
+	s := &suspect{recordedAt: -suspicionTime}
 	l.suspects[fingerprint] = s
 	l.size.Store(int64(len(l.suspects)))
 	return s
@@ -323,7 +375,7 @@
 		if s == nil || now >= s.expires() {
 			continue
 		}
-		if i == 0 || s.times > 0 || len(s.ended) >= targetsToRunAlone || len(s.targets) >= targetsToRunAlone && l.othersServed(s) {
+		if i == 0 && len(s.targets)+len(s.ended) > 0 || s.times > 0 || len(s.ended) >= targetsToRunAlone || len(s.targets) >= targetsToRunAlone && l.othersServed(s) {
 			suspects = append(suspects, f)
 		}
 	}
