Test of second runs draws run times in the order of requests

TestSecondRunDecision failed in 4 of 30 runs on (a request that waited until its deadline on a mute target): the harness went through a map, so run times were drawn in another order each time.

--- a/internal/placement/secondrun_test.go
+++ b/internal/placement/secondrun_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -82,8 +84,8 @@
 				l.before(f.home)
 			}
 			f.home.Tick(now)
-			for number, verdicts := range f.verdicts {
-				for _, v := range verdicts {
+			for _, number := range slices.Sorted(maps.Keys(f.verdicts)) {
+				for _, v := range f.verdicts[number] {
 					switch v := v.(type) {
 					case Placed:
 						open[i][number] = []openRun{{v.Target, now, now + l.takes(random, now, v.Target), now + time.Second, -1}}
