Plan of flows: only for services whose responses are large on average

Cause: the plan also governed services with small responses, where staying in a failure domain saves few bytes and slower targets make requests late.

TestServiceWithSmallResponsesHasNoPlan failed before: the request stayed on the slower target.

--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -141,7 +141,7 @@
 		h = &serviceHome{server: s, service: service}
 		h.home = placement.New(placement.Config{
 			Random: rand.New(rand.NewPCG(s.gateway.incarnation, uint64(len(s.services)))), Budget: s.retryBudget(), AgeOrder: s.gateway.settings.Overload.AgeOrder, Quarantine: s.gateway.quarantine, RateLimits: s.gateway.rateLimits, Notices: s.gateway.notices, OnVerdict: s.sendVerdict,
-			DomainPlan: s.gateway.settings.Placement.DomainPlan,
+			DomainPlan: s.gateway.settings.Placement.DomainPlan, DomainPlanBytes: s.gateway.settings.Placement.DomainPlanBytes,
 			Allowances: s.gateway.allowances.wallet, BootTime: s.gateway.allowances.bootTime,
 			OnTokenWanted: func() { s.gateway.allowances.tokenWanted.Push(struct{}{}) },
 			OnNotice:      func(n placement.TargetNotice) { s.gateway.recordNotice(n.Target, n.Notice, "") },
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -49,13 +49,15 @@
 // one in its own failure domain.
 func (h *Home) pickTarget(now time.Duration, r *Request, excluded []string) (*targetState, runEstimate) {
 	own, other := h.bestTargets(now, r, excluded)
-	best := own
-	if h.plan != nil {
-		best = h.choosePlanned(now, r, own, other)
-	} else if other.better(own) {
-		best = other
+	if h.planned() {
+		best := h.choosePlanned(now, r, own, other)
+		return best.target, best.estimate
+	}
+	h.setAwaitsDomain(r, false)
+	if other.better(own) {
+		return other.target, other.estimate
 	}
-	return best.target, best.estimate
+	return own.target, own.estimate
 }
 
 // bestTargets returns the best target in the failure domain of the request and the best one in another, with the penalty
@@ -73,7 +75,7 @@
 			continue
 		}
 		factor, nearlyFull := t.slowdown(now, h.averagePace, h.nearlyFullSlowdown)
-		if h.plan != nil {
+		if h.planned() {
 			factor *= t.unreported.factor(now)
 		}
 		score := factor * h.crossDomainFactor(t, r) * (1 + loadPenalty*float64(t.load(now))/float64(t.Slots))
@@ -96,7 +98,7 @@
 	if t.Domain == r.Domain {
 		return 1
 	}
-	if h.plan != nil {
+	if h.planned() {
 		return h.plannedFactor(t, r)
 	}
 	return 1 + min(maxCrossDomainPenalty, h.responseBytes[r.Class]/crossDomainBytes)
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -64,6 +64,8 @@
 	OnQuarantine func(fingerprint uint64, target string)
 	// DomainPlan makes the home plan how much traffic crosses between failure domains.
 	DomainPlan bool
+	// DomainPlanBytes is the mean response size of the service in bytes from which the plan decides where requests are placed.
+	DomainPlanBytes float64
 }
 
 // Ejection reports that a target was ejected after consecutive failures or, if Ejected is false, that its ejection ended.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -40,6 +40,9 @@
 	computedAt time.Duration
 	// busy is set while the work of all domains exceeds busyLoad of what all of them can take.
 	busy bool
+	// small is set while the mean response of the service has fewer bytes than Config.DomainPlanBytes. Requests are then placed
+	// as without a plan.
+	small bool
 	// responses counts the responses of each class, up to meanResponses.
 	responses map[string]int
 }
@@ -260,11 +263,29 @@
 		s.speed += speed
 		supplies[t.Domain] = s
 	}
+	h.plan.small = h.meanResponseBytes() < h.config.DomainPlanBytes
 	h.plan.compute(now, supplies,
 		func(class string) float64 { return max(1e-3, h.serviceTimes[class]) },
 		func(class string) float64 { return h.responseBytes[class] })
 }
 
+// meanResponseBytes returns the mean response size of the requests of late.
+func (h *Home) meanResponseBytes() float64 {
+	var bytes, rate float64
+	for _, k := range h.plan.sortedKeys() {
+		f := h.plan.flows[k]
+		bytes += f.rate * h.responseBytes[k.class]
+		rate += f.rate
+	}
+	if rate == 0 {
+		return 0
+	}
+	return bytes / rate
+}
+
+// planned reports whether the plan of flows decides where requests are placed at present.
+func (h *Home) planned() bool { return h.plan != nil && !h.plan.small }
+
 // plannedFactor returns the factor by which the traffic between failure domains makes a target less attractive, with a
 // plan of flows.
 func (h *Home) plannedFactor(t *targetState, r *Request) float64 {
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -146,6 +146,30 @@
 	}
 }
 
+// TestServiceWithSmallResponsesHasNoPlan guards against the plan of flows in services whose responses are small: their requests must
+// go to the faster target although it is in another failure domain.
+func TestServiceWithSmallResponsesHasNoPlan(t *testing.T) {
+	for _, test := range []struct {
+		class, target string
+	}{{"c", "b1"}, {"large", "a0"}} {
+		t.Run(test.class, func(t *testing.T) {
+			is := is.New(t)
+			f := newPlannedHome("a", "b")
+			f.home.config.DomainPlanBytes = 20 << 10
+			submit := func() uint64 {
+				return f.submit(func(r *Request) {
+					r.Class, r.Goal, r.Deadline = test.class, f.now+1500*time.Millisecond, f.now+10*time.Second
+				})
+			}
+			f.endRun(submit(), OutcomeAnswered)
+			f.now += planInterval
+			f.reportPace(1)
+			f.home.RecordProbe(f.now, "a0", ProbeHealthy, &LoadReport{Slots: 3, Pace: 1.2})
+			is.Equal(f.placedOn(submit()), test.target)
+		})
+	}
+}
+
 // TestRareLargeResponsesCount lets one response in 100 have 10 MB and the others 5 KB. The class must count as one with large
 // responses all the time from the first such response on; a mean of the last 20 responses forgot it.
 func TestRareLargeResponsesCount(t *testing.T) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -160,6 +160,8 @@
 type Placement struct {
 	// DomainPlan makes each home plan how much traffic crosses between failure domains.
 	DomainPlan bool
+	// DomainPlanBytes is the mean size in bytes of the responses of a service from which its home places requests by that plan.
+	DomainPlanBytes float64
 }
 
 // Unset is the value of a limit that is not set.
