--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -222,13 +222,14 @@
 func (t *failingTargetsTest) run(lasts time.Duration) {
 	var group sync.WaitGroup
 	for end := time.Now().Add(lasts); time.Now().Before(end); t.sends++ {
+		i := t.sends
 		send := func(caller, path string, answered *atomic.Int64) {
-			if t.callFrom(caller, fmt.Sprintf("h%d", t.sends%13), http.MethodGet, path, fmt.Sprintf("%s-%d", path, t.sends)).status == http.StatusOK {
+			if t.callFrom(caller, fmt.Sprintf("h%d", i%13), http.MethodGet, path, fmt.Sprintf("%s-%d", path, i)).status == http.StatusOK {
 				answered.Add(1)
 			}
 		}
-		group.Go(func() { send(t.caller(t.sends), "/lookup/repeated", &t.repeated) })
-		group.Go(func() { send(fmt.Sprintf("caller-%d", t.sends), fmt.Sprintf("/lookup/%d", t.sends), &t.single) })
+		group.Go(func() { send(t.caller(i), "/lookup/repeated", &t.repeated) })
+		group.Go(func() { send(fmt.Sprintf("caller-%d", i), fmt.Sprintf("/lookup/%d", i), &t.single) })
 		time.Sleep(t.interval)
 	}
 	group.Wait()
