--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -236,12 +236,14 @@
 	if !h.plan.due(now) {
 		return
 	}
-	var work, rate float64
+	var work, bytes, rate float64
 	for _, k := range h.plan.sortedKeys() {
 		f := h.plan.flows[k]
 		work += f.rate * h.serviceTimes[k.class]
+		bytes += f.rate * h.responseBytes[k.class]
 		rate += f.rate
 	}
+	h.plan.small = bytes < h.config.DomainPlanBytes*rate || rate == 0 && h.config.DomainPlanBytes > 0
 	supplies := map[string]domainSupply{}
 	for _, t := range h.targets {
 		if !t.available(now) {
@@ -263,26 +265,11 @@
 		s.speed += speed
 		supplies[t.Domain] = s
 	}
-	h.plan.small = h.meanResponseBytes() < h.config.DomainPlanBytes
 	h.plan.compute(now, supplies,
 		func(class string) float64 { return max(1e-3, h.serviceTimes[class]) },
 		func(class string) float64 { return h.responseBytes[class] })
 }
 
-// meanResponseBytes returns the mean response size of the requests of late.
-func (h *Home) meanResponseBytes() float64 {
-	var bytes, rate float64
-	for _, k := range h.plan.sortedKeys() {
-		f := h.plan.flows[k]
-		bytes += f.rate * h.responseBytes[k.class]
-		rate += f.rate
-	}
-	if rate == 0 {
-		return 0
-	}
-	return bytes / rate
-}
-
 // planned reports whether the plan of flows decides where requests are placed at present.
 func (h *Home) planned() bool { return h.plan != nil && !h.plan.small }
 
