--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 	play func(f *fleet, trouble bool) error
 }{
 	"pipeline": {"MIXED", playPipeline},
+	"upload":   {"LOST", playUpload},
 }
 
 func main() {
