--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -49,6 +49,10 @@
 	ctx                    context.Context
 	cancel                 context.CancelFunc
 	closers                []func()
+	// partition is set if hosts reach each other through proxies, and allowances are in force.
+	partition *partition
+	// lookups allows one look at the files of the processes at a time.
+	lookups sync.Mutex
 }
 
 // newFleet starts the store. Hosts and targets are added with addHosts and addTarget.
@@ -117,11 +121,13 @@
 	fleet                            *fleet
 	name, zone, ip                   string
 	front, ready, control, directory string
-	settings                         string
-	mu                               sync.Mutex
-	command                          *exec.Cmd
-	exited                           chan struct{}
-	mostMemory                       int64
+	// announced is the address at which other hosts reach this one: that of its proxy, or control.
+	announced  string
+	settings   string
+	mu         sync.Mutex
+	command    *exec.Cmd
+	exited     chan struct{}
+	mostMemory int64
 }
 
 // freeAddress returns an address of the given loopback IP with a free port.
@@ -147,11 +153,19 @@
 			}
 			*a = address
 		}
+		h.announced = h.control
+		if f.partition != nil {
+			announced, err := f.partition.proxy(h)
+			if err != nil {
+				return err
+			}
+			h.announced = announced
+		}
 		f.hosts = append(f.hosts, h)
 	}
 	var seeds []string
 	for _, h := range f.hosts[:min(3, n)] {
-		seeds = append(seeds, h.control)
+		seeds = append(seeds, h.announced)
 	}
 	template, err := os.ReadFile(f.template)
 	if err != nil {
@@ -159,7 +173,11 @@
 	}
 	for _, h := range f.hosts {
 		h.settings = filepath.Join(f.dir, h.name+".ini")
-		if err := os.WriteFile(h.settings, []byte(render(string(template), h.fields(f.storeAddress, seeds))), 0o600); err != nil {
+		text := render(string(template), h.fields(f.storeAddress, seeds))
+		if f.partition != nil {
+			text = strings.Replace(text, "[Host]\n", "[Host]\nAnnounced = "+h.announced+"\n", 1)
+		}
+		if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
 		if err := h.start(); err != nil {
@@ -177,13 +195,17 @@
 
 // fields returns the fields with which the platform fills in the template.
 func (h *host) fields(store string, seeds []string) map[string]string {
-	return map[string]string{
+	fields := map[string]string{
 		"node": h.name, "zone": h.zone, "region": "tunis-north", "ip": h.ip,
 		"listen.front": h.front, "listen.ready": h.ready, "listen.control": h.control, "listen.directory": h.directory,
 		"limits.cores": "1", "limits.cpu-share": "0.32", "limits.link-mbps": "1000.0", "limits.memory-mb": "284",
 		"platform.address": store, "seeds": strings.Join(seeds, ","),
 		"bounds.grace-s": strconv.Itoa(graceSeconds), "bounds.retry-budget-ratio": "0.2", "bounds.retry-window-s": "10", "bounds.retry-slack": "56", "bounds.probes-per-s": "60",
 	}
+	if h.fleet.partition != nil {
+		fields["bounds.quota-window-s"], fields["bounds.quota-overage"], fields["bounds.quota-slack"] = "5", "0.1", "20"
+	}
+	return fields
 }
 
 var (
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,7 @@
 }{
 	"pipeline": {"MIXED", playPipeline},
 	"upload":   {"LOST", playUpload},
+	"divide":   {"QUOTA", playDivide},
 }
 
 func main() {
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -44,6 +44,8 @@
 	conn   net.Conn
 	// keep is cleared if the connection ends with the answer.
 	keep bool
+	// arrived is when the request had arrived.
+	arrived time.Time
 }
 
 // addTarget starts a target and registers it in the store.
@@ -100,7 +102,12 @@
 		t.conns[conn] = true
 		t.mu.Unlock()
 		go func() {
-			t.serveConn(conn)
+			if p := t.fleet.partition; p == nil || p.admits(conn, t.zone) {
+				t.serveConn(conn)
+				if p != nil {
+					p.forget(conn)
+				}
+			}
 			_ = conn.Close()
 			t.mu.Lock()
 			delete(t.conns, conn)
@@ -133,7 +140,7 @@
 		if err != nil {
 			return
 		}
-		c := &call{id: r.Header.Get("X-Attempt-Id"), method: r.Method, uri: r.RequestURI, header: r.Header, body: body, conn: conn, keep: true}
+		c := &call{id: r.Header.Get("X-Attempt-Id"), method: r.Method, uri: r.RequestURI, header: r.Header, body: body, conn: conn, keep: true, arrived: time.Now()}
 		switch expected := r.Header.Get("X-Expect-Instance"); {
 		case c.id == "":
 			fmt.Fprintf(conn, "HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
