--- a/review/standin/divide.go
+++ b/review/standin/divide.go
@@ -25,12 +25,16 @@
 
 // Sizes and times of the case divide. The bounds of allowances are those of bantayog-porting-grown.
 const (
-	divideHosts = 9
+	divideHosts = 12
 	cutZone     = "lamarsa"
-	cutLength   = 5500 * time.Millisecond
-	cutGap      = 18 * time.Second
-	cutTimes    = 4
+	// survivor is the host of cutZone that is not killed.
+	survivor    = "edge-lamarsa-2"
+	cutLength   = 15 * time.Second
+	cutGap      = 12 * time.Second
+	cutTimes    = 3
 	restartTime = 500 * time.Millisecond
+	// restartAfter is the time from the beginning of a cut to the end of the processes.
+	restartAfter = 5 * time.Second
 	// The allowance of the account, and how many clients of it there are at the hosts of each side.
 	accountRate, accountBurst = 50.0, 20.0
 	accountClients            = 24
@@ -181,8 +185,8 @@
 	_ = conn.Close()
 }
 
-// proxy forwards connections of hosts to the inner address of a host and returns the address to announce.
-func (p *partition) proxy(h *host) (string, error) {
+// proxy forwards connections of hosts to an address in a zone, and returns its own address.
+func (p *partition) proxy(zone, address string) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
@@ -197,10 +201,10 @@
 			go func() {
 				defer conn.Close()
 				defer p.forget(conn)
-				if !p.admits(conn, h.zone) {
+				if !p.admits(conn, zone) {
 					return
 				}
-				upstream, err := net.DialTimeout("tcp", h.control, time.Second)
+				upstream, err := net.DialTimeout("tcp", address, time.Second)
 				if err != nil {
 					reset(conn)
 					return
@@ -223,11 +227,16 @@
 // accountRun is a request of the account that a target has run.
 type accountRun struct{ sent, arrived time.Time }
 
-// playDivide: a zone is cut off from the others while its hosts are killed and start again. One account asks for more than its
-// allowance at hosts of both sides.
+// playDivide: a zone is cut off from the others and from the store, and after some seconds its hosts but one are killed and start again.
+// One account asks for more than its allowance at hosts of both sides.
 func playDivide(f *fleet, trouble bool) error {
 	p := &partition{fleet: f, open: map[net.Conn]bool{}}
 	f.partition = p
+	store, err := p.proxy("", f.storeAddress)
+	if err != nil {
+		return err
+	}
+	f.storeAddress = store
 	value, _ := json.Marshal(map[string]any{
 		"version":  "00000001",
 		"routes":   []route{{Name: "lookups", Host: "shop.example", Prefix: "/lookups/", Kind: "unsafe", Timeout: 2500, Goal: 600, Priority: 1, Service: "holderdir", Attempts: 2}},
@@ -292,12 +301,15 @@
 	}
 	for range cutTimes {
 		time.Sleep(cutGap)
-		f.record.add("zone %s: cut off and its hosts killed: %v", cutZone, trouble)
+		f.record.add("zone %s: cut off, and its hosts but %s killed %v later: %v", cutZone, survivor, restartAfter, trouble)
 		if trouble {
 			p.set(true)
+		}
+		time.Sleep(restartAfter)
+		if trouble {
 			f.restartZone(cutZone)
 		}
-		time.Sleep(cutLength - restartTime - time.Second)
+		time.Sleep(cutLength - restartAfter - restartTime - time.Second)
 		f.record.add("holders of the token buckets, by their own metrics: %v", f.holders())
 		time.Sleep(time.Second)
 		p.set(false)
@@ -330,11 +342,11 @@
 	return names
 }
 
-// restartZone kills the hosts of a zone, and starts them again after a short delay.
+// restartZone kills the hosts of a zone but one, and starts them again after a short delay.
 func (f *fleet) restartZone(zone string) {
 	var killed []*host
 	for _, h := range f.hosts {
-		if h.zone == zone {
+		if h.zone == zone && h.name != survivor {
 			h.signal(syscall.SIGKILL)
 			killed = append(killed, h)
 		}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -155,7 +155,7 @@
 		}
 		h.announced = h.control
 		if f.partition != nil {
-			announced, err := f.partition.proxy(h)
+			announced, err := f.partition.proxy(h.zone, h.control)
 			if err != nil {
 				return err
 			}
