--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -232,7 +232,7 @@
 		return err
 	}
 	c := exec.Command(h.fleet.program, "serve")
-	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=/tmp", "LANG=C", "BRIARCROFT_BOOT=" + h.settings}
+	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + h.fleet.dir, "LANG=C", "BRIARCROFT_BOOT=" + h.settings}
 	c.Stdout, c.Stderr = log, log
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
