--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -14,7 +14,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"os/signal"
 	"syscall"
 	"time"
 
@@ -22,6 +21,7 @@
 	"briarcroft/internal/note"
 	"briarcroft/internal/platform"
 	"briarcroft/internal/settings"
+	"briarcroft/internal/signals"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/joomcode/errorx"
@@ -153,28 +153,32 @@
 }
 
 // shutdownContexts returns a context that ends at the first SIGINT or SIGTERM, for a graceful stop, and one that ends
-// at a SIGINT after that, for a stop at once. The caller must call release, which stops the handling of signals.
+// at a SIGINT after that, for a stop at once. The caller must call release, which stops the handling of signals; they
+// do not end the process after that either.
 func shutdownContexts() (stop, force context.Context, release func()) {
-	stop, releaseStop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	terminations := signals.Terminations()
+	stop, cancelStop := context.WithCancel(context.Background())
 	force, cancelForce := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		select {
-		case <-stop.Done():
-		case <-force.Done():
-			return
+		for {
+			select {
+			case s := <-terminations:
+				// Some supervisors send SIGTERM repeatedly, which must not cut off running requests. A further SIGINT
+				// comes from a person at a terminal, who wants the process to end at once.
+				if stop.Err() != nil && s == syscall.SIGINT {
+					cancelForce()
+				}
+				cancelStop()
+			case <-force.Done():
+				return
+			}
 		}
-		// Some supervisors send SIGTERM repeatedly, which must not cut off running requests. A further SIGINT comes
-		// from a person at a terminal, who wants the process to end at once.
-		interrupted, releaseInterrupted := signal.NotifyContext(force, syscall.SIGINT)
-		defer releaseInterrupted()
-		<-interrupted.Done()
-		cancelForce()
 	}()
 	return stop, force, func() {
 		cancelForce()
-		releaseStop()
+		cancelStop()
 		<-done
 	}
 }
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"briarcroft/internal/entry"
 	"briarcroft/internal/gateway"
 	internalplatform "briarcroft/internal/platform"
 	"briarcroft/internal/settings"
+	"briarcroft/internal/signals"
 	"briarcroft/platform"
 
 	"github.com/rs/zerolog"
@@ -48,36 +47,40 @@
 
 // Execute implements flags.Commander.
 func (c *serveCommand) Execute([]string) error {
-	s, err := settings.Load(c.Config)
+	stop, force, release := shutdownContexts()
+	defer release()
+	hangups := signals.Hangups()
+	signals.IgnoreBrokenPipes()
+	content, err := os.ReadFile(c.Config)
+	if err != nil {
+		return settings.ErrFile.New("cannot read the settings: %v; name a readable INI file", err)
+	}
+	s, err := settings.Parse(c.Config, content)
 	if err != nil {
 		return err
 	}
 	logger := c.newLogger(s.Log.Level).With().Str("Host", s.Host.Name).Logger()
-	stop, force, release := shutdownContexts()
-	defer release()
 	h, closeHost, err := c.newServer(s, logger)
 	if err != nil {
 		return err
 	}
 	defer closeHost()
 	logger.Info().Str("Listen", h.Listen()).Str("Inner", h.Inner()).Str("Platform", s.Platform.Kind).Msg("entry host started")
-	defer c.watchSettings(h, logger)()
+	defer c.watchSettings(h, content, hangups, logger)()
 	err = h.Serve(stop, force)
 	logger.Info().Err(err).Msg("entry host stopped")
 	return err
 }
 
-// watchSettings passes changed settings to the host until the returned function is called.
-func (c *serveCommand) watchSettings(h server, logger zerolog.Logger) func() {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+// watchSettings passes changed settings to the host until the returned function is called. content is that of the
+// settings file with which the host was started.
+func (c *serveCommand) watchSettings(h server, content []byte, hangups <-chan os.Signal, logger zerolog.Logger) func() {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := settings.Watch(ctx, settings.WatchConfig{
-		File: c.Config, Interval: settingsCheckInterval, Reload: hangups, OnChange: h.Reload,
+		File: c.Config, Content: content, Interval: settingsCheckInterval, Reload: hangups, OnChange: h.Reload,
 		OnRejected: func(err error) { logger.Error().Err(err).Msg("new settings refused; the old ones stay in force") },
 	})
 	return func() {
-		signal.Stop(hangups)
 		cancel()
 		<-done
 	}
--- a/internal/settings/follow.go
+++ b/internal/settings/follow.go
@@ -10,6 +10,8 @@
 // WatchConfig configures Watch.
 type WatchConfig struct {
 	File string
+	// Content is that of the file when the settings in force were read.
+	Content []byte
 	// Interval is the time between two reads of the file.
 	Interval time.Duration
 	// Reload makes Watch read the file at once.
@@ -23,14 +25,10 @@
 // Watch reads a settings file periodically, in the background, and reports changes until the context ends; then it closes
 // the returned channel. A file that cannot be read or is invalid leaves the settings in force as they are.
 func Watch(ctx context.Context, c WatchConfig) <-chan struct{} {
-	last, err := os.ReadFile(c.File)
-	if err != nil {
-		c.OnRejected(ErrFile.New("cannot read the settings: %v; the current ones stay in force", err))
-	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		watch(ctx, c, last)
+		watch(ctx, c, c.Content)
 	}()
 	return done
 }
--- a/internal/settings/follow_test.go
+++ b/internal/settings/follow_test.go
@@ -27,7 +27,7 @@
 		var seeds []string
 		rejected := 0
 		done := Watch(ctx, WatchConfig{
-			File: file, Interval: 2 * time.Second, Reload: reload,
+			File: file, Content: []byte(validSettings + "127.0.0.1:4\n"), Interval: 2 * time.Second, Reload: reload,
 			OnChange: func(s Settings) { seeds = s.Peers.Seeds }, OnRejected: func(error) { rejected++ },
 		})
 		write(validSettings + "127.0.0.1:5\n")
