Write the log of an entry host through a bounded queue (LOST)

When whatever read a host's output stood still and its pipe was full, the next line blocked its writer: the start of a host, reloads, background tasks (counters, streams of store changes), net/http's own errors, and the end of the process, which its supervisor then killed with everything in progress. Lines to a reader that was gone were lost without a count.

One queue before each of the two streams, under zerolog and the standard logger: a line is copied and queued or dropped, 256 KiB wait at most, lines that wait are written in one call, and the end of the process waits 100 ms for each stream. What was dropped or failed is counted in LostLogLines of the metrics page and the counters, and in Unwritten of the status. Other commands write directly, since they must not lose output.

The same cause elsewhere: the traces of fatal errors that the runtime writes itself still block; package demo writes directly.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -62,11 +62,14 @@
 // baseCommand holds the output and error streams; every command embeds it.
 type baseCommand struct {
 	out, err io.Writer
+	// closeStreams writes what waits for the streams, if they are queues.
+	closeStreams func()
 }
 
 // Run runs the command that the arguments name and returns its exit code.
 func Run(c Config) int {
-	b := &baseCommand{c.Out, c.Err}
+	b := &baseCommand{c.Out, c.Err, func() {}}
+	defer func() { b.closeStreams() }()
 	parser := flags.NewNamedParser("briarcroft", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "A load balancer whose entry hosts recover from failures on their own and record what they changed and why.\n" +
 		"Exit codes: 0 done, 1 failed, 2 bad input, 3 conflict with another operator, 4 outcome unknown."
--- a/internal/command/native_test.go
+++ b/internal/command/native_test.go
@@ -42,7 +42,7 @@
 		freeAddress(t), freeAddress(t), metrics, server.URL)
 	s, err := settings.Parse("settings.ini", []byte(ini))
 	is.NoErr(err)
-	gateway, closeGateway := newGateway(s, zerolog.Nop())
+	gateway, closeGateway := newGateway(s, zerolog.Nop(), nil)
 	defer closeGateway()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"log"
 	"os"
 	"runtime/debug"
 	"time"
 
 	"briarcroft/internal/entry"
 	"briarcroft/internal/gateway"
+	"briarcroft/internal/logqueue"
 	internalplatform "briarcroft/internal/platform"
 	"briarcroft/internal/settings"
 	"briarcroft/internal/signals"
@@ -59,8 +61,12 @@
 	if err != nil {
 		return err
 	}
+	lostLines := c.queueStreams()
 	logger := c.newLogger(s.Log.Level).With().Str("Host", s.Host.Name).Logger()
-	h, closeHost, err := c.newServer(s, logger)
+	// net/http reports errors of connections to the standard logger.
+	log.SetFlags(0)
+	log.SetOutput(logger)
+	h, closeHost, err := c.newServer(s, logger, lostLines)
 	if err != nil {
 		return err
 	}
@@ -72,6 +78,27 @@
 	return err
 }
 
+// Limits of the queues of the log.
+const (
+	// logQueueBytes is the size of the lines that may wait for the reader of one stream.
+	logQueueBytes = 256 << 10
+	// logCloseTimeout is how long the end of the process waits for the reader of one stream.
+	logCloseTimeout = 100 * time.Millisecond
+)
+
+// queueStreams puts a queue before the output stream and one before the error stream, so that neither delays the host or the
+// end of the process. The returned function counts the lines that were lost.
+func (c *serveCommand) queueStreams() func() int64 {
+	out, closeOut := logqueue.New(logqueue.Config{Out: c.out, Bytes: logQueueBytes, CloseTimeout: logCloseTimeout})
+	err, closeErr := logqueue.New(logqueue.Config{Out: c.err, Bytes: logQueueBytes, CloseTimeout: logCloseTimeout})
+	c.out, c.err = out, err
+	c.closeStreams = func() {
+		closeOut()
+		closeErr()
+	}
+	return func() int64 { return out.Lost() + err.Lost() }
+}
+
 // watchSettings passes changed settings to the host until the returned function is called. content is that of the
 // settings file with which the host was started.
 func (c *serveCommand) watchSettings(h server, content []byte, hangups <-chan os.Signal, logger zerolog.Logger) func() {
@@ -89,22 +116,22 @@
 // newServer returns an entry host for the platform that the settings name, and the function that closes it. A gateway
 // writes its log to the output stream, an entry host on Etcd to the error stream. The records that this command logs
 // itself go to the error stream for both.
-func (c *serveCommand) newServer(s settings.Settings, logger zerolog.Logger) (server, func(), error) {
+func (c *serveCommand) newServer(s settings.Settings, logger zerolog.Logger, lostLines func() int64) (server, func(), error) {
 	if s.Platform.Kind == "Native" {
-		h, closeHost := newGateway(s, logger.Output(c.out))
+		h, closeHost := newGateway(s, logger.Output(c.out), lostLines)
 		return h, closeHost, nil
 	}
-	return newEntryHost(s, logger)
+	return newEntryHost(s, logger, lostLines)
 }
 
 // newGateway returns an entry host for the users' platform (Kind = Native) and the function that closes it.
-func newGateway(s settings.Settings, logger zerolog.Logger) (server, func()) {
+func newGateway(s settings.Settings, logger zerolog.Logger, lostLines func() int64) (server, func()) {
 	debug.SetGCPercent(gatewayGCPercent)
 	if s.Limits.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(s.Limits.MemoryBytes))
 	}
 	store, closeStore := platform.NewStore(platform.StoreConfig{URL: s.Platform.Store, Timeout: s.Platform.Timeout})
-	h, closeHost := gateway.New(gateway.Config{Settings: s, Logger: logger, Store: store, Dialect: platform.Dialect()})
+	h, closeHost := gateway.New(gateway.Config{Settings: s, Logger: logger, LostLogLines: lostLines, Store: store, Dialect: platform.Dialect()})
 	return h, func() {
 		closeHost()
 		closeStore()
@@ -112,11 +139,11 @@
 }
 
 // newEntryHost returns an entry host that uses an etcd-like store (Kind = Etcd) and the function that closes it.
-func newEntryHost(s settings.Settings, logger zerolog.Logger) (server, func(), error) {
+func newEntryHost(s settings.Settings, logger zerolog.Logger, lostLines func() int64) (server, func(), error) {
 	debug.SetGCPercent(entryHostGCPercent)
 	store, closeStore := internalplatform.NewEtcd(internalplatform.EtcdConfig{URL: s.Platform.Store, Timeout: s.Platform.Timeout})
 	closeHostList := func() {}
-	config := entry.Config{Settings: s, Logger: logger, Store: store}
+	config := entry.Config{Settings: s, Logger: logger, LostLogLines: lostLines, Store: store}
 	if s.Platform.HostList != "" {
 		config.HostList, closeHostList = internalplatform.NewHostList(internalplatform.HostListConfig{URL: s.Platform.HostList, Timeout: s.Platform.Timeout})
 	}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -62,7 +62,9 @@
 type Config struct {
 	Settings settings.Settings
 	Logger   zerolog.Logger
-	Store    platform.Store
+	// LostLogLines returns the number of lines of the log that were lost behind Logger; nil means none.
+	LostLogLines func() int64
+	Store        platform.Store
 	// HostList is nil when the platform has none.
 	HostList *platform.HostList
 	// Listener for callers and InnerListener for peers; when nil, the host listens on the addresses of the settings.
@@ -128,6 +130,9 @@
 // New opens the listeners and returns a host, which does nothing until Serve, and a function that releases its resources.
 // Errors are ErrListen or certificate.ErrFile.
 func New(c Config) (*Host, func(), error) {
+	if c.LostLogLines == nil {
+		c.LostLogLines = func() int64 { return 0 }
+	}
 	h := &Host{
 		config: c, settings: c.Settings, start: time.Now(), chain: &note.Chain{},
 		noteHints: ring.NewQueue[noteHint](ring.Config{Capacity: maxNoteHints}), heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}),
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -134,7 +134,7 @@
 		Evacuated      []evacuationStatus
 	}{
 		self.Name, self.Domain, g.incarnation, self.Ready, self.Leaving, self.Note, g.members.Peers(),
-		g.histograms.Summaries(), g.requestLog.unwritten.Load() + g.records.Unwritten(), g.allowanceStatus(), g.evacuationStatuses(),
+		g.histograms.Summaries(), g.unwrittenLines(), g.allowanceStatus(), g.evacuationStatuses(),
 	})
 }
 
@@ -184,7 +184,8 @@
 		{"SlowReaders", func() any { return s.slowReaders.Load() }},
 		{"OpenConnections", func() any { return g.openConns.Load() }},
 		{"Note", func() any { return g.chain.Number() }},
-		{"UnwrittenLines", func() any { return g.requestLog.unwritten.Load() + g.records.Unwritten() }},
+		{"UnwrittenLines", func() any { return g.unwrittenLines() }},
+		{"LostLogLines", func() any { return g.config.LostLogLines() }},
 		{"InnerBytesSent", func() any { return g.client.BytesSent() }},
 		{"OwnDomainBytes", func() any { return s.ownDomainBytes.Load() }},
 		{"OtherDomainBytes", func() any { return s.otherDomainBytes.Load() }},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,6 +118,8 @@
 	// Store is the platform's store of configuration and targets.
 	Store  platform.WatchableStore
 	Logger zerolog.Logger
+	// LostLogLines returns the number of lines of the log that were lost behind Logger; nil means none.
+	LostLogLines func() int64
 	// Listen opens listeners; nil means net.Listen.
 	Listen func(network, address string) (net.Listener, error)
 	// Dial opens connections to backend servers and peers; nil means TCP.
@@ -221,6 +223,9 @@
 	if c.Listen == nil {
 		c.Listen = net.Listen
 	}
+	if c.LostLogLines == nil {
+		c.LostLogLines = func() int64 { return 0 }
+	}
 	if c.BootTime == nil {
 		c.BootTime = bootclock.Now
 	}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -135,6 +135,11 @@
 		Msg("request ended")
 }
 
+// unwrittenLines returns the number of lines that the log lacks.
+func (g *Gateway) unwrittenLines() int64 {
+	return g.requestLog.unwritten.Load() + g.records.Unwritten() + g.config.LostLogLines()
+}
+
 // stats holds the counters that the metrics page shows.
 type stats struct {
 	requests, attempts, storeCalls atomic.Int64
@@ -192,6 +197,7 @@
 			Int64("StoreCalls", s.storeCalls.Load()).Int64("StoreChecks", s.storeChecks.Load()).Dur("StoreAgeMilliseconds", g.knowledgeAge()).Int64("StoreBytesSent", s.storeBytesSent.Load()).
 			Int64("StoreBytesReceived", s.storeBytesReceived.Load()).Int64("FollowsStarted", s.followsStarted.Load()).
 			Int64("OwnDomainBytes", s.ownDomainBytes.Load()).Int64("OtherDomainBytes", s.otherDomainBytes.Load()).
+			Int64("LostLogLines", g.config.LostLogLines()).
 			Int("Followers", g.followers.count()).Int("LiveHosts", len(g.members.Live(g.now()))).
 			Msg("counters")
 	}
--- a/soak/signal_test.go
+++ b/soak/signal_test.go
@@ -138,3 +138,47 @@
 	f.is.NoErr(c.Process.Signal(syscall.SIGTERM))
 	f.is.NoErr(f.awaitEnd(c))
 }
+
+// TestBlockedLogReaderDelaysNothing guards against writes to a log that nobody reads: requests must be answered, changed settings
+// applied, and the process must end within its StopTimeout.
+func TestBlockedLogReaderDelaysNothing(t *testing.T) {
+	binary := buildBinary(t, "..")
+	f := newFleet(t, func(int, int) string { return binary }, 1, 4)
+	p := f.hosts[0]
+	f.endHost(p)
+	reader, writer, err := os.Pipe()
+	f.is.NoErr(err)
+	defer reader.Close()
+	fillPipe(f, writer)
+	c := f.startChild(p.settingsFile, writer)
+	f.waitReady(p)
+	for i := range 100 {
+		r := f.call(p, http.MethodPost, "/order/1", fmt.Sprintf("o%d", i))
+		f.is.NoErr(r.err)
+		f.is.Equal(r.status, http.StatusOK)
+	}
+	f.is.NoErr(c.Process.Signal(syscall.SIGTERM))
+	select {
+	case err := <-c.ended:
+		f.is.NoErr(err)
+	case <-time.After(stopTimeout):
+		t.Error("the process has not ended within its StopTimeout")
+	}
+}
+
+// fillPipe writes to a pipe until a write would block.
+func fillPipe(f *fleet, writer *os.File) {
+	raw, err := writer.SyscallConn()
+	f.is.NoErr(err)
+	f.is.NoErr(raw.Control(func(fd uintptr) {
+		f.is.NoErr(unix.SetNonblock(int(fd), true))
+		for _, size := range []int{4 << 10, 1} {
+			for err == nil {
+				_, err = unix.Write(int(fd), make([]byte, size))
+			}
+			f.is.Equal(err, unix.EAGAIN)
+			err = nil
+		}
+		f.is.NoErr(unix.SetNonblock(int(fd), false))
+	}))
+}
