Pop the items of a queue before its context ends it

At the end of a host, records and lines of the request log that waited were lost without a count, among them the last ones before a stop: ring.Queue.Pop chose at random between an item and a context that had ended. It now returns items first; the users that loop until their context ends check the context themselves or get no new items by then.

The new test failed before: at one of 64 items, Pop reported that there was none.

--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -37,8 +37,13 @@
 	}
 }
 
-// Pop waits for the first item and removes it; ok is false if the context is done first.
+// Pop waits for the first item and removes it; ok is false if the queue is empty and the context is done.
 func (q *Queue[T]) Pop(ctx context.Context) (item T, ok bool) {
+	select {
+	case item = <-q.items:
+		return item, true
+	default:
+	}
 	select {
 	case item = <-q.items:
 		return item, true
