--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -15,12 +15,20 @@
 	// finished holds a channel for each task, which is closed when the task returns.
 	finished []<-chan struct{}
 	once     sync.Once
+	config   Config
+}
+
+// Config configures a Group.
+type Config struct {
+	// OnPanic is called with the value of a panic on the goroutine of the task that it has ended. If it is nil, a panic ends the
+	// process.
+	OnPanic func(value any)
 }
 
 // NewGroup returns a group without tasks.
-func NewGroup() *Group {
+func NewGroup(c Config) *Group {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Group{ctx: ctx, cancel: cancel}
+	return &Group{ctx: ctx, cancel: cancel, config: c}
 }
 
 // Context returns the context of the tasks, which Stop cancels.
@@ -31,6 +39,13 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		if g.config.OnPanic != nil {
+			defer func() {
+				if value := recover(); value != nil {
+					g.config.OnPanic(value)
+				}
+			}()
+		}
 		run(g.ctx)
 	}()
 	g.finished = append(g.finished, done)
--- a/internal/entry/frontend.go
+++ b/internal/entry/frontend.go
@@ -76,10 +76,26 @@
 	case pathAddresses, pathNote, pathHealth, pathStatus, pathExplain, pathVars:
 		f.mux.ServeHTTP(w, r)
 	default:
-		f.proxyRequest(w, r)
+		f.proxyRecovered(&responseState{ResponseWriter: w}, r)
 	}
 }
 
+// proxyRecovered does the same as proxyRequest. After a panic the caller gets a response unless one has begun, which then ends
+// early.
+func (f *frontend) proxyRecovered(w *responseState, r *http.Request) {
+	defer func() {
+		value := recover()
+		switch {
+		case value == nil:
+		case value == http.ErrAbortHandler, f.host.recovered("Request", value) && w.begun:
+			panic(http.ErrAbortHandler)
+		default:
+			f.writeRefusal(w, panicRefusal())
+		}
+	}()
+	f.proxyRequest(w, r)
+}
+
 // proxyRequest sends a request to a target of the service that the matching rule names, and returns its response.
 // It refuses a request whose fingerprint is in quarantine because it has crashed several targets.
 func (f *frontend) proxyRequest(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -113,6 +113,8 @@
 	// peersCompared is set once the host has compared its note with that of a peer, since its start or last pause.
 	peersCompared atomic.Bool
 	stats         stats
+	// panicked gets an item when the host must stop after a panic.
+	panicked chan error
 }
 
 // stats are the counters behind Counters. budgetRecordedAt is the time of the last record of an exhausted budget.
@@ -134,7 +136,7 @@
 		c.LostLogLines = func() int64 { return 0 }
 	}
 	h := &Host{
-		config: c, settings: c.Settings, start: time.Now(), chain: &note.Chain{},
+		config: c, settings: c.Settings, start: time.Now(), chain: &note.Chain{}, panicked: make(chan error, 1),
 		noteHints: ring.NewQueue[noteHint](ring.Config{Capacity: maxNoteHints}), heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}),
 		quarantine: quarantine.New(quarantine.Config{Targets: crashesToQuarantine}), histograms: meter.NewHistograms(), peerCounts: newPeerCounts(), homes: homeTracker{primary: map[string]string{}}, tableAssembler: newTableAssembler(),
 	}
@@ -185,6 +187,7 @@
 	h.client, closeClient = inner.NewClient(inner.ClientConfig{TLS: h.peerTLS, Dial: h.config.Dial})
 	h.dispatcher, closeDispatcher = steering.New(steering.Config{
 		Records: h.records, Quarantine: h.quarantine, Clock: h.now, Seed: h.incarnation, OnQuarantine: h.triggerHeartbeat, Dial: h.config.Dial,
+		OnPanic: func(value any) { h.recovered("SecondRun", value) },
 	})
 	h.archive = note.NewArchive(note.ArchiveConfig{Store: h.config.Store})
 	h.idempotency = claim.New(claim.Config{
@@ -207,7 +210,7 @@
 		},
 		Seeds: s.Peers.Seeds, DomainFanOut: heartbeatPeersPerDomain, Random: rand.New(rand.NewPCG(h.incarnation, 2)),
 	})
-	h.heartbeats = &inner.Heartbeats{Table: h.membership, Client: h.client, Now: h.now, NewRequest: h.heartbeatRequest, OnReply: h.handleHeartbeatReply}
+	h.heartbeats = &inner.Heartbeats{Table: h.membership, Client: h.client, Now: h.now, NewRequest: h.heartbeatRequest, OnReply: h.handleHeartbeatReply, OnPanic: func(value any) { h.recovered("Heartbeat", value) }}
 	h.callerServer = h.newCallerServer()
 	return func() {
 		closeDispatcher()
@@ -244,9 +247,9 @@
 // Serve runs the host until stop is done and then stops it gracefully. When force is done, it returns without waiting for
 // requests in flight.
 func (h *Host) Serve(stop, force context.Context) error {
-	tasks := duty.NewGroup()
+	tasks := duty.NewGroup(duty.Config{OnPanic: h.taskPanicked})
 	defer tasks.Stop()
-	peerServerDone, err := inner.Serve(tasks.Context(), inner.ServerConfig{Listener: h.peerListener, Handler: &peerServer{host: h}, TLS: h.peerTLS})
+	peerServerDone, err := inner.Serve(tasks.Context(), inner.ServerConfig{Listener: h.peerListener, Handler: &peerServer{host: h}, TLS: h.peerTLS, OnPanic: func(call string, value any) { h.recovered(call, value) }})
 	if err != nil {
 		return err
 	}
@@ -259,9 +262,10 @@
 		return errorx.Decorate(err, "HTTP server for callers stopped")
 	case <-force.Done():
 		return h.callerServer.Close()
+	case err = <-h.panicked:
 	case <-stop.Done():
 	}
-	err = h.stopGracefully(force)
+	err = errors.Join(err, h.stopGracefully(force))
 	if callerServerErr := <-callerServerDone; !errors.Is(callerServerErr, http.ErrServerClosed) {
 		err = errors.Join(err, callerServerErr)
 	}
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -113,7 +113,7 @@
 	go func() {
 		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
 		defer cancel()
-		results <- h.runAndRecord(detached, r, key)
+		results <- h.runRecovered(detached, r, key)
 	}()
 	select {
 	case result := <-results:
@@ -132,6 +132,17 @@
 // reported as unknown.
 const lateResultGrace = 250 * time.Millisecond
 
+// runRecovered does the same as runAndRecord. After a panic the outcome is unknown.
+func (h *Host) runRecovered(ctx context.Context, r *steering.Request, key claim.Key) (result steering.Result) {
+	defer func() {
+		if h.recovered("KeyedRequest", recover()) {
+			h.idempotency.Finish(key, claim.ResponseLost{})
+			result = panicRefusal()
+		}
+	}()
+	return h.runAndRecord(ctx, r, key)
+}
+
 // runAndRecord runs a keyed request and stores its outcome in the idempotency table before it returns the result,
 // so that the caller never sees a response that a resend would not get.
 func (h *Host) runAndRecord(ctx context.Context, r *steering.Request, key claim.Key) steering.Result {
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(stream.Context(), time.Duration(r.DeadlineMilliseconds)*time.Millisecond)
 	defer cancel()
 	replies := make(chan *inner.PassReply, 1)
-	go func() { replies <- p.runForwarded(ctx, r) }()
+	go func() { replies <- p.runForwardedRecovered(ctx, r) }()
 	keepAlive := time.NewTicker(inner.KeepAliveInterval)
 	defer keepAlive.Stop()
 	for {
@@ -85,6 +85,16 @@
 	}
 }
 
+// runForwardedRecovered does the same as runForwarded. After a panic the outcome is unknown.
+func (p *peerServer) runForwardedRecovered(ctx context.Context, r *inner.PassRequest) (reply *inner.PassReply) {
+	defer func() {
+		if p.host.recovered("Pass", recover()) {
+			reply = passReply(panicRefusal())
+		}
+	}()
+	return p.runForwarded(ctx, r)
+}
+
 func (p *peerServer) runForwarded(ctx context.Context, r *inner.PassRequest) *inner.PassReply {
 	header := headerFromFields(fieldsFromWire(r.Headers))
 	key, err := claim.ParseKey(header.Get(headerForwardedKey))
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -84,7 +84,7 @@
 func (c *callerConn) serve() {
 	var handlers sync.WaitGroup
 	for {
-		q, rejected := c.readRequest()
+		q, rejected := c.nextRequest()
 		if q == nil {
 			c.reject(rejected)
 			break
@@ -153,10 +153,10 @@
 	defer close(done)
 	defer q.release()
 	x := newExchange(c, q)
-	response := x.run()
+	response := x.respond()
 	<-previous
 	closing := c.isLastResponse()
-	sent := c.writeResponse(q, response, closing)
+	sent := c.sendResponse(q, response, closing)
 	x.finish(response, sent)
 	c.responseWritten(closing || !sent)
 }
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -185,6 +185,7 @@
 		{"OpenConnections", func() any { return g.openConns.Load() }},
 		{"Note", func() any { return g.chain.Number() }},
 		{"UnwrittenLines", func() any { return g.unwrittenLines() }},
+		{"Panics", func() any { return s.panics.Load() }},
 		{"LostLogLines", func() any { return g.config.LostLogLines() }},
 		{"InnerBytesSent", func() any { return g.client.BytesSent() }},
 		{"OwnDomainBytes", func() any { return s.ownDomainBytes.Load() }},
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -345,7 +345,7 @@
 	h.active++
 	h.exchange.tried = append(h.exchange.tried, placed.Target)
 	go func() {
-		r := h.exchange.runOn(ctx, from, placed)
+		r := h.exchange.runRecovered(ctx, from, placed)
 		r.index = index
 		h.results <- r
 	}()
@@ -374,6 +374,7 @@
 
 // finish releases the runs and logs how the exchange ended; sent reports whether the whole response was written.
 func (x *exchange) finish(response *callerResponse, sent bool) {
+	defer x.gateway.guard("FinishRequest")
 	x.cancel()
 	x.gateway.finish(x, response, sent)
 }
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -56,6 +56,8 @@
 	timeLimit time.Duration
 	// changeSettings changes the settings of gateways; it may be nil.
 	changeSettings func(*settings.Settings)
+	// changeConfig changes the rest of the configuration of gateways; it may be nil.
+	changeConfig func(*gateway.Config)
 }
 
 // tenant is one tenant of the platform's configuration.
@@ -185,11 +187,15 @@
 	dial := f.net.Dialer(name)
 	storeAddress := f.serve("store", "", f.store.HandlerFor(name))
 	store, closeStore := platform.NewStore(platform.StoreConfig{URL: "http://" + storeAddress, Timeout: time.Second, Dial: dial})
-	g, closeGateway := gateway.New(gateway.Config{
+	config := gateway.Config{
 		Settings: s, Dialect: platform.Dialect(), Store: store, Logger: f.logger, Dial: dial,
 		Listen:   func(_, address string) (net.Listener, error) { return f.net.Listen(name, address), nil },
 		BootTime: func() time.Duration { return f.bootTime(name) },
-	})
+	}
+	if f.changeConfig != nil {
+		f.changeConfig(&config)
+	}
+	g, closeGateway := gateway.New(config)
 	stop, cancelStop := context.WithCancel(context.Background())
 	force, cancelForce := context.WithCancel(context.Background())
 	n.gateway = g
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -92,10 +92,13 @@
 		followCtx, cancel := context.WithCancel(ctx)
 		f.open[s] = cancel
 		go func() {
+			defer func() {
+				failed := followCtx.Err() == nil
+				cancel()
+				f.ended <- endedStream{s, failed}
+			}()
+			defer f.gateway.guardTask()
 			f.gateway.followPeer(followCtx, m, s.announceOnly)
-			failed := followCtx.Err() == nil
-			cancel()
-			f.ended <- endedStream{s, failed}
 		}()
 	}
 	for s, cancel := range f.open {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -180,6 +180,7 @@
 	split      trafficSplit
 	histograms *meter.Histograms
 	stats      stats
+	panics     panics
 	followers  followers
 	storeWatch watchState
 	// lastKnowledge is the number of this host's last call that showed what the store holds.
@@ -232,7 +233,7 @@
 	g := &Gateway{
 		config: c, settings: c.Settings, dialect: c.Dialect, start: time.Now(), chain: &note.Chain{},
 		heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}), peersAhead: ring.NewQueue[peerAhead](ring.Config{Capacity: 1}), histograms: meter.NewHistograms(), logger: c.Logger,
-		bodies: bodyBudget{limit: int64(c.Settings.Limits.HeldBytes)}, responses: bodyBudget{limit: int64(c.Settings.Limits.HeldBytes)},
+		panics: newPanics(), bodies: bodyBudget{limit: int64(c.Settings.Limits.HeldBytes)}, responses: bodyBudget{limit: int64(c.Settings.Limits.HeldBytes)},
 	}
 	g.reloadable.Store(&g.settings)
 	g.incarnation = uint64(g.start.UnixMilli())<<16 | uint64(rand.Uint32N(1<<16))
@@ -257,7 +258,7 @@
 		request.Notices = inner.EncodeNotices(g.notices.Share(g.now()))
 		request.Knowledge = g.knowledge()
 		return request
-	}, SendTime: g.sendTime, OnReply: func(r inner.ReceivedReply) {
+	}, SendTime: g.sendTime, OnPanic: func(value any) { g.recovered("Heartbeat", value) }, OnReply: func(r inner.ReceivedReply) {
 		g.handlePeerState(r.Sender, r)
 		g.proveByReply(r)
 	}}
@@ -278,7 +279,7 @@
 	g.homeClient = newHomeClient(g)
 	g.followers.queues = map[uint64]*ring.Queue[*encodedUpdate]{}
 	g.roster = roster.New(roster.Config{
-		Decode: c.Dialect.Decode, OnRejectedEntry: g.recordRejectedEntry, OnUpdate: g.followers.broadcastChanges, OnChange: g.applyView,
+		Decode: g.decode, OnRejectedEntry: g.recordRejectedEntry, OnUpdate: g.followers.broadcastChanges, OnChange: g.applyView,
 		OnRestore: g.recordRestore,
 	})
 	return g, func() {
@@ -406,13 +407,13 @@
 }
 
 // Serve runs the gateway until stop ends and then stops gracefully; it returns at once when force ends. Errors are
-// ErrListen or that of a failed listener.
+// ErrListen, that of a failed listener, or that of a panic after which the host had to stop.
 func (g *Gateway) Serve(stop, force context.Context) error {
 	listeners, err := g.listen()
 	if err != nil {
 		return err
 	}
-	tasks := duty.NewGroup()
+	tasks := duty.NewGroup(duty.Config{OnPanic: g.taskPanicked})
 	defer tasks.Stop()
 	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runStoreChecks, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks, g.runPoolSweeps, g.runElection, g.runTokenRequests, g.runProofs} {
 		tasks.Go(task)
@@ -430,13 +431,14 @@
 		return errorx.Decorate(err, "a listener failed")
 	case <-force.Done():
 		return nil
+	case err = <-g.panics.stop:
 	case <-stop.Done():
 	}
 	g.stopGracefully(force, func() {
 		// An error of Close does not matter, as the listener is not used any more.
 		_ = listeners[callerListener].Close()
 	})
-	return nil
+	return err
 }
 
 // listener is a listener with the function that serves its connections.
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -118,6 +118,7 @@
 func (h *serviceHome) use(call func(*placement.Home)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	defer h.server.gateway.stopAfterPanic("Placement")
 	call(h.home)
 }
 
@@ -245,15 +246,15 @@
 	h := s.serviceHome(service)
 	ranked := s.gateway.homeClient.rankedHomes(service)
 	primary := len(ranked) > 0 && ranked[0].Name == s.gateway.settings.Host.Name
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.primary = primary
-	h.home.SetPrimary(primary)
-	h.home.SetRetrySlack(s.retrySlack(primary, len(ranked)))
-	h.home.SetLimitShare(s.limitShare(primary, len(ranked)))
-	h.applySecondRuns(primary, len(ranked))
-	h.home.Submit(s.gateway.now(), r)
-	h.sendProbes()
+	h.use(func(home *placement.Home) {
+		h.primary = primary
+		home.SetPrimary(primary)
+		home.SetRetrySlack(s.retrySlack(primary, len(ranked)))
+		home.SetLimitShare(s.limitShare(primary, len(ranked)))
+		h.applySecondRuns(primary, len(ranked))
+		home.Submit(s.gateway.now(), r)
+		h.sendProbes()
+	})
 	// The timers must run while the service has requests: they start hedges and refuse queued requests that are too late.
 	s.requestArrived.Push(struct{}{})
 }
@@ -267,7 +268,11 @@
 	}
 	for _, p := range h.home.DueProbes(g.now()) {
 		sent.Add(1)
-		go h.probe(g.background, p, h.healthPath)
+		path := h.healthPath
+		go func() {
+			defer g.guard("Probe")
+			h.probe(g.background, p, path)
+		}()
 	}
 }
 
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -211,7 +211,10 @@
 	h.ctx, h.cancel = context.WithCancel(c.ctx)
 	h.lastReceived.Store(int64(now))
 	c.remotes[m.Name] = h
-	c.tasks.Go(h.run)
+	c.tasks.Go(func() {
+		defer c.gateway.guard("PlacementStream")
+		h.run()
+	})
 	return h
 }
 
@@ -270,6 +273,7 @@
 	go func() {
 		defer close(done)
 		defer h.cancel()
+		defer h.client.gateway.guard("PlacementStream")
 		h.receive(stream)
 	}()
 	h.send(stream)
@@ -378,6 +382,7 @@
 		return
 	}
 	h.client.tasks.Go(func() {
+		defer h.client.gateway.guard("PlacementStream")
 		// Verdicts do not name the service, so all services are tried. This takes the lock that the caller holds,
 		// hence the goroutine.
 		h.client.gateway.homeServer.runEndedAnyService(placement.RunEnd{ID: h.id(number), Target: target, Outcome: placement.OutcomeCanceled})
--- /dev/null
+++ b/internal/gateway/panic_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"briarcroft/internal/note"
+	"briarcroft/internal/placement"
+	"briarcroft/internal/settings"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// TestPanicOfRequestIsAnswered guards against a panic on the goroutine of one request that ends the process with all others.
+func TestPanicOfRequestIsAnswered(t *testing.T) {
+	cases := []struct {
+		name   string
+		damage func(*Gateway)
+		status int
+		// stops is set if the host must stop.
+		stops bool
+	}{
+		{"reading", func(g *Gateway) { g.rules.Store(nil) }, http.StatusInternalServerError, false},
+		{"handling", func(g *Gateway) { g.quarantine = nil }, http.StatusInternalServerError, false},
+		{"log", func(g *Gateway) { g.requestLog = nil; g.rules.Store(&ruleIndex{}) }, http.StatusServiceUnavailable, false},
+		{"placement", func(g *Gateway) {
+			g.homeServer.serviceHome("stock").use(func(*placement.Home) { g.homeServer.serviceHomes()[0].home = nil })
+		}, http.StatusInternalServerError, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			g, closeGateway := New(Config{Settings: settings.Default(), Logger: zerolog.Nop()})
+			defer closeGateway()
+			g.rules.Store(newRuleIndex(note.Configuration{Number: 1, Rules: []note.Rule{{Name: "r", Host: "www.example", Path: "/", Service: "stock"}}}, &ruleIndex{}))
+			c.damage(g)
+			local, remote := net.Pipe()
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				newCallerConn(g, remote).serve()
+			}()
+			// A pipe has no buffer, so the request is written while the response is read.
+			go func() {
+				_, _ = fmt.Fprint(local, "GET /lookup/1 HTTP/1.1\r\nHost: www.example\r\nConnection: close\r\n\r\n")
+			}()
+			response, err := http.ReadResponse(bufio.NewReader(local), nil)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, c.status)
+			_, err = io.Copy(io.Discard, response.Body)
+			is.NoErr(err)
+			is.NoErr(local.Close())
+			<-ended
+			is.Equal(g.stats.panics.Load(), int64(1))
+			is.Equal(len(g.panics.stop) == 1, c.stops)
+		})
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -18,7 +18,9 @@
 
 // servePeers serves the RPCs of other hosts until the context ends.
 func (g *Gateway) servePeers(ctx context.Context, l net.Listener) error {
-	done, err := inner.Serve(ctx, inner.ServerConfig{Listener: l, Handler: &peerServer{gateway: g}})
+	done, err := inner.Serve(ctx, inner.ServerConfig{
+		Listener: l, Handler: &peerServer{gateway: g}, OnPanic: func(call string, value any) { g.recovered(call, value) },
+	})
 	if err != nil {
 		return err
 	}
@@ -71,6 +73,7 @@
 	go func() {
 		defer close(done)
 		defer cancel()
+		defer p.gateway.guard("Place")
 		for {
 			verdict, ok := sess.verdicts.Pop(ctx)
 			if !ok || stream.Send(verdict) != nil {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -81,12 +81,12 @@
 		g.recordOutOfReach(p.Target)
 	default:
 		// The target may be busy, or the link silent.
-		go g.checkReach(g.background, p.Target)
+		g.startReachCheck(p.Target)
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.home.RecordProbe(g.now(), p.Target, health, load)
-	h.sendProbes()
+	h.use(func(home *placement.Home) {
+		home.RecordProbe(g.now(), p.Target, health, load)
+		h.sendProbes()
+	})
 }
 
 // checkHealth sends one health request. A target that refuses it without running it is healthy but busy. Errors are those of
--- a/internal/gateway/proof.go
+++ b/internal/gateway/proof.go
@@ -206,6 +206,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		defer g.guard("Proof")
 		if duty.Sleep(ctx, delay) {
 			// An error shows in the other call, or as an age that grows.
 			_, _, _ = g.readChanges(ctx, revision, 0)
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -177,6 +177,7 @@
 			continue
 		}
 		calls.Go(func() {
+			defer g.guard("Election")
 			reply, err := g.callQuota(ctx, m, voteTimeout, inner.EncodeVoteRequest(g.settings.Host.Name, g.incarnation))
 			if err == nil && inner.IsVote(reply) {
 				a.holder.RecordVote(a.bootTime(), asked, m.Name)
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -56,7 +56,10 @@
 		g.setTargetsLost(true, target)
 	}
 	for _, other := range check {
-		go g.reaches(g.background, other)
+		go func() {
+			defer g.guard("ReachCheck")
+			g.reaches(g.background, other)
+		}()
 	}
 }
 
@@ -72,6 +75,14 @@
 	g.heartbeatTrigger.Push(struct{}{})
 }
 
+// startReachCheck calls checkReach in the background.
+func (g *Gateway) startReachCheck(target string) {
+	go func() {
+		defer g.guard("ReachCheck")
+		g.checkReach(g.background, target)
+	}()
+}
+
 // checkReach checks whether this host reaches a target on a new connection, and reports false if it does not. If the target was
 // checked a short time ago, the result of that check holds.
 func (g *Gateway) checkReach(ctx context.Context, target string) bool {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -51,7 +51,7 @@
 	}
 	if !g.reach.Direct(p.Target) {
 		if !g.reach.Lost() {
-			go g.checkReach(g.background, p.Target)
+			g.startReachCheck(p.Target)
 		}
 		if response, err := x.relay(ctx, from, p); !errorx.IsOfType(err, backend.ErrNotSent) {
 			return response, err
@@ -113,6 +113,7 @@
 	var state atomic.Int32
 	var watch *time.Timer
 	watch = time.AfterFunc(math.MaxInt64, func() {
+		defer g.guard("ReachCheck")
 		switch {
 		case !g.checkReach(directCtx, p.Target) && x.repeatable():
 			if state.CompareAndSwap(runWaits, runHangs) {
@@ -319,6 +320,7 @@
 	replies := make(chan *inner.RelayReply)
 	go func() {
 		defer close(replies)
+		defer p.gateway.guard("Relay")
 		p.gateway.relayForPeer(ctx, r, func(reply *inner.RelayReply) bool {
 			select {
 			case replies <- reply:
@@ -367,7 +369,7 @@
 	target, found := g.findTarget(r.Target)
 	if !found || target.Draining || target.Address != r.Address || !g.reach.Direct(r.Target) || g.maySend(r.Target) != nil {
 		if found {
-			go g.checkReach(g.background, r.Target)
+			g.startReachCheck(r.Target)
 		}
 		send(&inner.RelayReply{Kind: inner.RelayKind_RelayNotSent})
 		return
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -149,6 +149,8 @@
 	// unresponsiveHomes counts homes that gave no verdict within firstVerdictTimeout; slowReaders, hosts that were cut off
 	// because they did not read their verdicts; rejected, requests that could not be read.
 	unresponsiveHomes, slowReaders, rejected atomic.Int64
+	// panics counts the panics that did not end the process.
+	panics atomic.Int64
 	// tooLarge counts connections that were closed because a target sent more than a response may have.
 	tooLarge atomic.Int64
 	// relayed counts the runs that peers relayed for this host, and relayedForPeers those that it relayed for peers.
@@ -197,7 +199,7 @@
 			Int64("StoreCalls", s.storeCalls.Load()).Int64("StoreChecks", s.storeChecks.Load()).Dur("StoreAgeMilliseconds", g.knowledgeAge()).Int64("StoreBytesSent", s.storeBytesSent.Load()).
 			Int64("StoreBytesReceived", s.storeBytesReceived.Load()).Int64("FollowsStarted", s.followsStarted.Load()).
 			Int64("OwnDomainBytes", s.ownDomainBytes.Load()).Int64("OtherDomainBytes", s.otherDomainBytes.Load()).
-			Int64("LostLogLines", g.config.LostLogLines()).
+			Int64("Panics", s.panics.Load()).Int64("LostLogLines", g.config.LostLogLines()).
 			Int("Followers", g.followers.count()).Int("LiveHosts", len(g.members.Live(g.now()))).
 			Msg("counters")
 	}
--- a/internal/inner/heartbeat.go
+++ b/internal/inner/heartbeat.go
@@ -31,6 +31,9 @@
 	OnReply func(ReceivedReply)
 	// SendTime returns the time of ReceivedReply.Sent; nil means that it is not needed.
 	SendTime func() time.Duration
+	// OnPanic is called with the value of a panic on the goroutine of one exchange, which fails. If it is nil, a panic ends the
+	// process.
+	OnPanic func(value any)
 }
 
 // ReceivedReply is a reply to a heartbeat of this host.
@@ -59,7 +62,16 @@
 	request := h.NewRequest(h.Table.OutgoingGossip(h.Now()))
 	var group sync.WaitGroup
 	for _, address := range addresses {
-		group.Go(func() { h.exchange(ctx, address, request) })
+		group.Go(func() {
+			if h.OnPanic != nil {
+				defer func() {
+					if value := recover(); value != nil {
+						h.OnPanic(value)
+					}
+				}()
+			}
+			h.exchange(ctx, address, request)
+		})
 	}
 	group.Wait()
 }
--- a/internal/steering/dispatcher.go
+++ b/internal/steering/dispatcher.go
@@ -29,6 +29,8 @@
 	OnQuarantine func()
 	// Dial opens connections to targets. If it is nil, TCP is used.
 	Dial backend.DialFunc
+	// OnPanic is called with the value of a panic of a second attempt, which fails. If it is nil, a panic ends the process.
+	OnPanic func(value any)
 }
 
 // Dispatcher holds the services of the configuration in force and matches requests with them.
--- a/internal/steering/hedge.go
+++ b/internal/steering/hedge.go
@@ -88,6 +88,14 @@
 // runSecond makes the second attempt, unless requests are queued or the retry budget is spent.
 func (h *hedge) runSecond() {
 	defer close(h.done)
+	if onPanic := h.service.dispatcher.config.OnPanic; onPanic != nil {
+		defer func() {
+			if value := recover(); value != nil {
+				onPanic(value)
+				h.failure = &failure{kind: failedCanceledAfterSend}
+			}
+		}()
+	}
 	if h.service.queued() > 0 || !h.service.spendRetry() {
 		h.failure = &failure{kind: failedCanceledBeforeSend}
 		return
