--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -22,6 +22,8 @@
 	lingerTime = 500 * time.Millisecond
 	// stallTimeout is how long one write of a part of a response to a caller may block.
 	stallTimeout = 10 * time.Second
+	// firstRequestTime is how long a new connection is kept for its first request once the host is closing idle connections.
+	firstRequestTime = time.Second
 	// busyReadTimeout bounds the wait for the next request while an earlier one is being handled.
 	busyReadTimeout = 10 * time.Minute
 )
@@ -41,6 +43,10 @@
 	mu     sync.Mutex
 	// accepted counts the requests that were read, and responded those that were answered.
 	accepted, responded int
+	// acceptedInStop counts those that were read since a graceful stop began.
+	acceptedInStop int
+	// reading is set while a request that has begun to arrive is read.
+	reading bool
 	// closing is set once no further request is accepted.
 	closing bool
 	// closesWhenIdle is set once the connection is to be closed unless a request is being handled or has arrived.
@@ -64,6 +70,9 @@
 			c := newCallerConn(g, conn)
 			g.callerConns.Store(c, nil)
 			defer g.callerConns.Delete(c)
+			if g.closingIdle.Load() {
+				c.closeIfIdle()
+			}
 			c.serve()
 		}()
 	}
@@ -96,7 +105,7 @@
 		}
 		c.pipelineSlots <- struct{}{}
 		handlers.Go(func() { c.handle(q, done, previous) })
-		if q.closeAfter {
+		if !c.acceptsMore() {
 			break
 		}
 	}
@@ -132,14 +141,31 @@
 	_ = c.conn.Conn.Close()
 }
 
+// beginReading registers that a request has begun to arrive, and sets the read deadline for its head. From then on until it is
+// accepted the connection is not idle.
+func (c *callerConn) beginReading(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
+}
+
 // accept registers a request that was read, unless the connection is closing. The request may be answered once
 // previous is closed, and done must be closed after that; closeAfter is set if no further request is to be accepted.
 func (c *callerConn) accept(closeAfter bool) (done chan struct{}, previous <-chan struct{}, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
 	if c.closing {
 		return nil, nil, false
 	}
+	if c.gateway.stopping.Load() {
+		c.acceptedInStop++
+		// Otherwise the stop would never see the end of a connection on which requests always wait. The caller sends those
+		// behind the last accepted one again, because the response to that one closes the connection.
+		pipelined := c.accepted > c.responded
+		closeAfter = closeAfter || c.closesWhenIdle && pipelined || c.acceptedInStop >= maxPipelined
+	}
 	c.accepted++
 	c.closing = closeAfter
 	done, previous = make(chan struct{}), c.lastDone
@@ -162,11 +188,11 @@
 }
 
 // isLastResponse reports whether the next response is the last one of the connection, because the connection is closing
-// or the host is stopping and no other request was accepted.
+// or the host is stopping and no other request was accepted or has begun to arrive.
 func (c *callerConn) isLastResponse() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.gateway.stopping.Load() && c.accepted == c.responded+1 {
+	if c.gateway.stopping.Load() && c.accepted == c.responded+1 && !c.reading {
 		c.closing = true
 	}
 	return c.closing && c.accepted == c.responded+1
@@ -183,30 +209,47 @@
 		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 		return
 	}
-	if c.accepted == c.responded {
-		_ = c.conn.SetReadDeadline(time.Now().Add(c.gateway.limits().IdleTimeout))
+	if c.accepted == c.responded && !c.reading {
+		_ = c.conn.SetReadDeadline(c.idleDeadline(c.gateway.limits().IdleTimeout))
 	}
 }
 
-// closeIfIdle closes the connection if no request is being handled on it and none has arrived.
+// closeIfIdle closes the connection if no request is being handled on it and none has begun to arrive. A connection that had no
+// request yet is kept for a short time, as its caller has opened it for one.
 func (c *callerConn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closesWhenIdle = true
-	if c.accepted == c.responded {
-		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+	if c.accepted == c.responded && !c.reading {
+		_ = c.conn.SetReadDeadline(c.idleDeadline(0))
 	}
 }
 
+// idleDeadline returns the read deadline while no request is being handled or arrives; idle is the usual time. The caller holds
+// c.mu.
+func (c *callerConn) idleDeadline(idle time.Duration) time.Time {
+	switch {
+	case c.closesWhenIdle && c.accepted == 0:
+		return time.Now().Add(firstRequestTime)
+	case c.closesWhenIdle:
+		return time.Unix(1, 0)
+	}
+	return time.Now().Add(idle)
+}
+
+// stopReading ends the reading of a request that has not arrived completely, which is then refused, and of a connection without
+// one.
+func (c *callerConn) stopReading() { _ = c.conn.SetReadDeadline(time.Unix(1, 0)) }
+
 // setIdleDeadline sets the read deadline for the next request: idle, or busyReadTimeout while one is being handled.
 func (c *callerConn) setIdleDeadline(idle time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.closing, c.closesWhenIdle && c.accepted == c.responded:
+	case c.closing:
 		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 	case c.accepted == c.responded:
-		_ = c.conn.SetReadDeadline(time.Now().Add(idle))
+		_ = c.conn.SetReadDeadline(c.idleDeadline(idle))
 	default:
 		_ = c.conn.SetReadDeadline(time.Now().Add(busyReadTimeout))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -208,6 +208,8 @@
 	warmUpEntries warmUpEntries
 	// stopping is set once a graceful stop has begun.
 	stopping atomic.Bool
+	// closingIdle is set once idle connections of callers are closed, in a graceful stop.
+	closingIdle atomic.Bool
 	// inForceSince is when the note in force took effect, in Unix milliseconds.
 	inForceSince atomic.Int64
 	// directoryPosition is the position in the list of ready hosts from which the next directory response is taken.
@@ -419,8 +421,12 @@
 		tasks.Go(task)
 	}
 	failed := make(chan error, len(listeners))
-	for _, l := range listeners {
+	callersAccepted := make(chan struct{})
+	for i, l := range listeners {
 		tasks.Go(func(ctx context.Context) {
+			if i == callerListener {
+				defer close(callersAccepted)
+			}
 			if err := l.serve(ctx); err != nil {
 				failed <- err
 			}
@@ -435,8 +441,10 @@
 	case <-stop.Done():
 	}
 	g.stopGracefully(force, func() {
+		socket.AwaitAccepted(force, listeners[callerListener].Listener, acceptTime)
 		// An error of Close does not matter, as the listener is not used any more.
 		_ = listeners[callerListener].Close()
+		<-callersAccepted
 	})
 	return err
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -317,6 +317,8 @@
 func (p *peerServer) Relay(r *inner.RelayRequest, stream inner.DRPCPeer_RelayStream) error {
 	ctx, cancel := context.WithTimeout(stream.Context(), time.Duration(r.TimeoutMilliseconds)*time.Millisecond)
 	defer cancel()
+	p.gateway.relaysForPeers.Add(1)
+	defer p.gateway.relaysForPeers.Add(-1)
 	replies := make(chan *inner.RelayReply)
 	go func() {
 		defer close(replies)
@@ -361,8 +363,7 @@
 // relayForPeer sends a request of a peer to a target and passes the response to send, which returns false once the peer has
 // left.
 func (g *Gateway) relayForPeer(ctx context.Context, r *inner.RelayRequest, send func(*inner.RelayReply) bool) {
-	defer g.relaysForPeers.Add(-1)
-	if g.relaysForPeers.Add(1) > maxRelaysForPeers {
+	if g.relaysForPeers.Load() > maxRelaysForPeers {
 		send(&inner.RelayReply{Kind: inner.RelayKind_RelayExhausted})
 		return
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -80,7 +80,7 @@
 		return nil, nil
 	}
 	arrived := c.gateway.now()
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.beginReading(limits.HeaderTimeout)
 	r, err := http.ReadRequest(c.reader)
 	if err != nil {
 		return nil, rejectionFor(err)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -14,14 +14,18 @@
 	stopMargin = 400 * time.Millisecond
 	// addressAgeFactor is how many times AddressMaxAge callers may keep using the addresses of a directory response.
 	addressAgeFactor = 3
+	// acceptTime is how long connections that callers have opened may wait to be accepted before the listener is closed.
+	acceptTime = 500 * time.Millisecond
+	// refusalTime is how long before the end of the process requests that are still arriving are refused.
+	refusalTime = 100 * time.Millisecond
 	// stopCheckInterval is how often to check whether all connections of callers have ended.
 	stopCheckInterval = 50 * time.Millisecond
 )
 
 // stopGracefully marks this host as leaving and goes on serving callers that still use its address from an earlier
 // directory response, for up to addressAgeFactor times AddressMaxAge but at most half of the time limit, which is
-// StopTimeout minus stopMargin. Then it accepts no connections and waits for the open ones to end, until the time limit
-// or the end of force.
+// StopTimeout minus stopMargin. Then it accepts no connections and waits for the open ones and the runs for peers to end,
+// until the time limit or the end of force. Requests that are still arriving then are refused.
 func (g *Gateway) stopGracefully(force context.Context, closeListener func()) {
 	started := g.now()
 	g.stopping.Store(true)
@@ -34,14 +38,25 @@
 	duty.Sleep(force, drainTime)
 	closeListener()
 	g.closeIdle()
-	for force.Err() == nil && g.now()-started < limit && g.openConns.Load() > 0 {
+	inUse := func() bool { return g.openConns.Load() > 0 || g.relaysForPeers.Load() > 0 }
+	for force.Err() == nil && g.now()-started < limit-refusalTime && inUse() {
 		duty.Sleep(force, stopCheckInterval)
 	}
+	if !inUse() {
+		return
+	}
+	g.callerConns.Range(func(key, _ any) bool {
+		key.(*callerConn).stopReading()
+		return true
+	})
+	duty.Sleep(force, limit-(g.now()-started))
 }
 
 // closeIdle closes the idle connections of callers. The others close by themselves after a response, as the host is
 // stopping.
 func (g *Gateway) closeIdle() {
+	// A connection that is added meanwhile reads this.
+	g.closingIdle.Store(true)
 	g.callerConns.Range(func(key, _ any) bool {
 		key.(*callerConn).closeIfIdle()
 		return true
--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,225 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"briarcroft/platform/standin"
+)
+
+// listenersClose is when, after the begin of a stop, a host of withFleet stops accepting connections, and stopLimit when it ends at
+// the latest.
+const (
+	listenersClose = 2800 * time.Millisecond
+	stopLimit      = 5600 * time.Millisecond
+)
+
+// dial opens a connection of a caller to a host.
+func (f *fleet) dial(host string) net.Conn {
+	conn, err := f.net.Dialer("caller")(context.Background(), "tcp", f.hosts[host].listen)
+	f.is.NoErr(err)
+	return conn
+}
+
+// read reads a response and returns its status, and whether it closes the connection.
+func (f *fleet) read(r *bufio.Reader) (status int, closes bool) {
+	response, err := http.ReadResponse(r, nil)
+	f.is.NoErr(err)
+	_, err = io.Copy(io.Discard, response.Body)
+	f.is.NoErr(err)
+	return response.StatusCode, response.Close
+}
+
+// awaitStop returns how long after the given time a host that was told to stop has ended.
+func (f *fleet) awaitStop(host string, begun time.Time) time.Duration {
+	f.is.NoErr(<-f.hosts[host].done)
+	f.hosts[host].done <- nil // for close, which receives from it again
+	return time.Since(begun)
+}
+
+// TestArrivingRequestIsAnsweredOnStop guards against a stop that refuses a request whose body or head still arrives when the host
+// stops accepting connections.
+func TestArrivingRequestIsAnsweredOnStop(t *testing.T) {
+	const head = "POST /order/1 HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: slow\r\nX-Deadline-Ms: 5000\r\nContent-Length: 10\r\n\r\n"
+	cases := []struct {
+		name  string
+		parts []string
+		// started is how long before the listeners close the first part is sent; the others follow 300 ms apart.
+		started time.Duration
+	}{
+		{"body", []string{head + "01", "234", "56", "789"}, 500 * time.Millisecond},
+		{"head", []string{head[:20], head[20:50], head[50:] + "0123456789"}, 350 * time.Millisecond},
+		{"behind another request", []string{"GET /lookup/1 HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: first\r\n\r\n" + head + "01", "23456", "789"}, 100 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 2, 2, func(f *fleet) {
+				f.hosts["h0"].stop()
+				begun := time.Now()
+				time.Sleep(listenersClose - c.started)
+				conn := f.dial("h0")
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				go func() {
+					for _, part := range c.parts {
+						_, _ = io.WriteString(conn, part)
+						time.Sleep(300 * time.Millisecond)
+					}
+				}()
+				status, closes := f.read(reader)
+				for !closes {
+					f.is.Equal(status, http.StatusOK)
+					status, closes = f.read(reader)
+				}
+				f.is.Equal(status, http.StatusOK)
+				f.is.Equal(f.runsOf("slow"), 1)
+				f.is.True(f.awaitStop("h0", begun) < stopLimit)
+			})
+		})
+	}
+}
+
+// TestUnfinishedRequestIsRefusedAtEndOfStop guards against a stop that ends without an answer to a request which has not arrived
+// completely by then.
+func TestUnfinishedRequestIsRefusedAtEndOfStop(t *testing.T) {
+	withFleet(t, 2, 2, func(f *fleet) {
+		f.hosts["h0"].stop()
+		begun := time.Now()
+		conn := f.dial("h0")
+		defer conn.Close()
+		_, err := io.WriteString(conn, "POST /order/1 HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: slow\r\nContent-Length: 10\r\n\r\n01")
+		f.is.NoErr(err)
+		status, closes := f.read(bufio.NewReader(conn))
+		f.is.Equal(status, http.StatusRequestTimeout)
+		f.is.True(closes)
+		f.is.Equal(f.runsOf("slow"), 0)
+		f.is.True(f.awaitStop("h0", begun) <= stopLimit)
+	})
+}
+
+// TestNewConnectionIsServedOnStop guards against a stop that closes a connection which was opened just before the host stopped
+// accepting connections, or that never closes it.
+func TestNewConnectionIsServedOnStop(t *testing.T) {
+	withFleet(t, 2, 2, func(f *fleet) {
+		f.hosts["h0"].stop()
+		begun := time.Now()
+		time.Sleep(listenersClose - time.Millisecond)
+		conn, unused := f.dial("h0"), f.dial("h0")
+		defer conn.Close()
+		defer unused.Close()
+		time.Sleep(100 * time.Millisecond)
+		go func() {
+			_, _ = io.WriteString(conn, "GET /lookup/1 HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: new\r\n\r\n")
+		}()
+		status, closes := f.read(bufio.NewReader(conn))
+		f.is.Equal(status, http.StatusOK)
+		f.is.True(closes)
+		f.is.True(f.awaitStop("h0", begun) < stopLimit-time.Second)
+	})
+}
+
+// TestPipeliningEndsWithStop guards against a stop that lasts until its time limit, and then cuts requests, because callers always
+// have further requests in progress on their connections.
+func TestPipeliningEndsWithStop(t *testing.T) {
+	for _, depth := range []int{2, 4, 16} {
+		t.Run(fmt.Sprint(depth), func(t *testing.T) {
+			withFleet(t, 2, 8, func(f *fleet) {
+				conn := f.dial("h0")
+				defer conn.Close()
+				outstanding := make(chan struct{}, depth)
+				go func() {
+					for i := 0; ; i++ {
+						outstanding <- struct{}{}
+						if i < depth {
+							// The first ones are spread over a run, so that others are in progress whenever one ends.
+							time.Sleep(50 * time.Millisecond / time.Duration(depth))
+						}
+						if _, err := fmt.Fprintf(conn, "GET /lookup/1 HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: p%d\r\n\r\n", i); err != nil {
+							return
+						}
+					}
+				}()
+				time.AfterFunc(time.Second, f.hosts["h0"].stop)
+				begun := time.Now().Add(time.Second)
+				reader := bufio.NewReader(conn)
+				for closes := false; !closes && time.Since(begun) < stopLimit; {
+					_, closes = f.read(reader)
+					<-outstanding
+				}
+				f.is.True(time.Since(begun) < listenersClose+time.Second)
+				f.is.NoErr(conn.Close())
+				<-outstanding // lets the sender notice
+				f.is.True(f.awaitStop("h0", begun) < listenersClose+time.Second)
+			})
+		})
+	}
+}
+
+// canceledRuns returns the number of runs that targets have ended because their connection was closed.
+func (f *fleet) canceledRuns() int {
+	sum := 0
+	for _, x := range f.targets {
+		x.Update(func(t *standin.Target) { sum += t.CanceledRuns })
+	}
+	return sum
+}
+
+// TestStopWaitsForRunsWithoutCaller guards against a stop that ends runs which no connection of a caller to this host waits for: those
+// relayed for a peer, and unsafe ones whose caller has left.
+func TestStopWaitsForRunsWithoutCaller(t *testing.T) {
+	slow := unsafeRule("slow", "/slow/")
+	slow["timeout-ms"] = 5000
+	cases := []struct {
+		name string
+		// prepare is called before runs are slow.
+		prepare func(f *fleet)
+		// start starts a run that h1 sends to a target, and returns a function that waits for its end and checks it.
+		start func(f *fleet) func()
+	}{
+		{"relayed", func(f *fleet) { f.cutOff("h0") }, func(f *fleet) func() {
+			before := f.hosts["h0"].gateway.RelayedRequests()
+			ended := make(chan reply, 1)
+			go func() { ended <- f.call("h0", http.MethodPost, "/slow/1", "slow") }()
+			return func() {
+				f.is.Equal((<-ended).status, http.StatusOK)
+				f.is.Equal(f.hosts["h0"].gateway.RelayedRequests(), before+1)
+			}
+		}},
+		{"caller left", func(*fleet) {}, func(f *fleet) func() {
+			conn := f.dial("h1")
+			_, err := io.WriteString(conn, "POST /slow/1 HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: slow\r\nX-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n")
+			f.is.NoErr(err)
+			time.Sleep(50 * time.Millisecond)
+			f.is.NoErr(conn.Close())
+			return func() { time.Sleep(5 * time.Second) }
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 2, 2, func(f *fleet) {
+				f.timeLimit = 5 * time.Second
+				f.configure(2, safeRule("lookup", "/lookup/"), slow)
+				c.prepare(f)
+				canceled := f.canceledRuns()
+				for _, x := range f.targets {
+					x.Update(func(t *standin.Target) { t.RunDuration = 4 * time.Second })
+				}
+				time.Sleep(2 * time.Second)
+				await := c.start(f)
+				time.Sleep(200 * time.Millisecond)
+				f.hosts["h1"].stop()
+				f.is.NoErr(<-f.hosts["h1"].done)
+				f.hosts["h1"].done <- nil // for close, which receives from it again
+				await()
+				f.is.Equal(f.runsOf("slow"), 1)
+				f.is.Equal(f.canceledRuns(), canceled)
+			})
+		})
+	}
+}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -54,6 +54,46 @@
 	return optionErr
 }
 
+// acceptCheckInterval is the time between two checks whether connections wait to be accepted.
+const acceptCheckInterval = 5 * time.Millisecond
+
+// AwaitAccepted waits until no connection waits to be accepted by a listener, since closing the listener would reset them. It
+// returns early after a time limit, when the context ends, and for a listener that is not a TCP socket.
+func AwaitAccepted(ctx context.Context, l net.Listener, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ticker := time.NewTicker(acceptCheckInterval)
+	defer ticker.Stop()
+	for waitingConnections(l) > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// waitingConnections returns the number of connections that wait to be accepted, or 0 if that is unknown.
+func waitingConnections(l net.Listener) int {
+	sysConn, ok := l.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sysConn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	count := 0
+	// An error means that the listener is closed.
+	_ = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			// For a listening socket, Linux reports the length of its accept queue here.
+			count = int(info.Unacked)
+		}
+	})
+	return count
+}
+
 // Stale reports whether an idle connection cannot be reused, because the other side has closed it, or has sent bytes
 // although no request is outstanding. It never blocks. For a connection without a file descriptor, such as one over TLS
 // or in memory, it returns false.
