Answer a head that does not arrive in time with 408, also in the middle of a line

A caller whose request head stopped in the middle of a line until HeaderTimeout, or until a stop closed the connection, got 400, after which callers do not try again, for a proper request. bufio.Reader.ReadLine returns what it has of a line and keeps the error for the next call, so that http.ReadRequest reported a malformed line instead of the time limit. The connection now keeps the error of its last read, and the rejection goes by that one first; 408 states that the request was not run. A caller that disconnects there gets nothing.

TestSlowHeadIsRefusedAsNotRun failed before (400 for a head that ends with its first word).

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -53,15 +54,19 @@
 type limitedConn struct {
 	net.Conn
 	remaining int
+	// err is the error of the last read; it is nil if there was none.
+	err error
 }
 
 // Read implements io.Reader.
 func (c *limitedConn) Read(p []byte) (int, error) {
 	if c.remaining <= 0 {
-		return 0, errHeaderTooLong
+		c.err = errHeaderTooLong
+		return 0, c.err
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.remaining)])
 	c.remaining -= n
+	c.err = err
 	return n, err
 }
 
@@ -83,7 +88,8 @@
 	c.beginReading(limits.HeaderTimeout)
 	r, err := http.ReadRequest(c.reader)
 	if err != nil {
-		return nil, rejectionFor(err)
+		// A head that ends in the middle of a line is parsed as far as it goes, which hides the reason for its end.
+		return nil, rejectionFor(cmp.Or(c.conn.err, err))
 	}
 	// The body has its own limit, in readBody.
 	c.conn.remaining = int(^uint(0) >> 1)
