Release all locks after a panic, guard pages, and empty the accept queue on Etcd too

Follow-ups of the commits on panics and on graceful stops: - The roster and the admission of package steering released their locks without a deferred call. After a panic there the graceful stop would have waited forever for tasks that wait for the lock. The remaining locks without a deferred call enclose plain reads and writes of maps.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -9,6 +9,7 @@
 	"briarcroft/internal/duty"
 	"briarcroft/internal/inner"
 	"briarcroft/internal/record"
+	"briarcroft/internal/socket"
 )
 
 // Limits of a graceful stop.
@@ -17,6 +18,8 @@
 	sealPartBytes = 1 << 20
 	// sealTimeout bounds the copying of the table to all peers.
 	sealTimeout = 3 * time.Second
+	// acceptTime is how long connections that callers have opened may wait to be accepted before the listener is closed.
+	acceptTime = 500 * time.Millisecond
 	// addressAgeMargin is how long the host keeps accepting requests after the last cached address response that names it
 	// has expired.
 	addressAgeMargin = time.Second
@@ -35,6 +38,7 @@
 	h.addRecord(record.HostSealed, "GracefulStop")
 	ctx, cancel := context.WithTimeout(force, h.settings.Limits.StopTimeout)
 	defer cancel()
+	socket.AwaitAccepted(ctx, h.callerListener, acceptTime)
 	err := h.callerServer.Shutdown(ctx)
 	select {
 	case <-drained:
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -24,6 +24,9 @@
 // RelayedRequests returns how many runs peers have relayed for the gateway.
 func (g *Gateway) RelayedRequests() int64 { return g.stats.relayed.Load() }
 
+// Panics returns how many panics have not ended the process.
+func (g *Gateway) Panics() int64 { return g.stats.panics.Load() }
+
 // Allowances returns the state of the holder on this host, and whether the host is waiting for another one.
 func (g *Gateway) Allowances() (holder quota.HolderStats, lost bool) {
 	now := g.allowances.bootTime()
--- a/internal/gateway/panic_fleet_test.go
+++ b/internal/gateway/panic_fleet_test.go
@@ -111,3 +111,23 @@
 		f.hosts["h0"].done <- nil // for close, which receives from it again
 	})
 }
+
+// TestPanicOfPageIsAnswered guards against a panic of a page of the host itself that closes the connection without an answer, and
+// that no counter shows.
+func TestPanicOfPageIsAnswered(t *testing.T) {
+	withPreparedFleet(t, 1, 1, func(f *fleet) {
+		f.changeConfig = func(c *gateway.Config) {
+			c.Dialect.ParseAddresses = func(*http.Request) (domain, region string) { panic("page") }
+		}
+	}, func(f *fleet) {
+		transport := &http.Transport{DialContext: f.net.Dialer("caller")}
+		defer transport.CloseIdleConnections()
+		r, err := http.NewRequest(http.MethodGet, "http://"+f.hosts["h0"].directory+"/api/resolve", nil)
+		f.is.NoErr(err)
+		response, err := transport.RoundTrip(r)
+		f.is.NoErr(err)
+		f.is.NoErr(response.Body.Close())
+		f.is.Equal(response.StatusCode, http.StatusInternalServerError)
+		f.is.Equal(f.hosts["h0"].gateway.Panics(), int64(1))
+	})
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -171,12 +171,11 @@
 // Apply applies changes that make the roster complete up to a revision. Changes may come late or twice: for each key the
 // highest revision wins.
 func (r *Roster) Apply(now time.Duration, changes []platform.Change, revision int64) {
-	r.mu.Lock()
-	r.applyAll(now, changes, revision)
+	r.change(func() bool { return r.applyAll(now, changes, revision) })
 }
 
-// applyAll applies changes and unlocks r.mu, which the caller holds.
-func (r *Roster) applyAll(now time.Duration, changes []platform.Change, revision int64) {
+// applyAll applies changes and reports whether they change the view. The caller holds r.mu.
+func (r *Roster) applyAll(now time.Duration, changes []platform.Change, revision int64) bool {
 	r.noticeRestore(now, revision)
 	var updates []platform.Change
 	for _, c := range changes {
@@ -190,7 +189,7 @@
 	if (len(updates) > 0 || advanced) && r.config.OnUpdate != nil {
 		r.config.OnUpdate(updates, r.revision)
 	}
-	r.unlockAndPublish(len(updates) > 0)
+	return len(updates) > 0
 }
 
 // noticeRestore handles the beginning of a new era of the store, which has come back from an older copy. It counts as the end of an
@@ -227,13 +226,14 @@
 		listed[e.Key] = true
 		changes = append(changes, platform.Change{Entry: e})
 	}
-	r.mu.Lock()
-	for key, state := range r.entries {
-		if !listed[key] && !state.change.Deleted && state.change.Revision <= revision {
-			changes = append(changes, platform.Change{Entry: platform.Entry{Key: key, Revision: revision}, Deleted: true})
+	r.change(func() bool {
+		for key, state := range r.entries {
+			if !listed[key] && !state.change.Deleted && state.change.Revision <= revision {
+				changes = append(changes, platform.Change{Entry: platform.Entry{Key: key, Revision: revision}, Deleted: true})
+			}
 		}
-	}
-	r.applyAll(now, changes, revision)
+		return r.applyAll(now, changes, revision)
+	})
 }
 
 // applyOne applies one change and reports whether replicas on other hosts need it. An entry that cannot be decoded
@@ -345,25 +345,34 @@
 // Tick ends the use of targets whose entries were deleted just after a store outage and were not written again within
 // StoreReturnGrace.
 func (r *Roster) Tick(now time.Duration) {
-	r.mu.Lock()
-	changed := false
-	for _, state := range r.entries {
-		if state.change.Deleted && state.decoded != nil && now >= state.usableUntil {
-			state.decoded, changed = nil, true
+	r.change(func() bool {
+		changed := false
+		for _, state := range r.entries {
+			if state.change.Deleted && state.decoded != nil && now >= state.usableUntil {
+				state.decoded, changed = nil, true
+			}
 		}
+		return changed
+	})
+}
+
+// change calls a function that holds r.mu and reports whether it has changed anything, which replaces the view. OnChange is called
+// without r.mu.
+func (r *Roster) change(apply func() bool) {
+	if r.changeView(apply) {
+		r.config.OnChange()
 	}
-	r.unlockAndPublish(changed)
 }
 
-// unlockAndPublish unlocks r.mu. If there was a change, it first replaces the view and then calls OnChange.
-func (r *Roster) unlockAndPublish(changed bool) {
-	if !changed {
-		r.mu.Unlock()
-		return
+// changeView is the part of change that holds r.mu, which it releases also after a panic.
+func (r *Roster) changeView(apply func() bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := apply()
+	if changed {
+		r.view.Store(r.buildView())
 	}
-	r.view.Store(r.buildView())
-	r.mu.Unlock()
-	r.config.OnChange()
+	return changed
 }
 
 func (r *Roster) buildView() *View {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -327,3 +327,19 @@
 	r.Tick(now + StoreReturnGrace)
 	is.Equal(evacuated(), map[string]bool{"a": false, "b": false})
 }
+
+// TestPanicReleasesRoster guards against a stop that waits forever for the roster's lock after a panic while a change is applied.
+func TestPanicReleasesRoster(t *testing.T) {
+	is := is.New(t)
+	r := New(Config{
+		Decode:          func(string, []byte) (DecodedEntry, error) { panic("entry") },
+		OnRejectedEntry: func(string, error) {}, OnChange: func() {},
+	})
+	for range 2 {
+		func() {
+			defer func() { is.Equal(recover(), "entry") }()
+			r.Apply(0, []platform.Change{{Entry: platform.Entry{Key: "servers/odd", Revision: 1}}}, 1)
+		}()
+	}
+	is.Equal(len(r.View().Targets), 0)
+}
--- a/internal/steering/service.go
+++ b/internal/steering/service.go
@@ -102,18 +102,9 @@
 		Weight: r.Rule.Weight, Domain: s.dispatcher.domains.index(r.Domain),
 		Deadline: now + time.Until(r.Deadline), ExcludedTarget: excluded,
 	}
-	s.mu.Lock()
-	request.Class = s.classes[r.Rule.Class]
-	s.admission.Submit(now, request)
-	decision := request.Decision()
-	if _, waiting := decision.(admission.Waiting); !waiting {
-		s.recordOverload()
-		s.mu.Unlock()
+	if decision := s.submit(now, request, r.Rule.Class); decision != nil {
 		return decision
 	}
-	request.Decided = make(chan struct{}, 1)
-	s.recordOverload()
-	s.mu.Unlock()
 	select {
 	case <-request.Decided:
 	case <-ctx.Done():
@@ -127,6 +118,21 @@
 	return request.Decision()
 }
 
+// submit submits a request to admission. It returns nil if the request waits, and sends on its channel Decided once it does no more.
+func (s *Service) submit(now time.Duration, request *admission.Request, class string) admission.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	request.Class = s.classes[class]
+	s.admission.Submit(now, request)
+	defer s.recordOverload()
+	decision := request.Decision()
+	if _, waiting := decision.(admission.Waiting); !waiting {
+		return decision
+	}
+	request.Decided = make(chan struct{}, 1)
+	return nil
+}
+
 // finish ends an assigned request.
 func (s *Service) finish(a *admission.Assignment, latency time.Duration, outcome route.Outcome) {
 	s.mu.Lock()
