Outlast errors of Accept on every listener

Callers of a host at its limit of descriptors saw all their connections reset: "accept4: too many open files" made the accept loop for callers return, Serve returned "a listener failed", and the process ended with every request that it held.

The cause is that any error of Accept counted as the end of the listener. The other listeners had the same fault for less common errors: net/http and drpc retry only EMFILE and ENFILE, and return for ENOBUFS and ENOMEM. An Etcd host ended on these at the callers' listener, and at that for peers it went on without noticing that no peer could reach it.

All listeners of both packages are now a socket.Listener. It retries the errors of accept(2) that do not concern the listening socket, after 5 to 100 ms, and ends at once when it is closed; it counts them and logs one a second. After a permanent error it closes the socket, so that callers are refused, and reports it while Accept blocks, so that no server drops what it serves. The host then stops gracefully and returns the error.

The same cause elsewhere: review/standin and the demo have accept loops of their own, which are not part of a host.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -33,6 +33,7 @@
 	"briarcroft/internal/record"
 	"briarcroft/internal/ring"
 	"briarcroft/internal/settings"
+	"briarcroft/internal/socket"
 	"briarcroft/internal/steering"
 
 	"github.com/joomcode/errorx"
@@ -104,6 +105,8 @@
 	callerServer     *http.Server
 	callerListener   net.Listener
 	peerListener     net.Listener
+	// listenerFailed gets the error of each listener that cannot accept connections any more.
+	listenerFailed chan error
 	// storeReachable is whether the last read of notes from the store succeeded. A pause of the host resets it.
 	storeReachable atomic.Bool
 	// storeRead is set by the first attempt to read notes from the store.
@@ -129,7 +132,7 @@
 // Errors are ErrListen or certificate.ErrFile.
 func New(c Config) (*Host, func(), error) {
 	h := &Host{
-		config: c, settings: c.Settings, start: time.Now(), chain: &note.Chain{},
+		config: c, settings: c.Settings, start: time.Now(), chain: &note.Chain{}, listenerFailed: make(chan error, 2),
 		noteHints: ring.NewQueue[noteHint](ring.Config{Capacity: maxNoteHints}), heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}),
 		quarantine: quarantine.New(quarantine.Config{Targets: crashesToQuarantine}), histograms: meter.NewHistograms(), peerCounts: newPeerCounts(), homes: homeTracker{primary: map[string]string{}}, tableAssembler: newTableAssembler(),
 	}
@@ -144,6 +147,17 @@
 	return h, closeAll, nil
 }
 
+// newListener returns a listener that outlasts errors; key is its settings key.
+func (h *Host) newListener(key string, l net.Listener) net.Listener {
+	return socket.NewListener(socket.ListenerConfig{
+		Listener: l,
+		OnRetry: func(err error, failures int64) {
+			h.config.Logger.Warn().Err(err).Str("Listener", key).Int64("Failures", failures).Msg("accepting connections failed; trying again")
+		},
+		OnFailure: func(err error) { h.listenerFailed <- err },
+	})
+}
+
 func (h *Host) listen() error {
 	var err error
 	if h.callerListener = h.config.Listener; h.callerListener == nil {
@@ -156,6 +170,7 @@
 			return errors.Join(ErrListen.New("[Host] Inner: %v; choose a free address", err), h.callerListener.Close())
 		}
 	}
+	h.callerListener, h.peerListener = h.newListener("Listen", h.callerListener), h.newListener("Inner", h.peerListener)
 	return nil
 }
 
@@ -236,8 +251,8 @@
 // Ready reports whether the host is ready to serve callers, so that peers may name it in address responses.
 func (h *Host) Ready() bool { return h.membership.Self().Ready }
 
-// Serve runs the host until stop is done and then stops it gracefully. When force is done, it returns without waiting for
-// requests in flight.
+// Serve runs the host until stop is done or a listener fails for good, and then stops it gracefully. When force is done, it
+// returns without waiting for requests in flight.
 func (h *Host) Serve(stop, force context.Context) error {
 	tasks := duty.NewGroup()
 	defer tasks.Stop()
@@ -249,14 +264,18 @@
 	callerServerDone := make(chan error, 1)
 	go func() { callerServerDone <- h.serveCallers() }()
 	h.startLoops(tasks)
+	var failure error
 	select {
 	case err := <-callerServerDone:
 		return errorx.Decorate(err, "HTTP server for callers stopped")
+	case err := <-h.listenerFailed:
+		failure = errorx.Decorate(err, "a listener failed")
+		h.config.Logger.Error().Err(failure).Msg("entry host stops")
 	case <-force.Done():
 		return h.callerServer.Close()
 	case <-stop.Done():
 	}
-	err = h.stopGracefully(force)
+	err = errors.Join(failure, h.stopGracefully(force))
 	if callerServerErr := <-callerServerDone; !errors.Is(callerServerErr, http.ErrServerClosed) {
 		err = errors.Join(err, callerServerErr)
 	}
--- a/internal/fakenet/network.go
+++ b/internal/fakenet/network.go
@@ -43,8 +43,13 @@
 	accept  chan net.Conn
 	once    sync.Once
 	closed  chan struct{}
+	// faults holds the errors of the next calls of Accept.
+	faults chan error
 }
 
+// maxFaults is the number of errors of Accept that a listener holds.
+const maxFaults = 64
+
 // pipeAddress is the network address of a listener or of one end of a connection.
 type pipeAddress string
 
@@ -59,6 +64,8 @@
 	select {
 	case c := <-l.accept:
 		return c, nil
+	case err := <-l.faults:
+		return nil, err
 	case <-l.closed:
 		return nil, net.ErrClosed
 	}
@@ -86,11 +93,21 @@
 		n.addressCount++
 		address = fmt.Sprintf("10.0.%d.%d:80", n.addressCount/250, n.addressCount%250+1)
 	}
-	l := &pipeListener{network: n, node: node, address: pipeAddress(address), accept: make(chan net.Conn), closed: make(chan struct{})}
+	l := &pipeListener{network: n, node: node, address: pipeAddress(address), accept: make(chan net.Conn), closed: make(chan struct{}), faults: make(chan error, maxFaults)}
 	n.listeners[address] = l
 	return l
 }
 
+// FailAccept makes the pending and the next calls of Accept fail at the listener of an address, one with each error. There may be
+// up to maxFaults.
+func (n *Network) FailAccept(address string, errs ...error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, err := range errs {
+		n.listeners[address].faults <- err
+	}
+}
+
 // pipeConn is one end of a connection, held by the node from; the other end is held by the node to. Once it is
 // blackholed, its writes succeed but the bytes are dropped.
 type pipeConn struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -400,10 +400,12 @@
 	}
 }
 
-// Serve runs the gateway until stop ends and then stops gracefully; it returns at once when force ends. Errors are
-// ErrListen or that of a failed listener.
+// Serve runs the gateway until stop ends or a listener fails for good, and then stops gracefully; it returns at once when
+// force ends. Errors are ErrListen or that of the failed listener.
 func (g *Gateway) Serve(stop, force context.Context) error {
-	listeners, err := g.listen()
+	// Each listener reports at most one failure of its own and one of its server.
+	failed := make(chan error, 2*maxListeners)
+	listeners, err := g.listen(func(err error) { failed <- err })
 	if err != nil {
 		return err
 	}
@@ -412,7 +414,6 @@
 	for _, task := range []func(context.Context){g.runHeartbeats, g.runStoreWatch, g.runStoreChecks, g.runPeerFollowing, g.runCatchUp, g.runPlacementTimers, g.runLapseCheck, g.runCounterLog, g.runReachChecks, g.runPoolSweeps, g.runElection, g.runTokenRequests, g.runProofs} {
 		tasks.Go(task)
 	}
-	failed := make(chan error, len(listeners))
 	for _, l := range listeners {
 		tasks.Go(func(ctx context.Context) {
 			if err := l.serve(ctx); err != nil {
@@ -420,9 +421,11 @@
 			}
 		})
 	}
+	var failure error
 	select {
 	case err := <-failed:
-		return errorx.Decorate(err, "a listener failed")
+		failure = errorx.Decorate(err, "a listener failed")
+		g.logger.Error().Err(failure).Msg("entry host stops")
 	case <-force.Done():
 		return nil
 	case <-stop.Done():
@@ -431,7 +434,12 @@
 		// An error of Close does not matter, as the listener is not used any more.
 		_ = listeners[callerListener].Close()
 	})
-	return nil
+	return failure
+}
+
+// logAcceptError logs a temporary error of the listener of a settings key, with the number of its errors so far.
+func (g *Gateway) logAcceptError(key string, err error, failures int64) {
+	g.logger.Warn().Err(err).Str("Listener", key).Int64("Failures", failures).Msg("accepting connections failed; trying again")
 }
 
 // listener is a listener with the function that serves its connections.
@@ -458,10 +466,14 @@
 // always set.
 const callerListener = 1
 
-// listen opens the listeners of all addresses that are set in the settings.
-func (g *Gateway) listen() ([]listener, error) {
+// maxListeners is the largest number of listeners of a gateway.
+const maxListeners = 5
+
+// listen opens the listeners of all addresses that are set in the settings. The function onFailure is called when one of them
+// cannot accept connections any more.
+func (g *Gateway) listen(onFailure func(error)) ([]listener, error) {
 	s := g.settings.Host
-	endpoints := []struct {
+	endpoints := [maxListeners]struct {
 		key, address string
 		handle       func(context.Context, net.Listener) error
 	}{
@@ -483,7 +495,9 @@
 			}
 			return nil, ErrListen.New("[Host] %s: %v; choose a free address", e.key, err)
 		}
-		listeners = append(listeners, listener{l, e.handle})
+		listeners = append(listeners, listener{socket.NewListener(socket.ListenerConfig{
+			Listener: l, OnFailure: onFailure, OnRetry: func(err error, failures int64) { g.logAcceptError(e.key, err, failures) },
+		}), e.handle})
 	}
 	return listeners, nil
 }
--- /dev/null
+++ b/internal/socket/listener_test.go
@@ -0,0 +1,73 @@
+package socket
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"briarcroft/internal/fakenet"
+
+	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
+)
+
+// acceptError returns an error as net.Listener.Accept returns it.
+func acceptError(errno error) error {
+	return &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", errno)}
+}
+
+// TestListenerOutlastsErrors guards against a server that ends because one call of Accept has failed.
+func TestListenerOutlastsErrors(t *testing.T) {
+	cases := []struct {
+		err       error
+		temporary bool
+	}{
+		{unix.EMFILE, true}, {unix.ENFILE, true}, {unix.ENOBUFS, true}, {unix.ENOMEM, true}, {unix.ECONNABORTED, true}, {unix.EPROTO, true},
+		{unix.EBADF, false}, {unix.EINVAL, false},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			is, network := is.New(t), fakenet.New()
+			defer network.CloseAll()
+			retries, failed := 0, make(chan error, 1)
+			l := NewListener(ListenerConfig{
+				Listener: network.Listen("server", "10.0.0.1:80"), OnRetry: func(error, int64) { retries++ }, OnFailure: func(err error) { failed <- err },
+			})
+			accepted := make(chan error)
+			go func() {
+				for {
+					_, err := l.Accept()
+					accepted <- err
+					if err != nil {
+						return
+					}
+				}
+			}()
+			for range 5 {
+				network.FailAccept("10.0.0.1:80", acceptError(c.err))
+			}
+			time.Sleep(10 * maxAcceptPause)
+			conn, err := network.Dialer("client")(context.Background(), "tcp", "10.0.0.1:80")
+			if c.temporary {
+				is.NoErr(err)
+				is.NoErr(<-accepted)
+				is.NoErr(conn.Close())
+				is.Equal(l.Failures(), int64(5))
+				is.Equal(retries, 1) // within one second
+				network.FailAccept("10.0.0.1:80", acceptError(c.err))
+				synctest.Wait() // Accept pauses when the listener is closed
+			} else {
+				is.True(err != nil)
+				is.True(errors.Is(<-failed, c.err))
+			}
+			closed := time.Now()
+			is.NoErr(l.Close())
+			is.Equal(<-accepted, net.ErrClosed)
+			is.Equal(time.Since(closed), time.Duration(0))
+		})
+	}
+}
