Count the connections of a host by what holds them

Each caller's connection now has a state that follows from its progress: Unused, Reading, Busy, CallerLeft, Idle or Closing. The metrics page and the line "counters", which is written every 5 s, show the number of each, the connections to targets (busy and idle), to and from peers and to pages, the descriptors with their limit, and the errors of Accept.

TestConnectionsAreCounted holds a connection in each state and reads the counts; there was nothing to read before. Not counted: connections to the store, of which a host has a few, and those to targets that are not registered any more while their last request runs.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -47,6 +47,8 @@
 	closesWhenIdle bool
 	// lastDone is closed when the last accepted request has been answered.
 	lastDone chan struct{}
+	// progress is guarded by mu.
+	progress connProgress
 	// pipelineSlots holds one item for each request in progress, up to maxPipelined.
 	pipelineSlots chan struct{}
 }
@@ -77,6 +79,7 @@
 		c.address = host
 	}
 	close(c.lastDone)
+	c.update(func(*connProgress) {})
 	return c
 }
 
@@ -110,6 +113,7 @@
 	go func() {
 		defer close(readEnded)
 		if _, err := io.Copy(io.Discard, c.conn.Conn); err == nil {
+			c.update(func(p *connProgress) { p.left = true })
 			c.cancel()
 		}
 	}()
@@ -123,6 +127,8 @@
 // lingeringClose closes the connection after the caller had time to read the last response. Closing at once would
 // reset the connection if the caller has sent more data.
 func (c *callerConn) lingeringClose() {
+	c.update(func(p *connProgress) { p.lingering = true })
+	defer c.update(func(p *connProgress) { p.closed = true })
 	if closer, ok := c.conn.Conn.(interface{ CloseWrite() error }); ok {
 		// An error does not matter: the connection is closed completely below.
 		_ = closer.CloseWrite()
@@ -141,6 +147,8 @@
 		return nil, nil, false
 	}
 	c.accepted++
+	c.progress.reading = false
+	c.countState()
 	c.closing = closeAfter
 	done, previous = make(chan struct{}), c.lastDone
 	c.lastDone = done
@@ -177,6 +185,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.responded++
+	c.countState()
 	if end {
 		c.closing = true
 		// A deadline in the past ends the pending read of the next request.
@@ -218,6 +227,7 @@
 	if rejected == nil {
 		// The caller has disconnected, or was idle for too long.
 		if c.callerDisconnected() {
+			c.update(func(p *connProgress) { p.left = true })
 			c.cancel()
 		}
 		return
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -26,15 +26,15 @@
 	pageReadTimeout = 3 * time.Second
 )
 
-// serveHTTP serves pages of the host itself until the context ends.
-func serveHTTP(ctx context.Context, l net.Listener, handler http.Handler) error {
+// servePages serves pages of the host itself until the context ends.
+func (g *Gateway) servePages(ctx context.Context, l net.Listener, handler http.Handler) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: pageReadTimeout, IdleTimeout: 4 * pageReadTimeout}
 	stop := context.AfterFunc(ctx, func() {
 		// Requests to these pages are short, so they are not waited for; the listener is closed with the host.
 		_ = server.Close()
 	})
 	defer stop()
-	err := server.Serve(l)
+	err := server.Serve(countedListener{l, &g.connections.pages})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -49,7 +49,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return serveHTTP(ctx, l, mux)
+	return g.servePages(ctx, l, mux)
 }
 
 // serveDirectory serves the directory, which tells callers the addresses of entry hosts to connect to.
@@ -64,7 +64,7 @@
 		}
 		page.WriteJSON(w, http.StatusOK, g.dialect.AddressesBody(addresses, int(g.reloadable.Load().Limits.AddressMaxAge/time.Second)))
 	})
-	return serveHTTP(ctx, l, mux)
+	return g.servePages(ctx, l, mux)
 }
 
 // addresses returns the addresses of ready hosts for a caller of a failure domain and region. Callers choose among them
@@ -107,7 +107,7 @@
 	mux.HandleFunc("GET /Status", g.serveStatus)
 	mux.Handle("GET /Explain", g.records)
 	mux.HandleFunc("GET /Allowance", g.serveAllowance)
-	return serveHTTP(ctx, l, mux)
+	return g.servePages(ctx, l, mux)
 }
 
 // serveNote serves the status of the note, that is the configuration revision, in force.
@@ -182,6 +182,9 @@
 		{"TargetNotices", func() any { return s.notices.Load() }},
 		{"ReachChecks", func() any { return s.reachChecks.Load() }},
 		{"SlowReaders", func() any { return s.slowReaders.Load() }},
+		{"Connections", func() any { return g.connectionCounts() }},
+		{"Descriptors", func() any { return g.descriptorCounts() }},
+		{"AcceptFailures", func() any { return s.acceptFailures.Load() }},
 		{"OpenConnections", func() any { return g.openConns.Load() }},
 		{"Note", func() any { return g.chain.Number() }},
 		{"UnwrittenLines", func() any { return g.requestLog.unwritten.Load() + g.records.Unwritten() }},
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -66,3 +66,9 @@
 	}
 	return 0, false
 }
+
+// ConnectionCounts returns the number of open connections as the metrics show it.
+func (g *Gateway) ConnectionCounts() ConnectionCounts { return g.connectionCounts() }
+
+// ConnectionCounts are the counts of the metrics.
+type ConnectionCounts = connectionCounts
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -212,6 +212,7 @@
 	// callerConns holds the open connections of callers as keys.
 	callerConns sync.Map
 	openConns   atomic.Int64
+	connections connections
 	// background is the context of health probes and of requests that continue after their caller has disconnected.
 	background context.Context
 }
@@ -437,7 +438,7 @@
 	return failure
 }
 
-// logAcceptError logs a temporary error of the listener of a settings key, with the number of its errors so far.
+// logAcceptError logs a temporary error of the listener of a settings key, with the number of errors of all listeners so far.
 func (g *Gateway) logAcceptError(key string, err error, failures int64) {
 	g.logger.Warn().Err(err).Str("Listener", key).Int64("Failures", failures).Msg("accepting connections failed; trying again")
 }
@@ -496,7 +497,7 @@
 			return nil, ErrListen.New("[Host] %s: %v; choose a free address", e.key, err)
 		}
 		listeners = append(listeners, listener{socket.NewListener(socket.ListenerConfig{
-			Listener: l, OnFailure: onFailure, OnRetry: func(err error, failures int64) { g.logAcceptError(e.key, err, failures) },
+			Listener: l, Failures: &g.stats.acceptFailures, OnFailure: onFailure, OnRetry: func(err error, failures int64) { g.logAcceptError(e.key, err, failures) },
 		}), e.handle})
 	}
 	return listeners, nil
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -18,7 +18,7 @@
 
 // servePeers serves the RPCs of other hosts until the context ends.
 func (g *Gateway) servePeers(ctx context.Context, l net.Listener) error {
-	done, err := inner.Serve(ctx, inner.ServerConfig{Listener: l, Handler: &peerServer{gateway: g}})
+	done, err := inner.Serve(ctx, inner.ServerConfig{Listener: countedListener{l, &g.connections.fromPeers}, Handler: &peerServer{gateway: g}})
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -151,6 +151,19 @@
 	}
 }
 
+// usage returns the number of this host's connections to all targets.
+func (p *pools) usage() backend.Usage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var sum backend.Usage
+	for _, entry := range p.byKey {
+		u := entry.Usage()
+		sum.Open += u.Open
+		sum.Idle += u.Idle
+	}
+	return sum
+}
+
 // busy returns the number of this host's connections to a target that carry a request or are being opened for one.
 func (p *pools) busy(name, address string) int {
 	p.mu.Lock()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -79,6 +79,7 @@
 	if !c.awaitFirstByte(limits) {
 		return nil, nil
 	}
+	c.update(func(p *connProgress) { p.reading = true })
 	arrived := c.gateway.now()
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	r, err := http.ReadRequest(c.reader)
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -168,6 +168,8 @@
 	storeBytesSent, storeBytesReceived, followsStarted atomic.Int64
 	// ownDomainBytes counts the bytes of responses of targets in this host's failure domain, and otherDomainBytes those of others.
 	ownDomainBytes, otherDomainBytes atomic.Int64
+	// acceptFailures counts the errors of Accept on all listeners.
+	acceptFailures atomic.Int64
 	// secondRuns counts second runs under a limit of the operators, by this host as a home.
 	secondRuns secondRunStats
 }
@@ -192,6 +194,7 @@
 			Int64("StoreCalls", s.storeCalls.Load()).Int64("StoreChecks", s.storeChecks.Load()).Dur("StoreAgeMilliseconds", g.knowledgeAge()).Int64("StoreBytesSent", s.storeBytesSent.Load()).
 			Int64("StoreBytesReceived", s.storeBytesReceived.Load()).Int64("FollowsStarted", s.followsStarted.Load()).
 			Int64("OwnDomainBytes", s.ownDomainBytes.Load()).Int64("OtherDomainBytes", s.otherDomainBytes.Load()).
+			Interface("Connections", g.connectionCounts()).Interface("Descriptors", g.descriptorCounts()).Int64("AcceptFailures", s.acceptFailures.Load()).
 			Int("Followers", g.followers.count()).Int("LiveHosts", len(g.members.Live(g.now()))).
 			Msg("counters")
 	}
--- a/internal/inner/client.go
+++ b/internal/inner/client.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,7 +56,9 @@
 	// sent and received count bytes over all connections.
 	sent     atomic.Int64
 	received atomic.Int64
-	traffic  traffic
+	// open is the number of open connections.
+	open    atomic.Int64
+	traffic traffic
 }
 
 // NewClient returns a client and a function that closes its connections.
@@ -120,6 +123,9 @@
 // BytesSent returns the number of bytes sent to all peers, TLS records included.
 func (c *Client) BytesSent() int64 { return c.sent.Load() }
 
+// OpenConnections returns the number of open connections to all peers.
+func (c *Client) OpenConnections() int { return int(c.open.Load()) }
+
 // BytesReceived returns the number of bytes received from all peers, TLS records included.
 func (c *Client) BytesReceived() int64 { return c.received.Load() }
 
@@ -128,7 +134,8 @@
 	if err != nil {
 		return nil, ErrPeerFailed.New("cannot connect to peer %s (%v); the next heartbeat tries again", address, err)
 	}
-	conn = &countedConn{conn, &c.sent, &c.received, &c.trafficWith(address)[trafficConnections]}
+	c.open.Add(1)
+	conn = &countedConn{Conn: conn, sent: &c.sent, received: &c.received, traffic: &c.trafficWith(address)[trafficConnections], open: &c.open}
 	if c.config.TLS != nil {
 		conn = tls.Client(conn, c.config.TLS)
 	}
@@ -140,6 +147,14 @@
 	net.Conn
 	sent, received *atomic.Int64
 	traffic        *trafficCounter
+	open           *atomic.Int64
+	once           sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
 }
 
 // Read implements net.Conn.
--- a/internal/socket/listener.go
+++ b/internal/socket/listener.go
@@ -29,6 +29,8 @@
 // ListenerConfig configures a Listener.
 type ListenerConfig struct {
 	Listener net.Listener
+	// Failures counts the errors of Accept, of several listeners if they share it; nil means a counter of its own.
+	Failures *atomic.Int64
 	// OnRetry is called after a temporary error, at most once a second, with the number of errors so far; it may be nil.
 	OnRetry func(err error, failures int64)
 	// OnFailure is called once if the listener cannot accept connections any more, and must not block; it may be nil.
@@ -40,7 +42,6 @@
 type Listener struct {
 	net.Listener
 	config   ListenerConfig
-	failures atomic.Int64
 	log      rate.Sometimes
 	once     sync.Once
 	closed   chan struct{}
@@ -49,12 +50,12 @@
 
 // NewListener returns a listener that accepts the connections of another one.
 func NewListener(c ListenerConfig) *Listener {
+	if c.Failures == nil {
+		c.Failures = new(atomic.Int64)
+	}
 	return &Listener{Listener: c.Listener, config: c, log: rate.Sometimes{Interval: retryLogInterval}, closed: make(chan struct{})}
 }
 
-// Failures returns the number of errors of Accept so far.
-func (l *Listener) Failures() int64 { return l.failures.Load() }
-
 // Accept implements net.Listener; its only error is net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for pause := minAcceptPause; ; pause = min(2*pause, maxAcceptPause) {
@@ -65,7 +66,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil, net.ErrClosed
 		}
-		failures := l.failures.Add(1)
+		failures := l.config.Failures.Add(1)
 		if !isTemporary(err) {
 			l.fail(err)
 			return nil, net.ErrClosed
--- a/internal/socket/listener_test.go
+++ b/internal/socket/listener_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,9 +34,9 @@
 		synctest.Test(t, func(t *testing.T) {
 			is, network := is.New(t), fakenet.New()
 			defer network.CloseAll()
-			retries, failed := 0, make(chan error, 1)
+			retries, failed, failures := 0, make(chan error, 1), new(atomic.Int64)
 			l := NewListener(ListenerConfig{
-				Listener: network.Listen("server", "10.0.0.1:80"), OnRetry: func(error, int64) { retries++ }, OnFailure: func(err error) { failed <- err },
+				Listener: network.Listen("server", "10.0.0.1:80"), Failures: failures, OnRetry: func(error, int64) { retries++ }, OnFailure: func(err error) { failed <- err },
 			})
 			accepted := make(chan error)
 			go func() {
@@ -56,7 +57,7 @@
 				is.NoErr(err)
 				is.NoErr(<-accepted)
 				is.NoErr(conn.Close())
-				is.Equal(l.Failures(), int64(5))
+				is.Equal(failures.Load(), int64(5))
 				is.Equal(retries, 1) // within one second
 				network.FailAccept("10.0.0.1:80", acceptError(c.err))
 				synctest.Wait() // Accept pauses when the listener is closed
