--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -42,7 +42,7 @@
 		_ = server.Close()
 	})
 	defer stop()
-	err := server.Serve(l)
+	err := server.Serve(countedListener{l, &g.connections.pages})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -190,6 +190,9 @@
 		{"TargetNotices", func() any { return s.notices.Load() }},
 		{"ReachChecks", func() any { return s.reachChecks.Load() }},
 		{"SlowReaders", func() any { return s.slowReaders.Load() }},
+		{"Connections", func() any { return g.connectionCounts() }},
+		{"Descriptors", func() any { return g.descriptorCounts() }},
+		{"AcceptFailures", func() any { return s.acceptFailures.Load() }},
 		{"OpenConnections", func() any { return g.openConns.Load() }},
 		{"Note", func() any { return g.chain.Number() }},
 		{"UnwrittenLines", func() any { return g.unwrittenLines() }},
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -19,7 +19,7 @@
 // servePeers serves the RPCs of other hosts until the context ends.
 func (g *Gateway) servePeers(ctx context.Context, l net.Listener) error {
 	done, err := inner.Serve(ctx, inner.ServerConfig{
-		Listener: l, Handler: &peerServer{gateway: g}, OnPanic: func(call string, value any) { g.recovered(call, value) },
+		Listener: countedListener{l, &g.connections.fromPeers}, Handler: &peerServer{gateway: g}, OnPanic: func(call string, value any) { g.recovered(call, value) },
 	})
 	if err != nil {
 		return err
--- a/internal/socket/accept_test.go
+++ b/internal/socket/accept_test.go
@@ -13,8 +13,9 @@
 // resets them.
 func TestWaitingConnectionsAreAccepted(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
+	l := NewListener(ListenerConfig{Listener: socket})
 	defer l.Close()
 	const connections = 20
 	for range connections {
