Keep the addresses of all hosts in the store, so that a restarted part of the fleet elects no second holder (QUOTA)

Cause: a host may vote for and be the holder of token buckets only while it sees most of the fleet, and it took the fleet for the hosts that it had seen itself since its start and those whose addresses are in the store. Only watchers, one in each failure domain, wrote theirs. Hosts that started behind a cut therefore took their part for most of the fleet and elected a holder beside the one of the other part.

The same count bounds the retry slack of a primary home, which went by the hosts seen since the start (the same cause). A host that knows no peer tries eight stored addresses in a round, instead of all.

--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -198,7 +198,7 @@
 // of fallbackSlackShare, since every host of the fleet may act as one at the same time. So does a primary home that
 // sees no more than half of the fleet, since the other part may have a primary home of its own.
 func (s *homeServer) retrySlack(primary bool, live int) float64 {
-	total, fleet := float64(s.gateway.reloadable.Load().Retries.Slack), s.gateway.members.FleetSize()
+	total, fleet := float64(s.gateway.reloadable.Load().Retries.Slack), s.gateway.fleetSize()
 	if primary && 2*live > fleet {
 		return primarySlackShare * total
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -124,14 +124,19 @@
 	g.heartbeats.Round(ctx, g.addStoredPeers(recipients))
 }
 
-// addStoredPeers adds the addresses of hosts that are registered in the store while no peer is known.
+// maxStoredPeers is the number of hosts in the store that a host tries in one round of heartbeats while it knows no peer.
+const maxStoredPeers = 8
+
+// addStoredPeers adds the addresses of up to maxStoredPeers random hosts that are registered in the store while no peer is known.
 func (g *Gateway) addStoredPeers(recipients []string) []string {
 	if !g.members.Alone() {
 		return recipients
 	}
+	added := 0
 	for _, address := range g.roster.View().PeerAddresses {
-		if address != g.settings.Host.PeerAddress() {
+		if address != g.settings.Host.PeerAddress() && added < maxStoredPeers {
 			recipients = append(recipients, address)
+			added++
 		}
 	}
 	return recipients
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -31,8 +31,8 @@
 	firstWatchDelay = 800 * time.Millisecond
 	// changeBatchDelay is how long to wait after a call that returned changes, so that the next one returns several.
 	changeBatchDelay = 100 * time.Millisecond
-	// registerDelay is how long after its start a host first registers its address in the store. By then it knows its
-	// peers, and only watchers register.
+	// registerDelay is how long after its start a host first writes addresses of hosts to the store. By then it knows its
+	// peers, and only watchers write.
 	registerDelay = 4 * time.Second
 	// firstRetryPause is the pause after the first failed call in a row.
 	firstRetryPause = 20 * time.Millisecond
@@ -92,7 +92,7 @@
 		if !watching {
 			pause := firstWatchDelay - g.now()
 			if pause <= 0 {
-				w, pause = watcher{gateway: g}, watchRetryPause
+				w.revision, w.undisturbed, w.failures, pause = 0, false, 0, watchRetryPause
 			}
 			duty.Sleep(ctx, min(pause, watchRetryPause))
 			continue
@@ -108,27 +108,24 @@
 	gateway *Gateway
 	// revision is the store revision up to which changes were read; 0 means that a snapshot must be read.
 	revision int64
-	// registered is set once this host's address is in the store.
-	registered bool
+	// addresses are those of hosts in the store.
+	addresses addressKeeper
 	// undisturbed is set if nothing had changed when the last call ended.
 	undisturbed bool
 	// failures counts failed calls in a row.
 	failures int
 }
 
-// call makes the next call to the store: a snapshot, the registration of this host or a wait for changes.
+// call makes the next call to the store: a snapshot, a write of addresses of hosts or a wait for changes.
 func (w *watcher) call(ctx context.Context) error {
 	g := w.gateway
 	var err error
 	undisturbed := false
 	switch {
 	case w.revision == 0:
-		// What this host has written may be gone with the history that it missed.
-		w.registered = false
 		w.revision, err = g.readSnapshot(ctx)
-	case !w.registered && g.now() > registerDelay && g.isWatcher():
-		err = g.register(ctx)
-		w.registered = err == nil
+	case w.addresses.due(g):
+		err = w.addresses.write(ctx, g)
 	default:
 		var changes int
 		wait, proofDelay := w.waitTime()
@@ -233,16 +230,6 @@
 	return next, len(changes), nil
 }
 
-// register writes the inner address of this host to the store, where hosts that know no peer find it.
-func (g *Gateway) register(ctx context.Context) error {
-	key := g.dialect.PeerKey(g.settings.Host.Name)
-	if g.roster.Stored(key) && g.roster.View().PeerAddresses[key] == g.settings.Host.PeerAddress() {
-		return nil
-	}
-	g.stats.storeCalls.Add(1)
-	return g.config.Store.Write(ctx, []platform.Entry{{Key: key, Value: []byte(g.settings.Host.PeerAddress())}}, nil)
-}
-
 // markStoreReturned handles the end of an outage of the store and reports it to the followers. A host that alone had lost the
 // store has not seen an outage: others knew the store's content all the while.
 func (g *Gateway) markStoreReturned() {
--- a/internal/host/table.go
+++ b/internal/host/table.go
@@ -220,20 +220,27 @@
 	}
 }
 
-// FleetSize returns the number of hosts that may be running, this one included. Dead hosts that did not
+// Counted returns the names of the hosts that may be running, this one included, in no particular order. Dead hosts that did not
 // stop gracefully count for countedAfterRemoval and longer, because they may be running where this host cannot reach them.
-func (t *MemberTable) FleetSize() int {
+func (t *MemberTable) Counted() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	size := len(t.peers) + 1
+	names := make([]string, 0, len(t.peers)+len(t.removed)+1)
+	names = append(names, t.self.Name)
+	for name := range t.peers {
+		names = append(names, name)
+	}
 	for name := range t.removed {
 		if t.peers[name] == nil {
-			size++
+			names = append(names, name)
 		}
 	}
-	return size
+	return names
 }
 
+// FleetSize returns the number of hosts that Counted names.
+func (t *MemberTable) FleetSize() int { return len(t.Counted()) }
+
 // HeartbeatFailed records that the peer at an inner address did not answer a heartbeat. A leaving peer counts as dead
 // from the next round on. Any other may still be reachable from other hosts, and counts as dead only when no host has
 // passed on a new heartbeat of it within deadAfter.
