Gateway: a response counts only with the attempt ID of its request

Callers saw 503 for unsafe requests that a target had run or was running, and such requests ran at a second target.

Cause: responseMatches accepted a response without an attempt ID for any request. Health probes have no ID and shared their connections with runs. A faulty target that wrote the refusal of a probe a second time, after the connection had been taken for a run, thereby answered the run: "not run". The real response came later and was dropped with the connection, or the request was sent to the next target.

Now the pool compares the IDs itself: - A response with another ID is read past. One without an ID is no promise and no success: it counts as a broken connection, or is read past if the request must not be sent elsewhere and the connection has carried others, whose response it can be. - Probes have connections of their own, at most one of them kept idle. They get no invented ID. - A request of a caller without an ID uses a new connection that carries nothing else. - A connection does not carry an ID twice among its last 16 requests, so a second copy of a refusal cannot answer the retry. - A response to another request is not read past if it is unknown whether that one had the method HEAD: its end would be unknown. - A change of the protocol, which no request asks for, is no response. Connections on which writing failed are not kept. - The idle time that a target names in Keep-Alive cannot overflow.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -6,8 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -22,6 +25,9 @@
 	// before the one to a request. A backend server that sends more is cut off; bodies that are passed on have no bound.
 	maxHeadBytes    = 64 << 10
 	maxSkippedBytes = 1 << 20
+	// rememberedIDs is the number of last requests whose IDs a connection remembers. A further response to one of them may
+	// arrive late, so none is sent again there.
+	rememberedIDs = 16
 )
 
 var (
@@ -29,12 +35,26 @@
 	writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
 )
 
-// errTooManySkipped reports that maxSkippedResponses responses were received and none of them belongs to the request.
 var (
+	// errTooManySkipped reports that maxSkippedResponses responses were received and none of them belongs to the request.
 	errTooManySkipped = errors.New("too many responses to other requests")
 	errTooManyBytes   = errors.New("more bytes than a response may have")
+	errUnidentified   = errors.New("a response without the ID of the request")
+	// errUnknownEnd reports a response to another request that may or may not have had the method HEAD, so that its end is unknown.
+	errUnknownEnd        = errors.New("a response to another request whose end is unknown")
+	errSwitchesProtocols = errors.New("a change of the protocol that was not asked for")
 )
 
+// expected is the response that a request expects.
+type expected struct {
+	// idOf is Config.ID, id the ID of the request, and once is Options.Once.
+	idOf func(http.Header) string
+	id   string
+	once bool
+	// alone is set for a request that has no ID although others have: its connection carries no other request.
+	alone bool
+}
+
 // connection is a connection to a backend server, which carries one request at a time.
 type connection struct {
 	net.Conn
@@ -46,8 +66,13 @@
 	// bodySent is closed when the request has been written or writing it has failed; it is nil if the request was written
 	// before its response was read.
 	bodySent chan struct{}
-	// sendErr is why the request could not be written; it may be read once bodySent is closed.
+	// sendErr is why the request could not be written; it may be read once bodySent is nil or closed.
 	sendErr error
+	// ids holds the hashes of the IDs of the last requests, and count is the number of all requests.
+	ids   [rememberedIDs]uint64
+	count int
+	// heads is set once a request had the method HEAD, and others once one had another method.
+	heads, others bool
 	// lastUsed is when the last response was read completely; the connection must not be used after idleUntil.
 	lastUsed, idleUntil time.Time
 }
@@ -72,30 +97,39 @@
 	_ = c.Conn.SetDeadline(time.Unix(1, 0))
 }
 
-// roundTrip sends a request and reads the header of its response; match is Config.MatchResponse.
-func (c *connection) roundTrip(r *http.Request, match func(*http.Request, *http.Response) bool) (*http.Response, error) {
+// carried reports whether one of the last requests had the ID.
+func (c *connection) carried(id string) bool {
+	return id != "" && slices.Contains(c.ids[:min(c.count, rememberedIDs)], xxhash.Sum64String(id))
+}
+
+// roundTrip sends a request and reads the header of its response.
+func (c *connection) roundTrip(r *http.Request, e expected) (*http.Response, error) {
 	c.reader = readerPool.Get().(*bufio.Reader)
 	c.reader.Reset(c)
-	sendErr := c.send(r)
-	response, err := c.receive(r, match)
-	if err != nil && sendErr != nil {
-		return nil, sendErr
+	c.ids[c.count%rememberedIDs] = xxhash.Sum64String(e.id)
+	c.count++
+	c.heads = c.heads || r.Method == http.MethodHead
+	c.others = c.others || r.Method != http.MethodHead
+	c.send(r)
+	response, err := c.receive(r, e)
+	if err != nil && c.bodySent == nil && c.sendErr != nil && !errors.Is(err, errUnidentified) {
+		return nil, c.sendErr
 	}
 	return response, err
 }
 
 // send writes the request. A request whose body is large or of unknown length is written in the background, since the
 // backend server may respond before it has read the whole body.
-func (c *connection) send(r *http.Request) error {
+func (c *connection) send(r *http.Request) {
 	if r.ContentLength >= 0 && r.ContentLength <= maxInlineBody {
-		return c.write(r)
+		c.sendErr = c.write(r)
+		return
 	}
 	c.bodySent = make(chan struct{})
 	go func() {
 		defer close(c.bodySent)
 		c.sendErr = c.write(r)
 	}()
-	return nil
 }
 
 func (c *connection) write(r *http.Request) error {
@@ -110,7 +144,7 @@
 
 // receive reads the header of the response to the request. Informational responses and responses to other requests are
 // skipped.
-func (c *connection) receive(r *http.Request, match func(*http.Request, *http.Response) bool) (*http.Response, error) {
+func (c *connection) receive(r *http.Request, e expected) (*http.Response, error) {
 	skipped := 0
 	for range maxSkippedResponses {
 		c.bounded, c.allowed = true, maxHeadBytes
@@ -118,9 +152,16 @@
 		switch {
 		case err != nil:
 			return nil, err
-		case response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols:
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errSwitchesProtocols
+		case response.StatusCode < http.StatusOK:
 			continue
-		case match == nil || match(r, response):
+		}
+		belongs, err := c.belongs(response, e)
+		if err != nil {
+			return nil, err
+		}
+		if belongs {
 			c.bounded = false
 			return response, nil
 		}
@@ -134,19 +175,37 @@
 	return nil, errTooManySkipped
 }
 
+// belongs reports whether a response belongs to the request. If it does not, it belongs to an earlier one and can be skipped.
+func (c *connection) belongs(response *http.Response, e expected) (bool, error) {
+	if e.idOf == nil {
+		return true, nil
+	}
+	id := e.idOf(response.Header)
+	switch {
+	case id == e.id:
+		return true, nil
+	case e.alone, id == "" && (!e.once || c.count == 1):
+		// The response can be no other request's, or the request can be sent elsewhere.
+		return false, errUnidentified
+	case c.heads && c.others:
+		return false, errUnknownEnd
+	}
+	return false, nil
+}
+
 // release returns the buffers to the pool after a complete response and reports whether the connection can be reused.
 func (c *connection) release() bool {
 	if c.bodySent != nil {
 		select {
 		case <-c.bodySent:
-			if c.sendErr != nil {
-				return false
-			}
 		default:
 			return false
 		}
 		c.bodySent = nil
 	}
+	if c.sendErr != nil {
+		return false
+	}
 	if c.reader.Buffered() > 0 {
 		// Data after the end of the response belongs to no request.
 		return false
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -55,10 +55,10 @@
 		{"header fields", ok, strings.Repeat("A: b\r\n", 200), maxHeadBytes, true},
 		{"interim responses", "", strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 10), maxHeadBytes, false},
 		{"interim response with an endless header", "HTTP/1.1 103 Early Hints\r\nA: ", strings.Repeat("x", 1000), maxHeadBytes, true},
-		{"body of a response to another request", ok + "Other: 1\r\n\r\n", strings.Repeat("x", 1000), maxSkippedBytes, true},
-		{"chunked body of a response to another request", ok + "Other: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + strings.Repeat("x", 1000) + "\r\n", maxSkippedBytes, true},
-		{"chunk header", ok + "Other: 1\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("0", 1000), maxSkippedBytes, false},
-		{"trailer", ok + "Other: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("A: b\r\n", 200), maxSkippedBytes, false},
+		{"body of a response to another request", ok + "Id: other\r\n\r\n", strings.Repeat("x", 1000), maxSkippedBytes, true},
+		{"chunked body of a response to another request", ok + "Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + strings.Repeat("x", 1000) + "\r\n", maxSkippedBytes, true},
+		{"chunk header", ok + "Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("0", 1000), maxSkippedBytes, false},
+		{"trailer", ok + "Id: other\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("A: b\r\n", 200), maxSkippedBytes, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -66,12 +66,13 @@
 			server := endlessServer{prefix: c.prefix, pattern: c.pattern}
 			pool, closePool := New(Config{
 				Address: "endless", MaxConnections: 1, DialTimeout: time.Second, Dial: server.dial,
-				MatchResponse: func(_ *http.Request, r *http.Response) bool { return r.Header.Get("Other") == "" },
+				ID: func(h http.Header) string { return h.Get("Id") },
 			})
 			defer closePool()
 			// The context has no deadline: only the bound can end the request.
 			r, err := http.NewRequest(http.MethodGet, "http://endless/", nil)
 			is.NoErr(err)
+			r.Header.Set("Id", "own")
 			_, err = pool.Do(r, Options{})
 			is.True(errorx.IsOfType(err, ErrConnectionBroke))
 			is.Equal(errorx.IsOfType(err, ErrResponseTooLarge), c.tooLarge)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,6 +30,9 @@
 // ErrConnectionBroke reports that the connection broke after sending began; the backend server may have run the request.
 var ErrConnectionBroke = namespace.NewType("broken")
 
+// ErrUnidentifiedResponse is an ErrConnectionBroke: the response had no ID, so it does not show what became of the request.
+var ErrUnidentifiedResponse = ErrConnectionBroke.NewSubtype("unidentified")
+
 // ErrResponseTooLarge is an ErrConnectionBroke: the backend server sent more bytes than the header of a response, or the
 // responses that are skipped before it, may have. It may go on without end, so the connection was closed.
 var ErrResponseTooLarge = ErrConnectionBroke.NewSubtype("too_large")
@@ -61,8 +66,10 @@
 	// UnackedTimeout is how long sent data may remain unacknowledged before a connection is closed; zero means 15 s.
 	// It has no effect if Dial is set.
 	UnackedTimeout time.Duration
-	// MatchResponse reports whether a response belongs to a request; other responses are skipped. Nil accepts all responses.
-	MatchResponse func(*http.Request, *http.Response) bool
+	// ID returns the ID in the header of a request or a response, or an empty string if it has none. Only a response with the ID
+	// of its request counts; a request without one gets a connection of its own. Nil means that requests have no IDs, and each
+	// response counts as one to the last request.
+	ID func(http.Header) string
 	// Dial opens connections; nil means TCP.
 	Dial DialFunc
 }
@@ -185,9 +192,9 @@
 
 // Options restricts the connections that a request may use.
 type Options struct {
-	// RecentlyUsed allows only a new connection or one that carried a response within Config.RecentUseWindow. Requests
-	// that must not be sent twice use it, since their outcome would be unknown if the connection broke.
-	RecentlyUsed bool
+	// Once is set for requests that must not be sent twice, since their outcome would be unknown if the connection broke. They
+	// use only a new connection or one that carried a response within Config.RecentUseWindow, and skip responses without an ID.
+	Once bool
 	// NewConnection allows only a new connection.
 	NewConnection bool
 }
@@ -195,21 +202,29 @@
 // Do sends a request once. Errors are of type ErrNotSent, ErrPoolExhausted or ErrConnectionBroke.
 // The caller must close the response's body; the connection is reused if the body was read to its end.
 func (p *Pool) Do(r *http.Request, o Options) (*http.Response, error) {
-	c, err := p.acquire(r.Context(), o)
+	e := expected{idOf: p.config.ID, once: o.Once}
+	if e.idOf != nil {
+		e.id = e.idOf(r.Header)
+		e.alone = e.id == ""
+	}
+	c, err := p.acquire(r.Context(), o, e)
 	if err != nil {
 		return nil, err
 	}
 	stop := context.AfterFunc(r.Context(), c.interrupt)
-	response, err := c.roundTrip(r, p.config.MatchResponse)
+	response, err := c.roundTrip(r, e)
 	if err != nil {
 		stop()
 		p.discard(c)
-		if c.exceeded {
+		switch {
+		case c.exceeded:
 			return nil, ErrResponseTooLarge.New("backend server %s sent more bytes than a response may have; its connection was closed and the request may have run", p.config.Address)
+		case errors.Is(err, errUnidentified):
+			return nil, ErrUnidentifiedResponse.New("backend server %s sent a response without the ID of the request, which may have run", p.config.Address)
 		}
 		return nil, ErrConnectionBroke.New("backend server %s broke the connection (%v); the request may have run", p.config.Address, err)
 	}
-	response.Body = &responseBody{ReadCloser: response.Body, pool: p, connection: c, response: response, stop: stop}
+	response.Body = &responseBody{ReadCloser: response.Body, pool: p, connection: c, response: response, stop: stop, alone: e.alone}
 	return response, nil
 }
 
@@ -229,10 +244,10 @@
 	return nil
 }
 
-// acquire returns an idle connection that the options allow, or opens a new one.
-func (p *Pool) acquire(ctx context.Context, o Options) (*connection, error) {
-	for !o.NewConnection {
-		c := p.popIdle(o.RecentlyUsed)
+// acquire returns an idle connection that the request may use, or opens a new one.
+func (p *Pool) acquire(ctx context.Context, o Options, e expected) (*connection, error) {
+	for !o.NewConnection && !e.alone {
+		c := p.popIdle(o.Once, e.id)
 		if c == nil {
 			break
 		}
@@ -244,9 +259,9 @@
 	return p.dial(ctx)
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil if there is none that may be used. It
-// closes connections that have been idle for too long.
-func (p *Pool) popIdle(recentlyUsed bool) *connection {
+// popIdle removes and returns the most recently used idle connection that has not carried a request with the ID, or nil if
+// there is none that may be used. It closes connections that have been idle for too long.
+func (p *Pool) popIdle(once bool, id string) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -257,15 +272,16 @@
 		// No data is lost on an idle connection, so an error makes no difference.
 		_ = old.Conn.Close()
 	}
-	if len(p.idle) == 0 {
-		return nil
-	}
-	c := p.idle[len(p.idle)-1]
-	if now.After(c.idleUntil) || recentlyUsed && now.Sub(c.lastUsed) > p.config.RecentUseWindow {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if now.After(c.idleUntil) || once && now.Sub(c.lastUsed) > p.config.RecentUseWindow {
+			return nil
+		}
+		if !c.carried(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	p.idle = p.idle[:len(p.idle)-1]
-	return c
+	return nil
 }
 
 // dial opens a connection unless the maximum is reached or the pool is closed.
@@ -328,6 +344,8 @@
 	stop func() bool
 	// complete is set when the end of the body was read.
 	complete bool
+	// alone is set if the connection carries no further request.
+	alone bool
 }
 
 // Read implements io.Reader.
@@ -346,7 +364,7 @@
 	b.connection = nil
 	interrupted := !b.stop()
 	complete := b.complete || b.response.ContentLength == 0 || b.ReadCloser == http.NoBody
-	if complete && !interrupted && !b.response.Close && c.release() {
+	if complete && !interrupted && !b.response.Close && !b.alone && c.release() {
 		b.pool.putIdle(c, idleTimeout(b.response.Header))
 		return nil
 	}
@@ -365,5 +383,5 @@
 	if err != nil {
 		return maxIdleTime
 	}
-	return min(maxIdleTime, time.Duration(seconds)*time.Second-keepAliveMargin)
+	return time.Duration(max(0, min(seconds, int(maxIdleTime/time.Second)+1)))*time.Second - keepAliveMargin
 }
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -70,7 +70,7 @@
 	pool, closePool := New(Config{Address: address, MaxConnections: 1, DialTimeout: time.Second})
 	defer closePool()
 	r, _ := http.NewRequest(http.MethodPost, "http://"+address, nil)
-	_, err = pool.Do(r, Options{RecentlyUsed: true})
+	_, err = pool.Do(r, Options{Once: true})
 	is.True(errorx.IsOfType(err, ErrNotSent))
 	is.Equal(pool.Usage(), Usage{})
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -111,6 +111,9 @@
 		if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
 			g.recordTooLarge(p)
 		}
+		if errorx.IsOfType(err, backend.ErrUnidentifiedResponse) {
+			g.stats.unidentified.Add(1)
+		}
 		return &runResult{
 			outcome: x.outcomeOfError(ctx, err), blocked: errorx.IsOfType(err, errBlocked) || errorx.IsOfType(err, errEvacuated), withheld: withheldReason(err),
 		}
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -173,6 +173,7 @@
 		{"StoreLost", func() any { return g.storeWatch.unreachable.Load() }},
 		{"SilentHomes", func() any { return s.unresponsiveHomes.Load() }},
 		{"ResponsesTooLarge", func() any { return s.tooLarge.Load() }},
+		{"UnidentifiedResponses", func() any { return s.unidentified.Load() }},
 		{"TargetsLost", func() any { return g.reach.Lost() }},
 		{"RelayedRequests", func() any { return s.relayed.Load() }},
 		{"RequestsForPeers", func() any { return s.relayedForPeers.Load() }},
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -22,8 +23,10 @@
 	// targetRecentUseWindow is how long after its last response a connection may be reused for a request that is not
 	// repeatable: such a request must not be lost on a dead connection.
 	targetRecentUseWindow = 5 * time.Second
-	// maxTargetConnections bounds the connections of this host to one target.
+	// maxTargetConnections bounds the connections of this host to one target for runs, and maxProbeConnections those for health
+	// probes, of which at most one is kept idle.
 	maxTargetConnections = 32
+	maxProbeConnections  = 4
 	// idleCapShare is the share of a target's cap on connections that hosts divide among them for idle ones. The rest is for
 	// connections in use and for those that hosts open before others have learned of new hosts.
 	idleCapShare = 0.8
@@ -44,9 +47,12 @@
 	name, address string
 }
 
+// pool holds the connections to one target. Health probes have no attempt ID, so a further response to a probe that arrives late
+// could not be told from the response to a run: probes have connections of their own.
 type pool struct {
 	*backend.Pool
-	close func()
+	probes *backend.Pool
+	close  func()
 	// tooLargeAt is when a response that was too large was last recorded; zero means never.
 	tooLargeAt time.Duration
 	// cap is the number of connections that the target may have with all hosts together; 0 means that there is no cap.
@@ -66,27 +72,41 @@
 
 func newPools(g *Gateway) *pools { return &pools{gateway: g, byKey: map[poolKey]pool{}} }
 
-// get returns the pool of a target, creating it if necessary.
-func (p *pools) get(name, address string) *backend.Pool {
+// get returns the pool of a target for runs, creating it if necessary, and probes the one for health probes.
+func (p *pools) get(name, address string) *backend.Pool    { return p.entry(name, address).Pool }
+func (p *pools) probes(name, address string) *backend.Pool { return p.entry(name, address).probes }
+
+func (p *pools) entry(name, address string) pool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	key := poolKey{name, address}
 	entry, found := p.byKey[key]
 	if !found {
-		entry.Pool, entry.close = backend.New(backend.Config{
-			Address: address, MaxConnections: maxTargetConnections, DialTimeout: targetDialTimeout, RecentUseWindow: targetRecentUseWindow,
-			UnackedTimeout: targetUnackedTimeout, MatchResponse: p.gateway.responseMatches, Dial: p.gateway.config.Dial,
-		})
+		c := backend.Config{
+			Address: address, MaxConnections: maxProbeConnections, DialTimeout: targetDialTimeout, RecentUseWindow: targetRecentUseWindow,
+			UnackedTimeout: targetUnackedTimeout, Dial: p.gateway.config.Dial,
+		}
+		var closeRuns, closeProbes func()
+		entry.probes, closeProbes = backend.New(c)
+		c.MaxConnections, c.ID = maxTargetConnections, p.gateway.attemptID
+		entry.Pool, closeRuns = backend.New(c)
+		entry.close = func() { closeRuns(); closeProbes() }
+		entry.probes.LimitIdle(1, targetIdleTime)
 		entry.setCap(p.caps[key], p.gateway.fleetSize(), p.gateway.now())
 		p.byKey[key] = entry
 	}
-	return entry.Pool
+	return entry
 }
 
 // setCap takes over the cap of the pool's target.
 func (e *pool) setCap(limit, hosts int, now time.Duration) {
 	if limit > 0 || e.cap > 0 {
-		e.LimitIdle(idleShare(limit, hosts, e.hasLongQueue(now)))
+		share, idleTime := idleShare(limit, hosts, e.hasLongQueue(now))
+		e.LimitIdle(share, idleTime)
+		if share == 1 {
+			idleTime = shortIdleTime
+		}
+		e.probes.LimitIdle(1, cmp.Or(idleTime, targetIdleTime))
 	}
 	e.cap = limit
 }
@@ -159,8 +179,8 @@
 	if !found {
 		return 0
 	}
-	usage := entry.Usage()
-	return usage.Open - usage.Idle
+	runs, probes := entry.Usage(), entry.probes.Usage()
+	return runs.Open - runs.Idle + probes.Open - probes.Idle
 }
 
 // mayRecordTooLarge reports whether a record about a too large response of a target is due, and if so counts it as made.
@@ -178,11 +198,9 @@
 	return true
 }
 
-// responseMatches reports whether a response belongs to a request, by the attempt ID that both carry. A response
-// without an ID is accepted.
-func (g *Gateway) responseMatches(r *http.Request, response *http.Response) bool {
-	id := response.Header.Get(g.dialect.AttemptIDHeader)
-	return id == "" || id == r.Header.Get(g.dialect.AttemptIDHeader)
+// attemptID returns the attempt ID in the header of a request or of its response, or an empty string.
+func (g *Gateway) attemptID(header http.Header) string {
+	return header.Get(g.dialect.AttemptIDHeader)
 }
 
 // applyView closes the pools of targets that are no longer registered at their address.
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -98,7 +98,7 @@
 	}
 	key, registered := g.noticeKey(p.Target)
 	sent := g.now()
-	response, err := g.pools.get(p.Target, p.Address).Do(r, backend.Options{})
+	response, err := g.pools.probes(p.Target, p.Address).Do(r, backend.Options{})
 	if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
 		g.recordTooLarge(p)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -124,7 +124,7 @@
 	})
 	watch.Reset(max(minHangTime, hangRatio*p.Expected))
 	defer watch.Stop()
-	response, err = g.pools.get(p.Target, p.Address).Do(x.targetRequest(directCtx, p), backend.Options{RecentlyUsed: !x.repeatable()})
+	response, err = g.pools.get(p.Target, p.Address).Do(x.targetRequest(directCtx, p), backend.Options{Once: !x.repeatable()})
 	hangs = !state.CompareAndSwap(runWaits, runEnded)
 	switch {
 	case err == nil && !hangs:
@@ -379,7 +379,7 @@
 	}
 	request.URL.Opaque, request.Host, request.Header = r.Uri, r.Host, decodeHeader(r.Headers)
 	g.stats.relayedForPeers.Add(1)
-	response, err := g.pools.get(r.Target, r.Address).Do(request, backend.Options{RecentlyUsed: r.RecentlyUsed})
+	response, err := g.pools.get(r.Target, r.Address).Do(request, backend.Options{Once: r.RecentlyUsed})
 	if err != nil {
 		if errorx.IsOfType(err, backend.ErrNotSent) && ctx.Err() == nil {
 			g.recordOutOfReach(r.Target)
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -146,6 +146,8 @@
 	unresponsiveHomes, slowReaders, rejected atomic.Int64
 	// tooLarge counts connections that were closed because a target sent more than a response may have.
 	tooLarge atomic.Int64
+	// unidentified counts runs that ended with a response that did not have the attempt ID of the request.
+	unidentified atomic.Int64
 	// relayed counts the runs that peers relayed for this host, and relayedForPeers those that it relayed for peers.
 	relayed, relayedForPeers atomic.Int64
 	// reachChecks counts the checks whether this host reaches a target.
--- a/internal/steering/run.go
+++ b/internal/steering/run.go
@@ -39,7 +39,7 @@
 	if r.Idempotent && r.replayable() && r.RetryAllowance > 0 {
 		return s.attemptHedged(ctx, r, excluded)
 	}
-	return s.attempt(ctx, r, excluded, backend.Options{RecentlyUsed: !r.Idempotent})
+	return s.attempt(ctx, r, excluded, backend.Options{Once: !r.Idempotent})
 }
 
 // mayRetry reports whether sending the request again is safe and may help.
