Gateway: a relayed response is whole only when the peer says so

A peer that relays a run ends its stream without RelayEnd when its time limit ends or its caller of Relay has left.

A connection that was cut was an error before too (TestCutRelayIsNotWhole, each byte).

The end of the stream is now io.ErrUnexpectedEOF unless RelayEnd came, the received bytes must be as many as the head says, and a head needs a status from 200 to 999, a possible length and the attempt ID of the request.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -226,8 +226,12 @@
 		err = backend.ErrNotSent.New("peer %s cannot relay (%v)", peer.Name, err)
 	case err != nil:
 		err = backend.ErrConnectionBroke.New("peer %s broke the stream (%v); the request may have run", peer.Name, err)
+	case reply.Kind == inner.RelayKind_RelayHead && g.attemptID(decodeHeader(reply.Headers)) != g.attemptID(decodeHeader(r.Headers)):
+		err = backend.ErrUnidentifiedResponse.New("peer %s passed on a response that does not have the ID of the request, which may have run", peer.Name)
+	case reply.Kind == inner.RelayKind_RelayHead && (reply.Status < http.StatusOK || reply.Status > 999 || reply.Length < -1):
+		err = backend.ErrConnectionBroke.New("peer %s passed on a response with status %d and length %d; the request may have run", peer.Name, reply.Status, reply.Length)
 	case reply.Kind == inner.RelayKind_RelayHead:
-		return body.response(reply), nil
+		return body.response(r.Method, reply), nil
 	case reply.Kind == inner.RelayKind_RelayNotSent:
 		err = backend.ErrNotSent.New("peer %s does not reach target %s", peer.Name, r.Target)
 	case reply.Kind == inner.RelayKind_RelayExhausted:
@@ -248,6 +252,8 @@
 	// unread is what was received and not read yet; err is returned after it.
 	unread []byte
 	err    error
+	// left is the number of bytes of the body that have not been received; it is below zero when unknown.
+	left int64
 }
 
 // receive returns the next message other than a keep-alive. Only while it waits does the peer's silence count.
@@ -256,6 +262,10 @@
 	for {
 		b.silence.Reset(inner.StreamTimeout)
 		reply, err := b.stream.Recv()
+		if err == io.EOF {
+			// The peer has ended the stream without RelayEnd or RelayBroke.
+			err = io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -265,8 +275,12 @@
 	}
 }
 
-// response returns the response with the given head and this body.
-func (b *relayedBody) response(head *inner.RelayReply) *http.Response {
+// response returns the response to a request with the given method that has the given head and this body.
+func (b *relayedBody) response(method string, head *inner.RelayReply) *http.Response {
+	b.left = head.Length
+	if method == http.MethodHead {
+		b.left = 0
+	}
 	return &http.Response{
 		StatusCode: int(head.Status), Header: decodeHeader(head.Headers), ContentLength: head.Length, Body: b,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -280,9 +294,12 @@
 		switch {
 		case err != nil:
 			b.err = err
-		case reply.Kind == inner.RelayKind_RelayPart:
+		case reply.Kind == inner.RelayKind_RelayPart && (b.left < 0 || int64(len(reply.Body)) <= b.left):
 			b.unread = reply.Body
-		case reply.Kind == inner.RelayKind_RelayEnd:
+			if b.left > 0 {
+				b.left -= int64(len(reply.Body))
+			}
+		case reply.Kind == inner.RelayKind_RelayEnd && b.left <= 0:
 			b.err = io.EOF
 		default:
 			b.err = io.ErrUnexpectedEOF
