--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -123,3 +123,19 @@
 		is.Equal(pool.Usage(), Usage{Open: 4, Idle: 4})
 	})
 }
+
+// TestIdleTimeout guards against idle times of backend servers that overflow or cannot be read.
+func TestIdleTimeout(t *testing.T) {
+	for _, c := range []struct {
+		value string
+		want  time.Duration
+	}{
+		{"", maxIdleTime}, {"timeout=5", 4 * time.Second}, {"timeout=5, max=3", 4 * time.Second}, {"timeout=0", -time.Second}, {"timeout=-7", -time.Second},
+		{"timeout=1e9", maxIdleTime}, {"timeout=9223372036854775807", maxIdleTime}, {"timeout=18446744074", maxIdleTime}, {"timeout=99999999999999999999", maxIdleTime},
+	} {
+		t.Run(c.value, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(idleTimeout(http.Header{"Keep-Alive": {c.value}}), c.want)
+		})
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -25,6 +25,9 @@
 // requestLineBytes is what the request line and the reader's buffer may take in addition to the header limit, in bytes.
 const requestLineBytes = 4 << 10
 
+// maxTimeout is the longest time for which a caller can ask; longer ones are cut to it.
+const maxTimeout = 24 * time.Hour
+
 // request is a request of a caller with its whole body.
 type request struct {
 	// attemptID is the caller's identifier of this attempt; it may be empty.
@@ -93,7 +96,7 @@
 		header: r.Header, callerAddress: c.address, arrived: arrived, closeAfter: r.Close || !r.ProtoAtLeast(1, 1), release: func() {},
 	}
 	if ms, err := strconv.ParseFloat(r.Header.Get(c.gateway.dialect.DeadlineHeader), 64); err == nil && ms > 0 {
-		q.timeout = time.Duration(ms * float64(time.Millisecond))
+		q.timeout = time.Duration(min(ms, maxTimeout.Seconds()*1000) * float64(time.Millisecond))
 	}
 	if r.ContentLength == 0 {
 		return q, nil
