--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -28,7 +28,7 @@
 	maxTargetConnections = 32
 	maxProbeConnections  = 4
 	// idleCapShare is the share of a target's cap on connections that hosts divide among them for idle ones. The rest is for
-	// connections in use and for those that hosts open before others have learned of new hosts.
+	// connections in use, for those of homes that send probes, and for those that hosts open before others have learned of new hosts.
 	idleCapShare = 0.8
 	// poolSweepInterval is the time between two sweeps for unused connections, and longQueueTime how long after a report of a
 	// long queue fewer are kept.
