Gateway: relays cope with fields that are not UTF-8

At hosts that reach a target only through a peer, a response with a field that is not UTF-8 was lost after the run, and a request with one was answered 502 although it was never sent: messages between hosts hold text as UTF-8, so encoding them failed.

A response now goes on without such a field, whose loss changes neither status, body nor seal; a request is not relayed, which is known to be "not sent", so the host looks for another way. Sending the bytes would need other types of fields, which TestMessagesOfFormerLandings rules out for the messages of former releases.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"briarcroft/internal/backend"
 	"briarcroft/internal/host"
@@ -145,6 +146,9 @@
 	if len(x.request.body) > maxRelayedBody {
 		return nil, backend.ErrNotSent.New("the request is too large to be relayed to target %s", p.Target)
 	}
+	if !x.request.isUTF8() {
+		return nil, backend.ErrNotSent.New("the request is not UTF-8, as messages to peers must be, and cannot be relayed to target %s", p.Target)
+	}
 	err := error(backend.ErrNotSent.New("no peer relays to target %s", p.Target))
 	for _, peer := range g.relayPeers(from, p) {
 		if g.evacuated(p.Target) {
@@ -443,16 +447,34 @@
 	}
 }
 
+// encodeHeader converts a header to its wire form, without fields that are not UTF-8: a message with them could not be sent.
 func encodeHeader(h http.Header) []*inner.Header {
 	var encoded []*inner.Header
 	for name, values := range h {
 		for _, value := range values {
-			encoded = append(encoded, &inner.Header{Name: name, Value: value})
+			if utf8.ValidString(value) {
+				encoded = append(encoded, &inner.Header{Name: name, Value: value})
+			}
 		}
 	}
 	return encoded
 }
 
+// isUTF8 reports whether all parts of the request that a message to a peer holds as text are UTF-8.
+func (q *request) isUTF8() bool {
+	if !utf8.ValidString(q.uri) || !utf8.ValidString(q.host) {
+		return false
+	}
+	for _, values := range q.header {
+		for _, value := range values {
+			if !utf8.ValidString(value) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func decodeHeader(fields []*inner.Header) http.Header {
 	h := make(http.Header, len(fields))
 	for _, f := range fields {
