--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"briarcroft/internal/backend"
 	"briarcroft/internal/host"
@@ -125,7 +126,7 @@
 	})
 	watch.Reset(max(minHangTime, hangRatio*p.Expected))
 	defer watch.Stop()
-	response, err = g.pools.get(p.Target, p.Address).Do(x.targetRequest(directCtx, p), backend.Options{RecentlyUsed: !x.repeatable()})
+	response, err = g.pools.get(p.Target, p.Address).Do(x.targetRequest(directCtx, p), backend.Options{Once: !x.repeatable()})
 	hangs = !state.CompareAndSwap(runWaits, runEnded)
 	switch {
 	case err == nil && !hangs:
@@ -146,6 +147,9 @@
 	if len(x.request.body) > maxRelayedBody {
 		return nil, backend.ErrNotSent.New("the request is too large to be relayed to target %s", p.Target)
 	}
+	if !x.request.isUTF8() {
+		return nil, backend.ErrNotSent.New("the request is not UTF-8, as messages to peers must be, and cannot be relayed to target %s", p.Target)
+	}
 	err := error(backend.ErrNotSent.New("no peer relays to target %s", p.Target))
 	for _, peer := range g.relayPeers(from, p) {
 		if g.evacuated(p.Target) {
@@ -227,8 +231,12 @@
 		err = backend.ErrNotSent.New("peer %s cannot relay (%v)", peer.Name, err)
 	case err != nil:
 		err = backend.ErrConnectionBroke.New("peer %s broke the stream (%v); the request may have run", peer.Name, err)
+	case reply.Kind == inner.RelayKind_RelayHead && g.attemptID(decodeHeader(reply.Headers)) != g.attemptID(decodeHeader(r.Headers)):
+		err = backend.ErrUnidentifiedResponse.New("peer %s passed on a response that does not have the ID of the request, which may have run", peer.Name)
+	case reply.Kind == inner.RelayKind_RelayHead && (reply.Status < http.StatusOK || reply.Status > 999 || reply.Length < -1):
+		err = backend.ErrConnectionBroke.New("peer %s passed on a response with status %d and length %d; the request may have run", peer.Name, reply.Status, reply.Length)
 	case reply.Kind == inner.RelayKind_RelayHead:
-		return body.response(reply), nil
+		return body.response(r.Method, reply), nil
 	case reply.Kind == inner.RelayKind_RelayNotSent:
 		err = backend.ErrNotSent.New("peer %s does not reach target %s", peer.Name, r.Target)
 	case reply.Kind == inner.RelayKind_RelayExhausted:
@@ -249,6 +257,8 @@
 	// unread is what was received and not read yet; err is returned after it.
 	unread []byte
 	err    error
+	// left is the number of bytes of the body that have not been received; it is below zero when unknown.
+	left int64
 }
 
 // receive returns the next message other than a keep-alive. Only while it waits does the peer's silence count.
@@ -257,6 +267,10 @@
 	for {
 		b.silence.Reset(inner.StreamTimeout)
 		reply, err := b.stream.Recv()
+		if err == io.EOF {
+			// The peer has ended the stream without RelayEnd or RelayBroke.
+			err = io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -266,8 +280,12 @@
 	}
 }
 
-// response returns the response with the given head and this body.
-func (b *relayedBody) response(head *inner.RelayReply) *http.Response {
+// response returns the response to a request with the given method that has the given head and this body.
+func (b *relayedBody) response(method string, head *inner.RelayReply) *http.Response {
+	b.left = head.Length
+	if method == http.MethodHead {
+		b.left = 0
+	}
 	return &http.Response{
 		StatusCode: int(head.Status), Header: decodeHeader(head.Headers), ContentLength: head.Length, Body: b,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -281,9 +299,12 @@
 		switch {
 		case err != nil:
 			b.err = err
-		case reply.Kind == inner.RelayKind_RelayPart:
+		case reply.Kind == inner.RelayKind_RelayPart && (b.left < 0 || int64(len(reply.Body)) <= b.left):
 			b.unread = reply.Body
-		case reply.Kind == inner.RelayKind_RelayEnd:
+			if b.left > 0 {
+				b.left -= int64(len(reply.Body))
+			}
+		case reply.Kind == inner.RelayKind_RelayEnd && b.left <= 0:
 			b.err = io.EOF
 		default:
 			b.err = io.ErrUnexpectedEOF
@@ -382,7 +403,7 @@
 	}
 	request.URL.Opaque, request.Host, request.Header = r.Uri, r.Host, decodeHeader(r.Headers)
 	g.stats.relayedForPeers.Add(1)
-	response, err := g.pools.get(r.Target, r.Address).Do(request, backend.Options{RecentlyUsed: r.RecentlyUsed})
+	response, err := g.pools.get(r.Target, r.Address).Do(request, backend.Options{Once: r.RecentlyUsed})
 	if err != nil {
 		if errorx.IsOfType(err, backend.ErrNotSent) && ctx.Err() == nil {
 			g.recordOutOfReach(r.Target)
@@ -429,16 +450,34 @@
 	}
 }
 
+// encodeHeader converts a header to its wire form, without fields that are not UTF-8: a message with them could not be sent.
 func encodeHeader(h http.Header) []*inner.Header {
 	var encoded []*inner.Header
 	for name, values := range h {
 		for _, value := range values {
-			encoded = append(encoded, &inner.Header{Name: name, Value: value})
+			if utf8.ValidString(value) {
+				encoded = append(encoded, &inner.Header{Name: name, Value: value})
+			}
 		}
 	}
 	return encoded
 }
 
+// isUTF8 reports whether all parts of the request that a message to a peer holds as text are UTF-8.
+func (q *request) isUTF8() bool {
+	if !utf8.ValidString(q.uri) || !utf8.ValidString(q.host) {
+		return false
+	}
+	for _, values := range q.header {
+		for _, value := range values {
+			if !utf8.ValidString(value) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func decodeHeader(fields []*inner.Header) http.Header {
 	h := make(http.Header, len(fields))
 	for _, f := range fields {
