--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -25,6 +25,9 @@
 // backend server is not at fault.
 var ErrPoolExhausted = namespace.NewType("full")
 
+// ErrNoDescriptor reports that this host has no descriptor left for a connection. It says nothing of the backend server.
+var ErrNoDescriptor = ErrPoolExhausted.NewSubtype("no_descriptor")
+
 // ErrConnectionBroke reports that the connection broke after sending began; the backend server may have run the request.
 var ErrConnectionBroke = namespace.NewType("broken")
 
@@ -192,7 +195,7 @@
 	NewConnection bool
 }
 
-// Do sends a request once. Errors are of type ErrNotSent, ErrPoolExhausted or ErrConnectionBroke.
+// Do sends a request once. Errors are of type ErrNotSent, ErrPoolExhausted, its subtype ErrNoDescriptor or ErrConnectionBroke.
 // The caller must close the response's body; the connection is reused if the body was read to its end.
 func (p *Pool) Do(r *http.Request, o Options) (*http.Response, error) {
 	c, err := p.acquire(r.Context(), o)
@@ -285,6 +288,9 @@
 	defer p.mu.Unlock()
 	if err != nil {
 		p.open--
+		if socket.IsOutOfDescriptors(err) {
+			return nil, ErrNoDescriptor.New("no descriptor for a connection to backend server %s (%v); raise the limit of open files", p.config.Address, err)
+		}
 		return nil, ErrNotSent.New("connecting to backend server %s failed (%v); trying the next target", p.config.Address, err)
 	}
 	if elapsed := time.Since(start); p.minConnectTime == 0 || elapsed < p.minConnectTime {
--- a/internal/gateway/accounts.go
+++ b/internal/gateway/accounts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"briarcroft/internal/account"
+	"briarcroft/internal/backend"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/record"
 
@@ -106,8 +107,12 @@
 // withheldProperty is the property of an errWithheld with the reason for the caller.
 var withheldProperty = errorx.RegisterProperty("reason")
 
-// withheldReason returns the reason of an errWithheld, or the empty string for any other error and for none.
+// withheldReason returns the reason for which this host sent nothing, that is the one of an errWithheld or reasonNoDescriptor, or the
+// empty string for any other error and for none.
 func withheldReason(err error) placement.Reason {
+	if errorx.IsOfType(err, backend.ErrNoDescriptor) {
+		return reasonNoDescriptor
+	}
 	if !errorx.IsOfType(err, errWithheld) {
 		return ""
 	}
@@ -142,7 +147,7 @@
 		return x.refuseAllKeys()
 	case x.mayHaveRun || x.targetFailure != nil:
 		return x.refuse(placement.Refused{Reason: reason})
-	case reason == placement.ReasonDeadlineCannotBeMet:
+	case reason == placement.ReasonDeadlineCannotBeMet, reason == reasonNoDescriptor:
 		return x.refuse(placement.Refused{Reason: reason, RetryAfter: refusedRetryAfter})
 	}
 	return x.refuseKey()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,7 +39,8 @@
 	duration time.Duration
 	// blocked is set if nothing was sent because the target is evacuated or has said that it wants no requests.
 	blocked bool
-	// withheld is the reason why nothing was sent because the caller's key must not be accepted any more; it is empty otherwise.
+	// withheld is the reason why nothing was sent because the caller's key must not be accepted any more or this host has no
+	// descriptor; it is empty otherwise.
 	withheld placement.Reason
 	// index is the position of the run among its hedgedRuns.
 	index int
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -53,22 +53,27 @@
 	pipelineSlots chan struct{}
 }
 
-// serveCallers accepts and serves connections of callers until the listener is closed.
-func (g *Gateway) serveCallers(_ context.Context, l net.Listener) error {
-	for {
+// serveCallers accepts and serves connections of callers until the listener is closed or the context ends.
+func (g *Gateway) serveCallers(ctx context.Context, l net.Listener) error {
+	for g.awaitDescriptor(ctx) {
 		conn, err := l.Accept()
 		if err != nil {
 			return err
 		}
+		serve := (*callerConn).serve
+		if !g.makeRoom() {
+			serve = (*callerConn).serveOrRefuse
+		}
 		g.openConns.Add(1)
 		go func() {
 			defer g.openConns.Add(-1)
 			c := newCallerConn(g, conn)
 			g.callerConns.Store(c, nil)
 			defer g.callerConns.Delete(c)
-			c.serve()
+			serve(c)
 		}()
 	}
+	return nil
 }
 
 func newCallerConn(g *Gateway, conn net.Conn) *callerConn {
@@ -129,6 +134,10 @@
 func (c *callerConn) lingeringClose() {
 	c.update(func(p *connProgress) { p.lingering = true })
 	defer c.update(func(p *connProgress) { p.closed = true })
+	if c.isReclaimed() {
+		_ = c.conn.Conn.Close()
+		return
+	}
 	if closer, ok := c.conn.Conn.(interface{ CloseWrite() error }); ok {
 		// An error does not matter: the connection is closed completely below.
 		_ = closer.CloseWrite()
@@ -147,7 +156,7 @@
 		return nil, nil, false
 	}
 	c.accepted++
-	c.progress.reading = false
+	c.progress.reading, c.progress.reclaimed = false, false
 	c.countState()
 	c.closing = closeAfter
 	done, previous = make(chan struct{}), c.lastDone
@@ -169,12 +178,12 @@
 	c.responseWritten(closing || !sent)
 }
 
-// isLastResponse reports whether the next response is the last one of the connection, because the connection is closing
-// or the host is stopping and no other request was accepted.
+// isLastResponse reports whether the next response is the last one of the connection, because the connection is closing, is to
+// be closed when it is idle or the host is stopping, and no other request was accepted.
 func (c *callerConn) isLastResponse() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.gateway.stopping.Load() && c.accepted == c.responded+1 {
+	if (c.gateway.stopping.Load() || c.closesWhenIdle) && c.accepted == c.responded+1 {
 		c.closing = true
 	}
 	return c.closing && c.accepted == c.responded+1
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"briarcroft/internal/socket"
 )
@@ -33,8 +34,15 @@
 	mu sync.Mutex
 	// callers is the number of callers' connections by state.
 	callers [connStates]int
-	// idle holds the callers' connections that are unused or idle, those first that have been so for longest.
-	idle list.List
+	// idle holds the callers' connections that are unused or idle, and closing those that are closing, those first that have been so
+	// for longest.
+	idle, closing list.List
+	// refusing counts the callers' connections that wait for a refusal.
+	refusing atomic.Int64
+	// limit is the number of callers' connections that requests are accepted from; limitedAt is when it was computed, and belongs to
+	// the goroutine that accepts connections.
+	limit     atomic.Int64
+	limitedAt time.Duration
 	// fromPeers counts the connections that peers have opened, and pages those to the host's own pages.
 	fromPeers, pages atomic.Int64
 }
@@ -61,11 +69,12 @@
 	}
 }
 
-// descriptorCounts is the number of open descriptors of the process and their limit; zero means not known.
-type descriptorCounts struct{ Open, Limit int }
+// descriptorCounts is the number of open descriptors of the process, their limit and that of callers' connections, which follows
+// from it. Zero means not known.
+type descriptorCounts struct{ Open, Limit, Callers int }
 
 func (g *Gateway) descriptorCounts() descriptorCounts {
-	return descriptorCounts{Open: socket.OpenDescriptors(), Limit: socket.DescriptorLimit()}
+	return descriptorCounts{Open: socket.OpenDescriptors(), Limit: g.descriptors, Callers: int(g.connections.limit.Load())}
 }
 
 // connProgress is what determines the state of a caller's connection, besides the numbers of its requests. It is guarded by the
@@ -77,8 +86,13 @@
 	// reading is set while a request has arrived in part, left once the caller has closed its side, lingering once no request is
 	// accepted any more, and closed at the end.
 	reading, left, lingering, closed bool
-	// idle is the position in connections.idle; nil means none.
-	idle *list.Element
+	// reclaimed is set if the connection is closed to make room and carries no request.
+	reclaimed bool
+	// queue is the list of connections that holds the connection, at position; nil means none. They are guarded by connections.mu.
+	queue    *list.List
+	position *list.Element
+	// since is when it was added there.
+	since time.Duration
 }
 
 // update changes what determines the connection's state and counts the connection accordingly.
@@ -95,10 +109,7 @@
 	state := c.state()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if p.idle != nil {
-		t.idle.Remove(p.idle)
-		p.idle = nil
-	}
+	t.remove(p)
 	if p.open {
 		t.callers[p.state]--
 	}
@@ -108,9 +119,38 @@
 		return
 	}
 	t.callers[state]++
-	if state == connUnused || state == connIdle {
-		p.idle = t.idle.PushBack(c)
+	switch state {
+	case connUnused, connIdle:
+		p.queue = &t.idle
+	case connClosing:
+		p.queue = &t.closing
+	default:
+		return
+	}
+	p.position, p.since = p.queue.PushBack(c), c.gateway.now()
+}
+
+// remove removes a connection from its list; the caller holds t.mu.
+func (t *connections) remove(p *connProgress) {
+	if p.position != nil {
+		p.queue.Remove(p.position)
+		p.queue, p.position = nil, nil
+	}
+}
+
+// pop removes the first connection from a list and returns it, or nil if there is none that has been there since a time.
+func (t *connections) pop(queue *list.List, since time.Duration) *callerConn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if queue.Len() == 0 {
+		return nil
+	}
+	c := queue.Front().Value.(*callerConn)
+	if c.progress.since > since {
+		return nil
 	}
+	t.remove(&c.progress)
+	return c
 }
 
 // state returns the connection's state, or connStates once it is closed; the caller holds c.mu.
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -184,6 +184,8 @@
 		{"SlowReaders", func() any { return s.slowReaders.Load() }},
 		{"Connections", func() any { return g.connectionCounts() }},
 		{"Descriptors", func() any { return g.descriptorCounts() }},
+		{"ConnectionsReclaimed", func() any { return s.reclaimed.Load() }},
+		{"ConnectionsRefused", func() any { return s.refusedConns.Load() }},
 		{"AcceptFailures", func() any { return s.acceptFailures.Load() }},
 		{"OpenConnections", func() any { return g.openConns.Load() }},
 		{"Note", func() any { return g.chain.Number() }},
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -56,6 +56,8 @@
 	timeLimit time.Duration
 	// changeSettings changes the settings of gateways; it may be nil.
 	changeSettings func(*settings.Settings)
+	// failDial holds a func() error with the error of the next connection that a gateway opens; nil means none.
+	failDial atomic.Value
 }
 
 // tenant is one tenant of the platform's configuration.
@@ -182,9 +184,17 @@
 	if f.changeSettings != nil {
 		f.changeSettings(&s)
 	}
-	dial := f.net.Dialer(name)
+	dialer := f.net.Dialer(name)
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		if fail, found := f.failDial.Load().(func() error); found {
+			if err := fail(); err != nil {
+				return nil, err
+			}
+		}
+		return dialer(ctx, network, address)
+	}
 	storeAddress := f.serve("store", "", f.store.HandlerFor(name))
-	store, closeStore := platform.NewStore(platform.StoreConfig{URL: "http://" + storeAddress, Timeout: time.Second, Dial: dial})
+	store, closeStore := platform.NewStore(platform.StoreConfig{URL: "http://" + storeAddress, Timeout: time.Second, Dial: dialer})
 	g, closeGateway := gateway.New(gateway.Config{
 		Settings: s, Dialect: platform.Dialect(), Store: store, Logger: f.logger, Dial: dial,
 		Listen:   func(_, address string) (net.Listener, error) { return f.net.Listen(name, address), nil },
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -213,6 +213,8 @@
 	callerConns sync.Map
 	openConns   atomic.Int64
 	connections connections
+	// descriptors is the number of descriptors that the process may have open; zero means that it is not known.
+	descriptors int
 	// background is the context of health probes and of requests that continue after their caller has disconnected.
 	background context.Context
 }
@@ -230,6 +232,7 @@
 		heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}), peersAhead: ring.NewQueue[peerAhead](ring.Config{Capacity: 1}), histograms: meter.NewHistograms(), logger: c.Logger,
 		bodies: bodyBudget{limit: int64(c.Settings.Limits.HeldBytes)}, responses: bodyBudget{limit: int64(c.Settings.Limits.HeldBytes)},
 	}
+	g.descriptors = socket.DescriptorLimit(c.Settings.Limits.Descriptors)
 	g.reloadable.Store(&g.settings)
 	g.incarnation = uint64(g.start.UnixMilli())<<16 | uint64(rand.Uint32N(1<<16))
 	// Hosts begin their directory responses at different positions.
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -10,6 +10,7 @@
 	"briarcroft/internal/duty"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/roster"
+	"briarcroft/internal/socket"
 )
 
 // Limits of the connections to targets.
@@ -60,11 +61,19 @@
 	gateway *Gateway
 	mu      sync.Mutex
 	byKey   map[poolKey]pool
+	// dial opens connections to targets.
+	dial socket.DialFunc
 	// caps holds the caps of the targets of services that have one.
 	caps map[poolKey]int
 }
 
-func newPools(g *Gateway) *pools { return &pools{gateway: g, byKey: map[poolKey]pool{}} }
+func newPools(g *Gateway) *pools {
+	p := &pools{gateway: g, byKey: map[poolKey]pool{}, dial: g.config.Dial}
+	if p.dial == nil {
+		p.dial = socket.NewDialFunc(socket.Config{Timeout: targetDialTimeout, UnackedTimeout: targetUnackedTimeout})
+	}
+	return p
+}
 
 // get returns the pool of a target, creating it if necessary.
 func (p *pools) get(name, address string) *backend.Pool {
@@ -75,7 +84,7 @@
 	if !found {
 		entry.Pool, entry.close = backend.New(backend.Config{
 			Address: address, MaxConnections: maxTargetConnections, DialTimeout: targetDialTimeout, RecentUseWindow: targetRecentUseWindow,
-			UnackedTimeout: targetUnackedTimeout, MatchResponse: p.gateway.responseMatches, Dial: p.gateway.config.Dial,
+			UnackedTimeout: targetUnackedTimeout, MatchResponse: p.gateway.responseMatches, Dial: p.gateway.freeingDial(p.dial),
 		})
 		entry.setCap(p.caps[key], p.gateway.fleetSize(), p.gateway.now())
 		p.byKey[key] = entry
@@ -164,6 +173,15 @@
 	return sum
 }
 
+// closeIdle closes all idle connections to targets.
+func (p *pools) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, entry := range p.byKey {
+		entry.CloseIdle()
+	}
+}
+
 // busy returns the number of this host's connections to a target that carry a request or are being opened for one.
 func (p *pools) busy(name, address string) int {
 	p.mu.Lock()
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -77,6 +77,8 @@
 	switch {
 	case err == nil:
 		g.recordInReach(p.Target)
+	case errorx.IsOfType(err, backend.ErrNoDescriptor):
+		health = placement.ProbeNotSent
 	case errorx.IsOfType(err, backend.ErrNotSent):
 		g.recordOutOfReach(p.Target)
 	default:
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -168,6 +168,9 @@
 	storeBytesSent, storeBytesReceived, followsStarted atomic.Int64
 	// ownDomainBytes counts the bytes of responses of targets in this host's failure domain, and otherDomainBytes those of others.
 	ownDomainBytes, otherDomainBytes atomic.Int64
+	// reclaimed counts the callers' connections without a request that were closed to make room, and refusedConns those that were
+	// refused because there was none.
+	reclaimed, refusedConns atomic.Int64
 	// acceptFailures counts the errors of Accept on all listeners.
 	acceptFailures atomic.Int64
 	// secondRuns counts second runs under a limit of the operators, by this host as a home.
@@ -195,6 +198,7 @@
 			Int64("StoreBytesReceived", s.storeBytesReceived.Load()).Int64("FollowsStarted", s.followsStarted.Load()).
 			Int64("OwnDomainBytes", s.ownDomainBytes.Load()).Int64("OtherDomainBytes", s.otherDomainBytes.Load()).
 			Interface("Connections", g.connectionCounts()).Interface("Descriptors", g.descriptorCounts()).Int64("AcceptFailures", s.acceptFailures.Load()).
+			Int64("ConnectionsReclaimed", s.reclaimed.Load()).Int64("ConnectionsRefused", s.refusedConns.Load()).
 			Int("Followers", g.followers.count()).Int("LiveHosts", len(g.members.Live(g.now()))).
 			Msg("counters")
 	}
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -42,7 +42,11 @@
 		more  map[string]string
 		check func(*is.I, Settings)
 	}{
-		{"older deployment", nil, func(is *is.I, s Settings) { is.Equal(s.Accounts, Default().Accounts) }},
+		{"older deployment", nil, func(is *is.I, s Settings) {
+			is.Equal(s.Accounts, Default().Accounts)
+			is.Equal(s.Limits.Descriptors, 0)
+		}},
+		{"descriptors", map[string]string{"limits.max-fds": "4100"}, func(is *is.I, s Settings) { is.Equal(s.Limits.Descriptors, 4100) }},
 		{"accounts", map[string]string{
 			"bounds.revoke-ms": "5000", "bounds.strict-revocation": "true", "bounds.quota-window-s": "4", "bounds.quota-overage": "0.2", "bounds.quota-slack": "30",
 		}, func(is *is.I, s Settings) {
