Limit callers' connections of hosts on Etcd too

Idle connections of callers could hold all descriptors of a host on Etcd: others waited in the kernel's queue until those timed out after 90 s, and requests in progress found no connection to their target.

The cause is the same as on gateways: net/http accepts without a limit. The limit is now the same share of RLIMIT_NOFILE or Limits.Descriptors. At the limit the connection that has had no request for longest, at least 250 ms, is closed as http.Server.Shutdown closes idle ones, unless bytes have arrived on it; without one the requests of the new connection get 503 with Retry-After and outcome NotRun.

TestHostAtConnectionLimit shows which connections make room and that requests in progress are answered. The host itself went on before too, as net/http retries EMFILE.

Not done here: a dial without a descriptor isn't tried again, as the limit leaves three eighths of the descriptors.

--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -100,6 +100,7 @@
 	Budget      meter.Usage
 	Claims      claim.Size
 	Counters    Counters
+	Connections ConnectionStatus
 	Process     ProcessStatus
 	// Unwritten is the number of event records that were kept but not logged because the log could not keep up.
 	Unwritten int64
@@ -117,7 +118,7 @@
 	s := Status{
 		Host: self.Name, Domain: self.Domain, Incarnation: self.Incarnation, Ready: self.Ready, Leaving: self.Leaving, Note: h.NoteNumber(),
 		Peers: h.membership.Peers(), Latency: h.histograms.Summaries(), Budget: h.budget.Usage(), Claims: h.idempotency.Size(),
-		Process: h.processStatus(), Unwritten: h.records.Unwritten(),
+		Connections: h.callerConns.status(), Process: h.processStatus(), Unwritten: h.records.Unwritten(),
 		Counters: Counters{
 			h.stats.requests.Load(), h.stats.forwarded.Load(), h.stats.stored.Load(), h.stats.joined.Load(), h.stats.refused.Load(), h.stats.truncated.Load(),
 		},
--- a/internal/entry/frontend.go
+++ b/internal/entry/frontend.go
@@ -61,7 +61,7 @@
 	limits := h.settings.Limits
 	return &http.Server{
 		Handler: f, Protocols: protocols, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
-		MaxHeaderBytes: limits.HeaderBytes, TLSConfig: h.callerTLS,
+		MaxHeaderBytes: limits.HeaderBytes, TLSConfig: h.callerTLS, ConnContext: h.callerConns.add, ConnState: h.callerConns.setState,
 	}
 }
 
@@ -72,6 +72,11 @@
 	if f.host.membership.Self().Leaving {
 		w.Header().Set("Connection", "close")
 	}
+	if r.Context().Value(refusedConn{}) != nil {
+		w.Header().Set("Connection", "close")
+		f.writeRefusal(w, tooManyConnections())
+		return
+	}
 	switch r.URL.Path {
 	case pathAddresses, pathNote, pathHealth, pathStatus, pathExplain, pathVars:
 		f.mux.ServeHTTP(w, r)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -103,6 +103,7 @@
 	// heartbeatTrigger starts a round of heartbeats before its time.
 	heartbeatTrigger *ring.Queue[struct{}]
 	callerServer     *http.Server
+	callerConns      *callerConns
 	callerListener   net.Listener
 	peerListener     net.Listener
 	// listenerFailed gets the error of each listener that cannot accept connections any more.
@@ -133,7 +134,8 @@
 func New(c Config) (*Host, func(), error) {
 	h := &Host{
 		config: c, settings: c.Settings, start: time.Now(), chain: &note.Chain{}, listenerFailed: make(chan error, 2),
-		noteHints: ring.NewQueue[noteHint](ring.Config{Capacity: maxNoteHints}), heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}),
+		callerConns: newCallerConns(socket.DescriptorLimit(c.Settings.Limits.Descriptors)),
+		noteHints:   ring.NewQueue[noteHint](ring.Config{Capacity: maxNoteHints}), heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}),
 		quarantine: quarantine.New(quarantine.Config{Targets: crashesToQuarantine}), histograms: meter.NewHistograms(), peerCounts: newPeerCounts(), homes: homeTracker{primary: map[string]string{}}, tableAssembler: newTableAssembler(),
 	}
 	h.incarnation = uint64(h.start.UnixMilli())<<16 | uint64(rand.Uint32N(1<<16))
@@ -170,7 +172,7 @@
 			return errors.Join(ErrListen.New("[Host] Inner: %v; choose a free address", err), h.callerListener.Close())
 		}
 	}
-	h.callerListener, h.peerListener = h.newListener("Listen", h.callerListener), h.newListener("Inner", h.peerListener)
+	h.callerListener, h.peerListener = newSlotListener(h.newListener("Listen", h.callerListener), h.callerConns), h.newListener("Inner", h.peerListener)
 	return nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -103,7 +103,7 @@
 	// HeldBytes bounds the memory that request bodies take, and that which responses of unknown length take. Only hosts with Platform.Kind Native use it.
 	HeldBytes int
 	// Descriptors is the number of descriptors that the process may have open, from which the number of callers' connections
-	// follows; zero means the limit of the operating system. Only hosts with Platform.Kind Native use it.
+	// follows; zero means the limit of the operating system.
 	Descriptors int
 	// MemoryBytes is the memory use above which the process collects garbage more often; zero means no limit. Only hosts
 	// with Platform.Kind Native use it.
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -69,8 +69,24 @@
 	return unread
 }
 
+// HasArrived is HasUnread for a connection that another goroutine may be reading. It does not depend on the read deadline.
+func HasArrived(c net.Conn) bool {
+	unread, _ := peekWith(c, func(raw syscall.RawConn, receive func(fd uintptr)) error { return raw.Control(receive) })
+	return unread
+}
+
 // peek reports whether there are unread bytes, and the error that a read would return otherwise, if it would not block.
 func peek(c net.Conn) (unread bool, err error) {
+	return peekWith(c, func(raw syscall.RawConn, receive func(fd uintptr)) error {
+		return raw.Read(func(fd uintptr) bool {
+			receive(fd)
+			return true
+		})
+	})
+}
+
+// peekWith is peek with a function that calls receive with the descriptor.
+func peekWith(c net.Conn, access func(raw syscall.RawConn, receive func(fd uintptr)) error) (unread bool, err error) {
 	sysConn, ok := c.(syscall.Conn)
 	if !ok {
 		return false, nil
@@ -81,10 +97,9 @@
 	}
 	var received int
 	var receiveErr error
-	err = rawConn.Read(func(fd uintptr) bool {
+	err = access(rawConn, func(fd uintptr) {
 		var buffer [1]byte
 		received, _, receiveErr = unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		return true
 	})
 	switch {
 	case err != nil:
