Wait for room for a connection in the listener

A gateway whose callers' connections had used up all slots could not close its listener: the accept loop waited for room before it looked at the listener again, so that a graceful stop that waits for the end of that loop would have waited for the callers.

The wait is now in socket.Listener, which ends it when it is closed, and replaces the listener that hosts on Etcd had for it. The listener also gives its descriptor (syscall.Conn), so that a stop can ask the kernel whether connections wait to be accepted; behind the wrapper nobody could.

TestListenerWaitsForRoom and TestListenerHasDescriptor hold both; neither could be built before.

--- a/internal/entry/connections.go
+++ b/internal/entry/connections.go
@@ -17,8 +17,6 @@
 const (
 	// minReclaimIdle is how long a connection must have been without a request before it is closed to make room.
 	minReclaimIdle = 250 * time.Millisecond
-	// slotPause is the pause before the listener looks for a free connection again.
-	slotPause = 5 * time.Millisecond
 	// refusedRetryAfter is the Retry-After time of a request that is refused because of its connection.
 	refusedRetryAfter = time.Second
 )
@@ -137,36 +135,6 @@
 	return ConnectionStatus{len(c.open), c.limit, c.closedIdle, c.refusedTotal}
 }
 
-// slotListener accepts connections only while there is a slot for them; others wait in the kernel.
-type slotListener struct {
-	net.Listener
-	conns  *callerConns
-	once   sync.Once
-	closed chan struct{}
-}
-
-func newSlotListener(l net.Listener, conns *callerConns) *slotListener {
-	return &slotListener{Listener: l, conns: conns, closed: make(chan struct{})}
-}
-
-// Accept implements net.Listener.
-func (l *slotListener) Accept() (net.Conn, error) {
-	for !l.conns.hasSlot() {
-		select {
-		case <-time.After(slotPause):
-		case <-l.closed:
-			return nil, net.ErrClosed
-		}
-	}
-	return l.Listener.Accept()
-}
-
-// Close implements net.Listener.
-func (l *slotListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
-}
-
 // tooManyConnections is the refusal of requests on a connection for which there was no room.
 func tooManyConnections() *steering.Refusal {
 	return &steering.Refusal{Status: http.StatusServiceUnavailable, Outcome: claim.NotRun, Reason: "TooManyConnections", RetryAfter: refusedRetryAfter}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -149,10 +149,10 @@
 	return h, closeAll, nil
 }
 
-// newListener returns a listener that outlasts errors; key is its settings key.
-func (h *Host) newListener(key string, l net.Listener) net.Listener {
+// newListener returns a listener that outlasts errors; key is its settings key, and hasRoom that of socket.ListenerConfig.
+func (h *Host) newListener(key string, l net.Listener, hasRoom func() bool) net.Listener {
 	return socket.NewListener(socket.ListenerConfig{
-		Listener: l,
+		Listener: l, HasRoom: hasRoom,
 		OnRetry: func(err error, failures int64) {
 			h.config.Logger.Warn().Err(err).Str("Listener", key).Int64("Failures", failures).Msg("accepting connections failed; trying again")
 		},
@@ -172,7 +172,7 @@
 			return errors.Join(ErrListen.New("[Host] Inner: %v; choose a free address", err), h.callerListener.Close())
 		}
 	}
-	h.callerListener, h.peerListener = newSlotListener(h.newListener("Listen", h.callerListener), h.callerConns), h.newListener("Inner", h.peerListener)
+	h.callerListener, h.peerListener = h.newListener("Listen", h.callerListener, h.callerConns.hasSlot), h.newListener("Inner", h.peerListener, nil)
 	return nil
 }
 
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -53,9 +53,9 @@
 	pipelineSlots chan struct{}
 }
 
-// serveCallers accepts and serves connections of callers until the listener is closed or the context ends.
-func (g *Gateway) serveCallers(ctx context.Context, l net.Listener) error {
-	for g.awaitDescriptor(ctx) {
+// serveCallers accepts and serves connections of callers until the listener is closed.
+func (g *Gateway) serveCallers(_ context.Context, l net.Listener) error {
+	for {
 		conn, err := l.Accept()
 		if err != nil {
 			return err
@@ -73,7 +73,6 @@
 			serve(c)
 		}()
 	}
-	return nil
 }
 
 func newCallerConn(g *Gateway, conn net.Conn) *callerConn {
--- a/internal/gateway/descriptors.go
+++ b/internal/gateway/descriptors.go
@@ -46,19 +46,15 @@
 	t.limit.Store(int64(socket.CallerLimit(g.descriptors, others)))
 }
 
-// awaitDescriptor waits until there is a descriptor for one more connection of a caller, be it only to refuse it, and returns false
-// if the context ends before. Other connections wait in the kernel meanwhile.
-func (g *Gateway) awaitDescriptor(ctx context.Context) bool {
-	for {
-		g.updateCallerLimit()
-		if g.openConns.Load() < g.connections.limit.Load()+int64(socket.RefusalSlots(g.descriptors)) {
-			return true
-		}
-		g.reclaim()
-		if !duty.Sleep(ctx, descriptorPause) {
-			return false
-		}
+// hasSlot reports whether there is a descriptor for one more connection of a caller, be it only to refuse it. If there is none it
+// closes a connection. Only the goroutine that accepts them calls it.
+func (g *Gateway) hasSlot() bool {
+	g.updateCallerLimit()
+	if g.openConns.Load() < g.connections.limit.Load()+int64(socket.RefusalSlots(g.descriptors)) {
+		return true
 	}
+	g.reclaim()
+	return false
 }
 
 // hasRoom reports whether requests of one more connection may be accepted.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -480,12 +480,13 @@
 	endpoints := [maxListeners]struct {
 		key, address string
 		handle       func(context.Context, net.Listener) error
+		hasRoom      func() bool
 	}{
-		{"Inner", s.Inner, g.servePeers},
-		{"Listen", s.Listen, g.serveCallers},
-		{"Ready", s.Ready, g.serveReady},
-		{"Directory", s.Directory, g.serveDirectory},
-		{"Metrics", s.Metrics, g.serveMetrics},
+		{"Inner", s.Inner, g.servePeers, nil},
+		{"Listen", s.Listen, g.serveCallers, g.hasSlot},
+		{"Ready", s.Ready, g.serveReady, nil},
+		{"Directory", s.Directory, g.serveDirectory, nil},
+		{"Metrics", s.Metrics, g.serveMetrics, nil},
 	}
 	var listeners []listener
 	for _, e := range endpoints {
@@ -500,7 +501,7 @@
 			return nil, ErrListen.New("[Host] %s: %v; choose a free address", e.key, err)
 		}
 		listeners = append(listeners, listener{socket.NewListener(socket.ListenerConfig{
-			Listener: l, Failures: &g.stats.acceptFailures, OnFailure: onFailure, OnRetry: func(err error, failures int64) { g.logAcceptError(e.key, err, failures) },
+			Listener: l, Failures: &g.stats.acceptFailures, HasRoom: e.hasRoom, OnFailure: onFailure, OnRetry: func(err error, failures int64) { g.logAcceptError(e.key, err, failures) },
 		}), e.handle})
 	}
 	return listeners, nil
--- a/internal/socket/listener.go
+++ b/internal/socket/listener.go
@@ -5,16 +5,18 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 	"golang.org/x/time/rate"
 )
 
-// Pauses after an error of Accept, and the shortest time between two calls of ListenerConfig.OnRetry.
+// Pauses after an error of Accept and while there is no room for a connection, and the shortest time between two calls of ListenerConfig.OnRetry.
 const (
 	minAcceptPause   = 5 * time.Millisecond
 	maxAcceptPause   = 100 * time.Millisecond
+	roomPause        = 5 * time.Millisecond
 	retryLogInterval = time.Second
 )
 
@@ -31,6 +33,8 @@
 	Listener net.Listener
 	// Failures counts the errors of Accept, of several listeners if they share it; nil means a counter of its own.
 	Failures *atomic.Int64
+	// HasRoom reports whether one more connection may be accepted; others wait in the kernel meanwhile. Nil means always.
+	HasRoom func() bool
 	// OnRetry is called after a temporary error, at most once a second, with the number of errors so far; it may be nil.
 	OnRetry func(err error, failures int64)
 	// OnFailure is called once if the listener cannot accept connections any more, and must not block; it may be nil.
@@ -59,6 +63,9 @@
 // Accept implements net.Listener; its only error is net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for pause := minAcceptPause; ; pause = min(2*pause, maxAcceptPause) {
+		if !l.awaitRoom() {
+			return nil, net.ErrClosed
+		}
 		conn, err := l.Listener.Accept()
 		switch {
 		case err == nil:
@@ -80,6 +87,16 @@
 	}
 }
 
+// awaitRoom waits until there is room for a connection, and returns false if the listener is closed before.
+func (l *Listener) awaitRoom() bool {
+	for l.config.HasRoom != nil && !l.config.HasRoom() {
+		if !l.sleep(roomPause) {
+			return false
+		}
+	}
+	return true
+}
+
 // fail reports a permanent error and waits for Close.
 func (l *Listener) fail(err error) {
 	if l.config.OnFailure != nil {
@@ -111,6 +128,14 @@
 	return l.closeErr
 }
 
+// SyscallConn implements syscall.Conn for a listener of a network socket.
+func (l *Listener) SyscallConn() (syscall.RawConn, error) {
+	if conn, ok := l.Listener.(syscall.Conn); ok {
+		return conn.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // isTemporary reports whether a later call of Accept can succeed.
 func isTemporary(err error) bool {
 	for _, temporary := range temporaryErrors {
--- a/internal/socket/listener_test.go
+++ b/internal/socket/listener_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,3 +73,49 @@
 		})
 	}
 }
+
+// TestListenerWaitsForRoom guards against a connection that is accepted without a descriptor for its request, and against a listener
+// that cannot be closed meanwhile.
+func TestListenerWaitsForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, network := is.New(t), fakenet.New()
+		defer network.CloseAll()
+		var room atomic.Bool
+		l := NewListener(ListenerConfig{Listener: network.Listen("server", "10.0.0.1:80"), HasRoom: room.Load})
+		accepted := make(chan error)
+		go func() {
+			for range 2 {
+				_, err := l.Accept()
+				accepted <- err
+				room.Store(false)
+			}
+		}()
+		connected := make(chan error, 1)
+		go func() {
+			_, err := network.Dialer("client")(context.Background(), "tcp", "10.0.0.1:80")
+			connected <- err
+		}()
+		time.Sleep(time.Second)
+		is.Equal(len(connected), 0)
+		room.Store(true)
+		is.NoErr(<-connected)
+		is.NoErr(<-accepted)
+		time.Sleep(time.Second)
+		closed := time.Now()
+		is.NoErr(l.Close())
+		is.Equal(<-accepted, net.ErrClosed)
+		is.Equal(time.Since(closed), time.Duration(0))
+	})
+}
+
+// TestListenerHasDescriptor guards against a wrapped listener of which nobody can ask the kernel for the waiting connections.
+func TestListenerHasDescriptor(t *testing.T) {
+	is := is.New(t)
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var l net.Listener = NewListener(ListenerConfig{Listener: tcp})
+	defer l.Close()
+	raw, err := l.(syscall.Conn).SyscallConn()
+	is.NoErr(err)
+	is.NoErr(raw.Control(func(uintptr) {}))
+}
