--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -105,6 +105,7 @@
 	// heartbeatTrigger starts a round of heartbeats before its time.
 	heartbeatTrigger *ring.Queue[struct{}]
 	callerServer     *http.Server
+	callerConns      *callerConns
 	callerListener   net.Listener
 	peerListener     net.Listener
 	// listenerFailed gets the error of each listener that cannot accept connections any more.
@@ -140,7 +141,8 @@
 	}
 	h := &Host{
 		config: c, settings: c.Settings, start: time.Now(), chain: &note.Chain{}, panicked: make(chan error, 1), listenerFailed: make(chan error, 2),
-		noteHints: ring.NewQueue[noteHint](ring.Config{Capacity: maxNoteHints}), heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}),
+		callerConns: newCallerConns(socket.DescriptorLimit(c.Settings.Limits.Descriptors)),
+		noteHints:   ring.NewQueue[noteHint](ring.Config{Capacity: maxNoteHints}), heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}),
 		quarantine: quarantine.New(quarantine.Config{Targets: crashesToQuarantine}), histograms: meter.NewHistograms(), peerCounts: newPeerCounts(), homes: homeTracker{primary: map[string]string{}}, tableAssembler: newTableAssembler(),
 	}
 	h.incarnation = uint64(h.start.UnixMilli())<<16 | uint64(rand.Uint32N(1<<16))
@@ -154,10 +156,10 @@
 	return h, closeAll, nil
 }
 
-// newListener returns a listener that outlasts errors; key is its settings key.
-func (h *Host) newListener(key string, l net.Listener) net.Listener {
+// newListener returns a listener that outlasts errors; key is its settings key, and hasRoom that of socket.ListenerConfig.
+func (h *Host) newListener(key string, l net.Listener, hasRoom func() bool) net.Listener {
 	return socket.NewListener(socket.ListenerConfig{
-		Listener: l,
+		Listener: l, HasRoom: hasRoom,
 		OnRetry: func(err error, failures int64) {
 			h.config.Logger.Warn().Err(err).Str("Listener", key).Int64("Failures", failures).Msg("accepting connections failed; trying again")
 		},
@@ -177,7 +179,7 @@
 			return errors.Join(ErrListen.New("[Host] Inner: %v; choose a free address", err), h.callerListener.Close())
 		}
 	}
-	h.callerListener, h.peerListener = h.newListener("Listen", h.callerListener), h.newListener("Inner", h.peerListener)
+	h.callerListener, h.peerListener = h.newListener("Listen", h.callerListener, h.callerConns.hasSlot), h.newListener("Inner", h.peerListener, nil)
 	return nil
 }
 
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -45,8 +45,6 @@
 	accepted, responded int
 	// acceptedInStop counts those that were read since a graceful stop began.
 	acceptedInStop int
-	// reading is set while a request that has begun to arrive is read.
-	reading bool
 	// closing is set once no further request is accepted.
 	closing bool
 	// closesWhenIdle is set once the connection is to be closed unless a request is being handled or has arrived.
@@ -66,6 +64,10 @@
 		if err != nil {
 			return err
 		}
+		serve := (*callerConn).serve
+		if !g.makeRoom() {
+			serve = (*callerConn).serveOrRefuse
+		}
 		g.openConns.Add(1)
 		go func() {
 			defer g.openConns.Add(-1)
@@ -75,7 +77,7 @@
 			if g.closingIdle.Load() {
 				c.closeIfIdle()
 			}
-			c.serve()
+			serve(c)
 		}()
 	}
 }
@@ -138,6 +140,10 @@
 func (c *callerConn) lingeringClose() {
 	c.update(func(p *connProgress) { p.lingering = true })
 	defer c.update(func(p *connProgress) { p.closed = true })
+	if c.isReclaimed() {
+		_ = c.conn.Conn.Close()
+		return
+	}
 	if closer, ok := c.conn.Conn.(interface{ CloseWrite() error }); ok {
 		// An error does not matter: the connection is closed completely below.
 		_ = closer.CloseWrite()
@@ -152,7 +158,8 @@
 func (c *callerConn) beginReading(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = true
+	c.progress.reading = true
+	c.countState()
 	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
 }
 
@@ -161,7 +168,6 @@
 func (c *callerConn) accept(closeAfter bool) (done chan struct{}, previous <-chan struct{}, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
 	if c.closing {
 		return nil, nil, false
 	}
@@ -173,7 +179,7 @@
 		closeAfter = closeAfter || c.closesWhenIdle && pipelined || c.acceptedInStop >= maxPipelined
 	}
 	c.accepted++
-	c.progress.reading = false
+	c.progress.reading, c.progress.reclaimed = false, false
 	c.countState()
 	c.closing = closeAfter
 	done, previous = make(chan struct{}), c.lastDone
@@ -195,12 +201,12 @@
 	c.responseWritten(closing || !sent)
 }
 
-// isLastResponse reports whether the next response is the last one of the connection, because the connection is closing
-// or the host is stopping and no other request was accepted or has begun to arrive.
+// isLastResponse reports whether the next response is the last one of the connection, because the connection is closing, or is to
+// be closed when it is idle or the host is stopping, and no other request was accepted or has begun to arrive.
 func (c *callerConn) isLastResponse() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.gateway.stopping.Load() && c.accepted == c.responded+1 && !c.reading {
+	if (c.gateway.stopping.Load() || c.closesWhenIdle) && c.accepted == c.responded+1 && !c.progress.reading {
 		c.closing = true
 	}
 	return c.closing && c.accepted == c.responded+1
@@ -218,7 +224,7 @@
 		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 		return
 	}
-	if c.accepted == c.responded && !c.reading {
+	if c.accepted == c.responded && !c.progress.reading {
 		_ = c.conn.SetReadDeadline(c.idleDeadline(c.gateway.limits().IdleTimeout))
 	}
 }
@@ -229,7 +235,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closesWhenIdle = true
-	if c.accepted == c.responded && !c.reading {
+	if c.accepted == c.responded && !c.progress.reading {
 		_ = c.conn.SetReadDeadline(c.idleDeadline(0))
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -218,6 +218,8 @@
 	callerConns sync.Map
 	openConns   atomic.Int64
 	connections connections
+	// descriptors is the number of descriptors that the process may have open; zero means that it is not known.
+	descriptors int
 	// background is the context of health probes and of requests that continue after their caller has disconnected.
 	background context.Context
 }
@@ -238,6 +240,7 @@
 		heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}), peersAhead: ring.NewQueue[peerAhead](ring.Config{Capacity: 1}), histograms: meter.NewHistograms(), logger: c.Logger,
 		panics: newPanics(), bodies: bodyBudget{limit: int64(c.Settings.Limits.HeldBytes)}, responses: bodyBudget{limit: int64(c.Settings.Limits.HeldBytes)},
 	}
+	g.descriptors = socket.DescriptorLimit(c.Settings.Limits.Descriptors)
 	g.reloadable.Store(&g.settings)
 	g.incarnation = uint64(g.start.UnixMilli())<<16 | uint64(rand.Uint32N(1<<16))
 	// Hosts begin their directory responses at different positions.
@@ -492,12 +495,13 @@
 	endpoints := [maxListeners]struct {
 		key, address string
 		handle       func(context.Context, net.Listener) error
+		hasRoom      func() bool
 	}{
-		{"Inner", s.Inner, g.servePeers},
-		{"Listen", s.Listen, g.serveCallers},
-		{"Ready", s.Ready, g.serveReady},
-		{"Directory", s.Directory, g.serveDirectory},
-		{"Metrics", s.Metrics, g.serveMetrics},
+		{"Inner", s.Inner, g.servePeers, nil},
+		{"Listen", s.Listen, g.serveCallers, g.hasSlot},
+		{"Ready", s.Ready, g.serveReady, nil},
+		{"Directory", s.Directory, g.serveDirectory, nil},
+		{"Metrics", s.Metrics, g.serveMetrics, nil},
 	}
 	var listeners []listener
 	for _, e := range endpoints {
@@ -512,7 +516,7 @@
 			return nil, ErrListen.New("[Host] %s: %v; choose a free address", e.key, err)
 		}
 		listeners = append(listeners, listener{socket.NewListener(socket.ListenerConfig{
-			Listener: l, Failures: &g.stats.acceptFailures, OnFailure: onFailure, OnRetry: func(err error, failures int64) { g.logAcceptError(e.key, err, failures) },
+			Listener: l, Failures: &g.stats.acceptFailures, HasRoom: e.hasRoom, OnFailure: onFailure, OnRetry: func(err error, failures int64) { g.logAcceptError(e.key, err, failures) },
 		}), e.handle})
 	}
 	return listeners, nil
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -11,6 +11,7 @@
 	"briarcroft/internal/duty"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/roster"
+	"briarcroft/internal/socket"
 )
 
 // Limits of the connections to targets.
@@ -66,11 +67,19 @@
 	gateway *Gateway
 	mu      sync.Mutex
 	byKey   map[poolKey]pool
+	// dial opens connections to targets.
+	dial socket.DialFunc
 	// caps holds the caps of the targets of services that have one.
 	caps map[poolKey]int
 }
 
-func newPools(g *Gateway) *pools { return &pools{gateway: g, byKey: map[poolKey]pool{}} }
+func newPools(g *Gateway) *pools {
+	p := &pools{gateway: g, byKey: map[poolKey]pool{}, dial: g.config.Dial}
+	if p.dial == nil {
+		p.dial = socket.NewDialFunc(socket.Config{Timeout: targetDialTimeout, UnackedTimeout: targetUnackedTimeout})
+	}
+	return p
+}
 
 // get returns the pool of a target for runs, creating it if necessary, and probes the one for health probes.
 func (p *pools) get(name, address string) *backend.Pool    { return p.entry(name, address).Pool }
@@ -84,7 +93,7 @@
 	if !found {
 		c := backend.Config{
 			Address: address, MaxConnections: maxProbeConnections, DialTimeout: targetDialTimeout, RecentUseWindow: targetRecentUseWindow,
-			UnackedTimeout: targetUnackedTimeout, Dial: p.gateway.config.Dial,
+			UnackedTimeout: targetUnackedTimeout, Dial: p.gateway.freeingDial(p.dial),
 		}
 		var closeRuns, closeProbes func()
 		entry.probes, closeProbes = backend.New(c)
@@ -177,13 +186,24 @@
 	defer p.mu.Unlock()
 	var sum backend.Usage
 	for _, entry := range p.byKey {
-		u := entry.Usage()
-		sum.Open += u.Open
-		sum.Idle += u.Idle
+		for _, u := range []backend.Usage{entry.Usage(), entry.probes.Usage()} {
+			sum.Open += u.Open
+			sum.Idle += u.Idle
+		}
 	}
 	return sum
 }
 
+// closeIdle closes all idle connections to targets.
+func (p *pools) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, entry := range p.byKey {
+		entry.CloseIdle()
+		entry.probes.CloseIdle()
+	}
+}
+
 // busy returns the number of this host's connections to a target that carry a request or are being opened for one.
 func (p *pools) busy(name, address string) int {
 	p.mu.Lock()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -87,7 +87,6 @@
 	if !c.awaitFirstByte(limits) {
 		return nil, nil
 	}
-	c.update(func(p *connProgress) { p.reading = true })
 	arrived := c.gateway.now()
 	c.beginReading(limits.HeaderTimeout)
 	r, err := http.ReadRequest(c.reader)
