Refuse requests that are still arriving early enough for their callers to read it

At the time limit of a stop, requests that had not arrived completely were refused 100 ms before the process ended, while a connection lingers for up to 500 ms after its last response: with the caller still sending, the end of the process resets the connection, which can destroy the response. They are refused 600 ms before the limit now. Also, a request that begins to arrive on a connection whose last response was cut is not read any more; before, its head and body were awaited for nothing, which prolonged the stop.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -51,6 +51,8 @@
 	closing bool
 	// closesWhenIdle is set once the connection is to be closed unless a request is being handled or has arrived.
 	closesWhenIdle bool
+	// readStopped is set once a request that is still arriving is refused.
+	readStopped bool
 	// lastDone is closed when the last accepted request has been answered.
 	lastDone chan struct{}
 	// pipelineSlots holds one item for each request in progress, up to maxPipelined.
@@ -141,13 +143,21 @@
 	_ = c.conn.Conn.Close()
 }
 
-// beginReading registers that a request has begun to arrive, and sets the read deadline for its head. From then on until it is
-// accepted the connection is not idle.
-func (c *callerConn) beginReading(timeout time.Duration) {
+// awaitPart registers that a request has begun to arrive, and sets the read deadline for its head or body. From then on until it
+// is accepted the connection is not idle. It returns false if the request would not be accepted.
+func (c *callerConn) awaitPart(timeout time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
 	c.reading = true
-	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
+	deadline := time.Now().Add(timeout)
+	if c.readStopped {
+		deadline = time.Unix(1, 0)
+	}
+	_ = c.conn.SetReadDeadline(deadline)
+	return true
 }
 
 // accept registers a request that was read, unless the connection is closing. The request may be answered once
@@ -239,7 +249,12 @@
 
 // stopReading ends the reading of a request that has not arrived completely, which is then refused, and of a connection without
 // one.
-func (c *callerConn) stopReading() { _ = c.conn.SetReadDeadline(time.Unix(1, 0)) }
+func (c *callerConn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readStopped = true
+	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+}
 
 // setIdleDeadline sets the read deadline for the next request: idle, or busyReadTimeout while one is being handled.
 func (c *callerConn) setIdleDeadline(idle time.Duration) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -85,7 +85,9 @@
 		return nil, nil
 	}
 	arrived := c.gateway.now()
-	c.beginReading(limits.HeaderTimeout)
+	if !c.awaitPart(limits.HeaderTimeout) {
+		return nil, nil
+	}
 	r, err := http.ReadRequest(c.reader)
 	if err != nil {
 		// A head that ends in the middle of a line is parsed as far as it goes, which hides the reason for its end.
@@ -93,7 +95,9 @@
 	}
 	// The body has its own limit, in readBody.
 	c.conn.remaining = int(^uint(0) >> 1)
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+	if !c.awaitPart(limits.IdleTimeout) {
+		return nil, nil
+	}
 	q := &request{
 		attemptID: r.Header.Get(c.gateway.dialect.AttemptIDHeader), method: r.Method, uri: r.RequestURI, path: r.URL.Path, host: r.Host,
 		header: r.Header, callerAddress: c.address, arrived: arrived, closeAfter: r.Close || !r.ProtoAtLeast(1, 1), release: func() {},
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -16,8 +16,9 @@
 	addressAgeFactor = 3
 	// acceptTime is how long connections that callers have opened may wait to be accepted before the listener is closed.
 	acceptTime = 500 * time.Millisecond
-	// refusalTime is how long before the end of the process requests that are still arriving are refused.
-	refusalTime = 100 * time.Millisecond
+	// refusalTime is how long before the time limit requests that are still arriving are refused. Their connections linger after
+	// that, because the end of the process would reset them.
+	refusalTime = lingerTime + 100*time.Millisecond
 	// stopCheckInterval is how often to check whether all connections of callers have ended.
 	stopCheckInterval = 50 * time.Millisecond
 )
@@ -38,18 +39,25 @@
 	duty.Sleep(force, drainTime)
 	closeListener()
 	g.closeIdle()
-	inUse := func() bool { return g.openConns.Load() > 0 || g.relaysForPeers.Load() > 0 }
-	for force.Err() == nil && g.now()-started < limit-refusalTime && inUse() {
-		duty.Sleep(force, stopCheckInterval)
-	}
-	if !inUse() {
+	if g.awaitUnused(force, started+limit-refusalTime) {
 		return
 	}
 	g.callerConns.Range(func(key, _ any) bool {
 		key.(*callerConn).stopReading()
 		return true
 	})
-	duty.Sleep(force, limit-(g.now()-started))
+	g.awaitUnused(force, started+limit)
+}
+
+// awaitUnused waits until no connection of a caller is open and no run is relayed for a peer, and reports whether that is so before
+// the given time of Gateway.now and the end of the context.
+func (g *Gateway) awaitUnused(ctx context.Context, until time.Duration) bool {
+	for g.openConns.Load() > 0 || g.relaysForPeers.Load() > 0 {
+		if g.now() >= until || !duty.Sleep(ctx, stopCheckInterval) {
+			return false
+		}
+	}
+	return true
 }
 
 // closeIdle closes the idle connections of callers. The others close by themselves after a response, as the host is
--- a/soak/signal_test.go
+++ b/soak/signal_test.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -182,3 +185,30 @@
 		f.is.NoErr(unix.SetNonblock(int(fd), false))
 	}))
 }
+
+// TestSlowBodyIsRefusedAtEndOfStop guards against the end of a process that resets the connection of a request which still arrives, so
+// that its caller gets no answer.
+func TestSlowBodyIsRefusedAtEndOfStop(t *testing.T) {
+	binary := buildBinary(t, "..")
+	f := newFleet(t, func(int, int) string { return binary }, 1, 1)
+	p := f.hosts[0]
+	conn, err := net.Dial("tcp", p.listen)
+	f.is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /order/1 HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: slow\r\nContent-Length: 1000000\r\n\r\n")
+	f.is.NoErr(err)
+	f.is.NoErr(p.command.Process.Signal(syscall.SIGTERM))
+	sender := make(chan struct{})
+	go func() {
+		defer close(sender)
+		for err := error(nil); err == nil; time.Sleep(20 * time.Millisecond) {
+			_, err = io.WriteString(conn, "0123456789")
+		}
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	f.is.NoErr(err)
+	f.is.Equal(response.StatusCode, http.StatusRequestTimeout)
+	<-p.exited
+	<-sender
+	f.is.Equal(f.runCount("slow"), 0)
+}
