--- a/soak/signal_test.go
+++ b/soak/signal_test.go
@@ -86,6 +86,27 @@
 	f.is.NoErr(f.awaitEnd(c))
 }
 
+// TestEarlyTerminationStopsGracefully guards against a SIGTERM that ends a process which still reads its settings.
+func TestEarlyTerminationStopsGracefully(t *testing.T) {
+	binary := buildBinary(t, "..")
+	f := newFleet(t, func(int, int) string { return binary }, 1, 1)
+	p := f.hosts[0]
+	f.endHost(p)
+	content, err := os.ReadFile(p.settingsFile)
+	f.is.NoErr(err)
+	file := filepath.Join(f.dir, "early.ini")
+	f.is.NoErr(unix.Mkfifo(file, 0o600))
+	c := f.startChild(file, f.openLog("early.log"))
+	settings, err := os.OpenFile(file, os.O_WRONLY, 0) // returns once the process reads its settings
+	f.is.NoErr(err)
+	f.is.NoErr(c.Process.Signal(syscall.SIGTERM))
+	f.is.NoErr(os.Remove(file))
+	_, err = settings.Write(content)
+	f.is.NoErr(err)
+	f.is.NoErr(settings.Close())
+	f.is.NoErr(f.awaitEnd(c))
+}
+
 // awaitLine waits until a log has a line with the given text.
 func (f *fleet) awaitLine(log, text string) {
 	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
