Do not cancel a request in progress after ten minutes

While a request was handled, the wait for the next one on its connection ended after ten minutes. The host took that for a caller that had left: it canceled a repeatable request, answered 504 CallerLeft and closed the connection, although the rule allowed more time. There is no deadline now until the response has been written, which sets the one for idle connections; a caller that vanished is noticed when the response cannot be written.

TestLongRequestIsNotCanceled failed before (504).

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -24,8 +24,6 @@
 	stallTimeout = 10 * time.Second
 	// firstRequestTime is how long a new connection is kept for its first request once the host is closing idle connections.
 	firstRequestTime = time.Second
-	// busyReadTimeout bounds the wait for the next request while an earlier one is being handled.
-	busyReadTimeout = 10 * time.Minute
 )
 
 // callerWriters pools the write buffers of responses.
@@ -256,7 +254,7 @@
 	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// setIdleDeadline sets the read deadline for the next request: idle, or busyReadTimeout while one is being handled.
+// setIdleDeadline sets the read deadline for the next request: idle, or none while one is being handled, whose response sets it.
 func (c *callerConn) setIdleDeadline(idle time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -266,7 +264,7 @@
 	case c.accepted == c.responded:
 		_ = c.conn.SetReadDeadline(c.idleDeadline(idle))
 	default:
-		_ = c.conn.SetReadDeadline(time.Now().Add(busyReadTimeout))
+		_ = c.conn.SetReadDeadline(time.Time{})
 	}
 }
 
