Notice that the caller of a connection's last request leaves, however long that takes

A request that was the last one of its connection left the read deadline of its body behind, IdleTimeout after its head. Once that had passed, the connection was not read any more, and a repeatable run went on at its target after the caller had left (GONE). The deadline is removed while the last requests are handled.

TestCallerOfLastRequestLeaves failed before (0 runs canceled half a second after the caller had left).

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -115,6 +115,7 @@
 // awaitHandlers waits for the requests that are being handled and closes the connection. If the caller disconnects
 // meanwhile, its repeatable requests are canceled.
 func (c *callerConn) awaitHandlers(handlers *sync.WaitGroup) {
+	_ = c.conn.SetReadDeadline(time.Time{})
 	readEnded := make(chan struct{})
 	go func() {
 		defer close(readEnded)
--- a/internal/gateway/long_request_test.go
+++ b/internal/gateway/long_request_test.go
@@ -28,3 +28,24 @@
 		f.targets["t0"].Update(func(t *standin.Target) { t.RunDuration = 0 })
 	})
 }
+
+// TestCallerOfLastRequestLeaves guards against a run that goes on after its caller has left because the connection is not read any more:
+// that of a request which is the last one of its connection and takes longer than the time for which connections may be idle.
+func TestCallerOfLastRequestLeaves(t *testing.T) {
+	withFleet(t, 1, 1, func(f *fleet) {
+		long := safeRule("long", "/long/")
+		long["timeout-ms"] = time.Minute.Milliseconds()
+		f.configure(2, long)
+		time.Sleep(2 * time.Second)
+		f.targets["t0"].Update(func(t *standin.Target) { t.RunDuration = 50 * time.Second })
+		conn := f.dial("h0")
+		_, err := io.WriteString(conn, "GET /long/1 HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: long\r\nConnection: close\r\n\r\n")
+		f.is.NoErr(err)
+		time.Sleep(20 * time.Second)
+		f.is.Equal(f.canceledRuns(), 0)
+		f.is.NoErr(conn.Close())
+		time.Sleep(500 * time.Millisecond)
+		f.is.Equal(f.canceledRuns(), 1)
+		time.Sleep(30 * time.Second)
+	})
+}
