--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -24,8 +24,6 @@
 	stallTimeout = 10 * time.Second
 	// firstRequestTime is how long a new connection is kept for its first request once the host is closing idle connections.
 	firstRequestTime = time.Second
-	// busyReadTimeout bounds the wait for the next request while an earlier one is being handled.
-	busyReadTimeout = 10 * time.Minute
 )
 
 // callerWriters pools the write buffers of responses.
@@ -49,6 +47,8 @@
 	closing bool
 	// closesWhenIdle is set once the connection is to be closed unless a request is being handled or has arrived.
 	closesWhenIdle bool
+	// readStopped is set once a request that is still arriving is refused.
+	readStopped bool
 	// lastDone is closed when the last accepted request has been answered.
 	lastDone chan struct{}
 	// progress is guarded by mu.
@@ -120,6 +120,7 @@
 // awaitHandlers waits for the requests that are being handled and closes the connection. If the caller disconnects
 // meanwhile, its repeatable requests are canceled.
 func (c *callerConn) awaitHandlers(handlers *sync.WaitGroup) {
+	_ = c.conn.SetReadDeadline(time.Time{})
 	readEnded := make(chan struct{})
 	go func() {
 		defer close(readEnded)
@@ -153,14 +154,22 @@
 	_ = c.conn.Conn.Close()
 }
 
-// beginReading registers that a request has begun to arrive, and sets the read deadline for its head. From then on until it is
-// accepted the connection is not idle.
-func (c *callerConn) beginReading(timeout time.Duration) {
+// awaitPart registers that a request has begun to arrive, and sets the read deadline for its head or body. From then on until it
+// is accepted the connection is not idle. It returns false if the request would not be accepted.
+func (c *callerConn) awaitPart(timeout time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
 	c.progress.reading = true
 	c.countState()
-	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
+	deadline := time.Now().Add(timeout)
+	if c.readStopped {
+		deadline = time.Unix(1, 0)
+	}
+	_ = c.conn.SetReadDeadline(deadline)
+	return true
 }
 
 // accept registers a request that was read, unless the connection is closing. The request may be answered once
@@ -254,9 +263,14 @@
 
 // stopReading ends the reading of a request that has not arrived completely, which is then refused, and of a connection without
 // one.
-func (c *callerConn) stopReading() { _ = c.conn.SetReadDeadline(time.Unix(1, 0)) }
+func (c *callerConn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readStopped = true
+	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+}
 
-// setIdleDeadline sets the read deadline for the next request: idle, or busyReadTimeout while one is being handled.
+// setIdleDeadline sets the read deadline for the next request: idle, or none while one is being handled, whose response sets it.
 func (c *callerConn) setIdleDeadline(idle time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -266,7 +280,7 @@
 	case c.accepted == c.responded:
 		_ = c.conn.SetReadDeadline(c.idleDeadline(idle))
 	default:
-		_ = c.conn.SetReadDeadline(time.Now().Add(busyReadTimeout))
+		_ = c.conn.SetReadDeadline(time.Time{})
 	}
 }
 
