Nothing is sent on a connection behind a truncated response

Responses behind it were lost with the connection, and requests behind it were still sent to targets although nobody could get their responses.

Cause: when a response that is passed on while it is read (from 1 MiB) could not be sent completely, callerConn.writeResponse returned false, which ended the reading of further requests only. Requests that had been accepted before went on, and their handlers wrote their responses to the same connection. The same happened for a response cut by the rule's time limit or by a write that stalled, and for the rejection of a request that cannot be read.

Fix: a connection records that a response was not sent completely. After that nothing is written, the sending side is closed at once, so that the caller sees the end where the response broke off, and the context of the connection ends: repeatable requests are canceled, and others are withdrawn unless they were sent already. A response is also not written beyond its announced length, and none that has no body (204, 304, HEAD) is followed by one.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -57,35 +58,73 @@
 	return localResponse(status, string(r.Reason), r.RetryAfter)
 }
 
-// writeResponse sends a response and reports whether all of it was sent.
+// writeResponse sends a response and reports whether all of it was sent. After one that was not, nothing more is sent on the
+// connection: the caller would take it for the rest of the truncated response.
 func (c *callerConn) writeResponse(q *request, r *callerResponse, closing bool) bool {
+	if r.unread != nil {
+		defer r.unread.Close()
+	}
+	if c.truncated.Load() {
+		return false
+	}
+	if err := c.sendResponse(q, r, closing); err != nil {
+		c.truncate()
+		return false
+	}
+	return true
+}
+
+// truncate ends sending after a response that was not sent completely. The caller sees the end of the connection at once, and
+// requests that were accepted and not yet sent to a target are canceled.
+func (c *callerConn) truncate() {
+	c.truncated.Store(true)
+	c.cancel()
+	if closer, ok := c.conn.Conn.(interface{ CloseWrite() error }); ok {
+		// An error does not matter: the connection is closed completely when its requests have ended.
+		_ = closer.CloseWrite()
+		return
+	}
+	_ = c.conn.Conn.Close()
+}
+
+// errBodyTooShort reports that the body of a response is shorter than its announced length.
+var errBodyTooShort = errors.New("the body of the response is shorter than its length")
+
+// sendResponse writes a response to the connection.
+func (c *callerConn) sendResponse(q *request, r *callerResponse, closing bool) error {
 	conn := c.conn.Conn
 	_ = conn.SetWriteDeadline(time.Now().Add(stallTimeout))
 	w := callerWriters.Get().(*bufio.Writer)
 	w.Reset(conn)
 	defer callerWriters.Put(w)
-	if r.unread != nil {
-		defer r.unread.Close()
-	}
 	if err := writeResponseHead(w, q, r, closing); err != nil {
-		return false
-	}
-	if q.method == http.MethodHead {
-		return w.Flush() == nil
+		return err
 	}
-	if r.unread != nil && r.length < 0 {
-		return c.writeChunked(w, r) == nil
+	switch {
+	case q.method == http.MethodHead || !bodyAllowed(r.status):
+		return w.Flush()
+	case r.unread != nil && r.length < 0:
+		return c.writeChunked(w, r)
 	}
 	if _, err := w.Write(r.body); err != nil {
-		return false
+		return err
 	}
 	if r.unread != nil {
-		n, err := io.Copy(stallWriter{c, w}, r.unread)
-		if err != nil || int64(len(r.body))+n != r.length {
-			return false
+		rest := r.length - int64(len(r.body))
+		n, err := io.Copy(stallWriter{c, w}, io.LimitReader(r.unread, rest))
+		if err != nil {
+			return err
+		}
+		if n < rest {
+			return errBodyTooShort
 		}
 	}
-	return w.Flush() == nil
+	return w.Flush()
+}
+
+// bodyAllowed reports whether a response with the status has a body.
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
 }
 
 // writeResponseHead writes the status line and the header fields.
@@ -95,7 +134,7 @@
 	}
 	r.header.Del("Content-Length")
 	switch {
-	case r.status == http.StatusNoContent || r.status == http.StatusNotModified:
+	case !bodyAllowed(r.status):
 	case r.length < 0:
 		r.header.Set("Transfer-Encoding", "chunked")
 	default:
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -45,6 +46,8 @@
 	closing bool
 	// closesWhenIdle is set once the connection is to be closed unless a request is being handled or has arrived.
 	closesWhenIdle bool
+	// truncated is set once a response was not sent completely; nothing may follow it.
+	truncated atomic.Bool
 	// lastDone is closed when the last accepted request has been answered.
 	lastDone chan struct{}
 	// pipelineSlots holds one item for each request in progress, up to maxPipelined.
