100 Continue is sent behind the responses to earlier requests

What callers see: a caller that pipelines a request with "Expect: 100-continue" gets the interim response before or within the response to its earlier request, which then has a wrong body or cannot be read. On a connection that was idle for more than 10 s since its last response, the connection was closed without an answer instead.

Cause: readBody wrote the interim response directly to the connection, while handlers may be writing the responses to earlier requests, and without a time limit of its own, so that the one of the last response, which had passed, applied.

Fix: it is sent once the earlier requests have been answered, with a time limit of its own, and not at all behind a truncated response or one that closes the connection. The body is read meanwhile, since callers may send it without waiting.

Evidence: TestContinueFollowsEarlierResponses fails on the code before in both rows: pipelined, the first response has status 100 instead of 200; after an idle time, unexpected EOF. Found by reading; not seen in a run of the fleet.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -137,9 +137,7 @@
 		return nil, &rejection{status: http.StatusRequestEntityTooLarge, reason: "BodyTooLong"}
 	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.conn.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, nil
-		}
+		defer c.sendContinue()()
 	}
 	reserved := r.ContentLength
 	if reserved < 0 {
@@ -169,6 +167,35 @@
 	return q, nil
 }
 
+// sendContinue asks the caller to send the body of its request, once the requests before it have been answered: an interim
+// response within the response to another request would be taken for a part of that. The returned function must be called before
+// anything else is sent; it waits until nothing is being sent.
+func (c *callerConn) sendContinue() (stop func()) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	c.mu.Lock()
+	previous := c.lastDone
+	c.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		select {
+		case <-previous:
+		case <-ctx.Done():
+			return
+		}
+		if c.truncated.Load() || !c.acceptsMore() {
+			return
+		}
+		_ = c.conn.SetWriteDeadline(time.Now().Add(stallTimeout))
+		// After an error the body does not arrive either.
+		_, _ = io.WriteString(c.conn.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // limits returns the limits of requests that are in force.
 func (g *Gateway) limits() note.Limits {
 	if l := g.rules.Load().limits; l.HeaderBytes > 0 && l.IdleTimeout > 0 {
--- a/internal/gateway/truncated_test.go
+++ b/internal/gateway/truncated_test.go
@@ -130,6 +130,46 @@
 	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 1000\r\n\r\n", path, id)
 }
 
+// TestContinueFollowsEarlierResponses guards against an interim response that is sent within the response to an earlier request, or
+// with the time limit of an earlier write.
+func TestContinueFollowsEarlierResponses(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// pause is the time between the requests.
+		pause time.Duration
+	}{{"pipelined", 0}, {"after an idle time", 12 * time.Second}} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 1, 2, func(f *fleet) {
+				conn, err := f.net.Dialer("caller")(context.Background(), "tcp", f.hosts["h0"].listen)
+				f.is.NoErr(err)
+				defer conn.Close()
+				continued := make(chan struct{}, 1)
+				defer close(continued)
+				go func() {
+					_, _ = io.WriteString(conn, getRequest("/lookup/1", "first"))
+					time.Sleep(c.pause)
+					_, _ = io.WriteString(conn, "POST /order/1 HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: second\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+					<-continued
+					_, _ = io.WriteString(conn, "body")
+				}()
+				reader := bufio.NewReader(conn)
+				for _, status := range []int{http.StatusOK, http.StatusContinue, http.StatusOK} {
+					response, err := http.ReadResponse(reader, nil)
+					f.is.NoErr(err)
+					f.is.Equal(response.StatusCode, status)
+					if status == http.StatusContinue {
+						continued <- struct{}{}
+						continue
+					}
+					_, err = io.Copy(io.Discard, response.Body)
+					f.is.NoErr(err)
+				}
+				f.is.Equal(f.runsOf("second"), 1)
+			})
+		})
+	}
+}
+
 // TestNextResponseFollowsOneWithoutBody guards against bytes between a response that has no body and the next one, sent directly
 // and through a peer.
 func TestNextResponseFollowsOneWithoutBody(t *testing.T) {
