A relay's stream that ends early is no end of the response

What callers may see: a response through a peer that is cut, with a length that fits what arrived, or with a last chunk, so that it looks complete.

Cause: the end of the stream without a RelayEnd was passed on as io.EOF, which readers of the body take for its end. A peer ends the stream like that when its time limit passes, or its context ends, between two parts: the reply that says so is then dropped.

Fix: only RelayEnd is the end of a response.

Evidence: TestEndedRelayStreamIsNoEndOfResponse fails on the code before (no error instead of unexpected EOF). Found by reading; not seen in a run of the fleet, where the time limit of the host that asks mostly passes first.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -278,6 +278,9 @@
 	for len(b.unread) == 0 && b.err == nil {
 		reply, err := b.receive()
 		switch {
+		case err == io.EOF:
+			// Without RelayEnd the response is truncated.
+			b.err = io.ErrUnexpectedEOF
 		case err != nil:
 			b.err = err
 		case reply.Kind == inner.RelayKind_RelayPart:
