Bodies of requests take no memory beyond their budget

Cause: a body without a length reserved only KeyedBodyBytes (1 MiB) of Limits.HeldBytes while it was read, and the rest once it had been read; io.ReadAll took about 2.5 times its size by copying. A body with a length reserved all of it at once, so that callers that announce bodies and send none kept all others from being served for up to the idle time. Nothing related the budget to the memory that the host has.

Fix: a body consists of parts of up to 256 KiB. Each is reserved before it is filled, and none is copied. A body without room gets 503 with Retry-After at once: before it is read if its length tells, or else when the next part finds no room. Bodies of up to 16 KiB may use an eighth more than the limit, so that short requests go on while uploads fill it. The closing connection reads at most 256 KiB of what the caller goes on sending, and stays open for the same 500 ms as before, so that the caller can read the answer. The template passes memory-mb to the new setting Host.MemoryMB: bodies may take 0.35 of it, responses 0.15, and the garbage collector works harder from 0.8 of it. Limits.HeldBytes only lowers that; without both it is 64 MiB as before. KeyedBodyBytes no longer has a meaning for hosts with Platform.Kind Native. New metrics HeldBodyBytes and BodiesRejected.

Evidence, on the code before: TestBurstOfUploadsStaysWithinMemory, 40 uploads of 1 MiB with a budget of 4 MiB: in chunks 32,000 KiB are in memory at once, with a length 0 of 10 short requests are served; now 4,096 KiB and 10 of 10 in both.

Package entry (Etcd) streams bodies from maxReplayBytes on; what it buffers has no common bound (open).

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -97,8 +97,8 @@
 // newGateway returns an entry host for the users' platform (Kind = Native) and the function that closes it.
 func newGateway(s settings.Settings, logger zerolog.Logger) (server, func()) {
 	debug.SetGCPercent(gatewayGCPercent)
-	if s.Limits.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(s.Limits.MemoryBytes))
+	if limit := gateway.CollectionLimit(s); limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 	store, closeStore := platform.NewStore(platform.StoreConfig{URL: s.Platform.Store, Timeout: s.Platform.Timeout})
 	h, closeHost := gateway.New(gateway.Config{Settings: s, Logger: logger, Store: store, Dialect: platform.Dialect()})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -167,8 +166,8 @@
 	remaining := max(1, (x.deadline - x.gateway.now()).Milliseconds())
 	r.Header.Set(x.gateway.dialect.DeadlineHeader, strconv.FormatInt(remaining, 10))
 	r.Header.Set(x.gateway.dialect.ExpectedTargetHeader, p.Target)
-	if len(q.body) > 0 {
-		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(q.body)), int64(len(q.body))
+	if q.body.length() > 0 {
+		r.Body, r.ContentLength = q.body.reader(), q.body.length()
 	}
 	return r
 }
@@ -193,7 +192,7 @@
 		return maxBufferedResponse
 	case response.StatusCode >= http.StatusMultipleChoices:
 		return maxFailureBytes
-	case !x.gateway.responses.acquire(maxBufferedResponse):
+	case !x.gateway.responses.acquire(maxBufferedResponse, maxBufferedResponse):
 		return minBufferedResponse
 	}
 	context.AfterFunc(ctx, func() { x.gateway.responses.release(maxBufferedResponse) })
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"briarcroft/internal/duty"
 )
 
 // Limits of the connections of callers.
@@ -21,6 +23,8 @@
 	maxPipelined = 16
 	// lingerTime is how long a closing connection is still read, so that a reset does not destroy its last response.
 	lingerTime = 500 * time.Millisecond
+	// lingerBytes is how many bytes are read and discarded then.
+	lingerBytes = 256 << 10
 	// stallTimeout is how long one write of a part of a response to a caller may block.
 	stallTimeout = 10 * time.Second
 	// busyReadTimeout bounds the wait for the next request while an earlier one is being handled.
@@ -94,7 +98,7 @@
 		}
 		done, previous, ok := c.accept(q.closeAfter)
 		if !ok {
-			q.release()
+			q.body.release()
 			break
 		}
 		c.pipelineSlots <- struct{}{}
@@ -112,7 +116,7 @@
 	readEnded := make(chan struct{})
 	go func() {
 		defer close(readEnded)
-		if _, err := io.Copy(io.Discard, c.conn.Conn); err == nil {
+		if _, err := io.CopyN(io.Discard, c.conn.Conn, lingerBytes); err == io.EOF {
 			c.cancel()
 		}
 	}()
@@ -130,8 +134,12 @@
 		// An error does not matter: the connection is closed completely below.
 		_ = closer.CloseWrite()
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, c.conn.Conn)
+	end := time.Now().Add(lingerTime)
+	_ = c.conn.SetReadDeadline(end)
+	if _, err := io.CopyN(io.Discard, c.conn.Conn, lingerBytes); err == nil {
+		// The caller goes on sending; it still has to read its last response.
+		duty.Sleep(c.gateway.background, time.Until(end))
+	}
 	_ = c.conn.Conn.Close()
 }
 
@@ -154,7 +162,7 @@
 func (c *callerConn) handle(q *request, done chan struct{}, previous <-chan struct{}) {
 	defer func() { <-c.pipelineSlots }()
 	defer close(done)
-	defer q.release()
+	defer q.body.release()
 	x := newExchange(c, q)
 	response := x.run()
 	<-previous
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -153,6 +153,8 @@
 		{"NotFound", func() any { return s.notFound.Load() }},
 		{"CutAnswers", func() any { return s.truncated.Load() }},
 		{"RejectedRequests", func() any { return s.rejected.Load() }},
+		{"BodiesRejected", func() any { return s.bodiesRejected.Load() }},
+		{"HeldBodyBytes", func() any { return g.bodies.used.Load() }},
 		{"Attempts", func() any { return s.attempts.Load() }},
 		{"Probes", func() any { return s.primaryProbes.Load() + s.fallbackProbes.Load() }},
 		{"Quarantined", func() any { return s.quarantined.Load() }},
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -24,6 +24,11 @@
 // RelayedRequests returns how many runs peers have relayed for the gateway.
 func (g *Gateway) RelayedRequests() int64 { return g.stats.relayed.Load() }
 
+// HeldBytes returns the memory that the bodies of requests and those of responses take.
+func (g *Gateway) HeldBytes() (requests, responses int64) {
+	return g.bodies.used.Load(), g.responses.used.Load()
+}
+
 // Allowances returns the state of the holder on this host, and whether the host is waiting for another one.
 func (g *Gateway) Allowances() (holder quota.HolderStats, lost bool) {
 	now := g.allowances.bootTime()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -196,8 +196,8 @@
 	applied atomic.Pointer[roster.View]
 	// receiving is the number of streams on which an update of the store has arrived in part.
 	receiving atomic.Int32
-	// bodies bounds the memory for request bodies, and responses that for responses of unknown length.
-	bodies, responses bodyBudget
+	// bodies bounds the memory for the bodies of requests, and responses that for those of responses.
+	bodies, responses *memoryBudget
 	// applyMu serializes applyView and guards targetStates, which holds the recorded state of each target by name.
 	applyMu      sync.Mutex
 	targetStates map[string]string
@@ -227,7 +227,7 @@
 	g := &Gateway{
 		config: c, settings: c.Settings, dialect: c.Dialect, start: time.Now(), chain: &note.Chain{},
 		heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}), peersAhead: ring.NewQueue[peerAhead](ring.Config{Capacity: 1}), histograms: meter.NewHistograms(), logger: c.Logger,
-		bodies: bodyBudget{limit: int64(c.Settings.Limits.HeldBytes)}, responses: bodyBudget{limit: int64(c.Settings.Limits.HeldBytes)},
+		bodies: newMemoryBudget(c.Settings, requestShare), responses: newMemoryBudget(c.Settings, responseShare),
 	}
 	g.reloadable.Store(&g.settings)
 	g.incarnation = uint64(g.start.UnixMilli())<<16 | uint64(rand.Uint32N(1<<16))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -142,7 +142,7 @@
 // none does.
 func (x *exchange) relay(ctx context.Context, from placer, p placement.Placed) (*http.Response, error) {
 	g := x.gateway
-	if len(x.request.body) > maxRelayedBody {
+	if x.request.body.length() > maxRelayedBody {
 		return nil, backend.ErrNotSent.New("the request is too large to be relayed to target %s", p.Target)
 	}
 	err := error(backend.ErrNotSent.New("no peer relays to target %s", p.Target))
@@ -201,7 +201,7 @@
 func (x *exchange) relayRequest(ctx context.Context, p placement.Placed) *inner.RelayRequest {
 	r := x.targetRequest(ctx, p)
 	return &inner.RelayRequest{
-		Target: p.Target, Address: p.Address, Method: r.Method, Host: r.Host, Uri: x.request.uri, Headers: encodeHeader(r.Header), Body: x.request.body,
+		Target: p.Target, Address: p.Address, Method: r.Method, Host: r.Host, Uri: x.request.uri, Headers: encodeHeader(r.Header), Body: x.request.body.bytes(),
 		TimeoutMilliseconds: max(1, (x.deadline - x.gateway.now()).Milliseconds()), RecentlyUsed: !x.repeatable(),
 	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -10,7 +10,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"briarcroft/internal/note"
@@ -34,7 +33,7 @@
 	path          string
 	host          string
 	header        http.Header
-	body          []byte
+	body          *payload
 	callerAddress string
 	// arrived is the time of Gateway.now at which the first byte arrived.
 	arrived time.Duration
@@ -42,8 +41,6 @@
 	timeout time.Duration
 	// closeAfter is set when the caller sends no further request on its connection.
 	closeAfter bool
-	// release returns the memory of the body to the budget.
-	release func()
 }
 
 // errHeaderTooLong reports that a request head exceeds the limit.
@@ -90,7 +87,7 @@
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
 	q := &request{
 		attemptID: r.Header.Get(c.gateway.dialect.AttemptIDHeader), method: r.Method, uri: r.RequestURI, path: r.URL.Path, host: r.Host,
-		header: r.Header, callerAddress: c.address, arrived: arrived, closeAfter: r.Close || !r.ProtoAtLeast(1, 1), release: func() {},
+		header: r.Header, callerAddress: c.address, arrived: arrived, closeAfter: r.Close || !r.ProtoAtLeast(1, 1),
 	}
 	if ms, err := strconv.ParseFloat(r.Header.Get(c.gateway.dialect.DeadlineHeader), 64); err == nil && ms > 0 {
 		q.timeout = time.Duration(ms * float64(time.Millisecond))
@@ -98,7 +95,11 @@
 	if r.ContentLength == 0 {
 		return q, nil
 	}
-	return c.readBody(q, r, limits)
+	if complete, rejected := c.readBody(q, r, limits); !complete {
+		q.body.release()
+		return nil, rejected
+	}
+	return q, nil
 }
 
 // awaitFirstByte waits for the first byte of a request and reports whether one came.
@@ -130,41 +131,36 @@
 	return &rejection{status: http.StatusBadRequest, reason: "NotARequest"}
 }
 
-// readBody reads the whole body of a request within the limits and the memory budget. For a body of unknown length it
-// reserves KeyedBodyBytes first, and the rest once the body was read.
-func (c *callerConn) readBody(q *request, r *http.Request, limits note.Limits) (*request, *rejection) {
-	if r.ContentLength > int64(limits.BodyBytes) {
-		return nil, &rejection{status: http.StatusRequestEntityTooLarge, reason: "BodyTooLong"}
+// readBody reads the whole body of a request within the limits and the memory budget. A body without room is rejected before it
+// was read, or as soon as there is no room for more of it: an announced length holds nothing until it arrives. The rejection is nil
+// when the connection has ended.
+func (c *callerConn) readBody(q *request, r *http.Request, limits note.Limits) (complete bool, rejected *rejection) {
+	length, budget := r.ContentLength, c.gateway.bodies
+	switch {
+	case length > int64(limits.BodyBytes):
+		return false, &rejection{status: http.StatusRequestEntityTooLarge, reason: "BodyTooLong"}
+	case !budget.hasRoom(max(length, minPartBytes)):
+		return false, c.rejectForMemory()
 	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		defer c.sendContinue()()
 	}
-	reserved := r.ContentLength
-	if reserved < 0 {
-		reserved = int64(c.gateway.settings.Limits.KeyedBodyBytes)
-	}
-	if !c.gateway.bodies.acquire(reserved) {
-		return nil, &rejection{status: http.StatusServiceUnavailable, reason: "NoMemoryForBody", retryAfter: refusedRetryAfter}
+	q.body = &payload{budget: budget}
+	ended, err := q.body.fill(r.Body, length, int64(limits.BodyBytes))
+	if err == nil && !ended {
+		// The body has reached the limit and must end here.
+		if _, err = io.ReadFull(r.Body, make([]byte, 1)); err == nil {
+			return false, &rejection{status: http.StatusRequestEntityTooLarge, reason: "BodyTooLong"}
+		}
+		ended = err == io.EOF
 	}
-	q.release = func() { c.gateway.bodies.release(reserved) }
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limits.BodyBytes)+1))
 	switch {
-	case err != nil:
-		q.release()
-		return nil, rejectionFor(err)
-	case len(body) > limits.BodyBytes:
-		q.release()
-		return nil, &rejection{status: http.StatusRequestEntityTooLarge, reason: "BodyTooLong"}
-	}
-	if extra := int64(len(body)) - reserved; extra > 0 {
-		if !c.gateway.bodies.acquire(extra) {
-			q.release()
-			return nil, &rejection{status: http.StatusServiceUnavailable, reason: "NoMemoryForBody", retryAfter: refusedRetryAfter}
-		}
-		reserved += extra
+	case ended:
+		return true, nil
+	case errors.Is(err, errNoRoom):
+		return false, c.rejectForMemory()
 	}
-	q.body = body
-	return q, nil
+	return false, rejectionFor(err)
 }
 
 // sendContinue asks the caller to send the body of its request, once the requests before it have been answered: an interim
@@ -196,6 +192,12 @@
 	}
 }
 
+// rejectForMemory returns the rejection of a request for whose body there is no memory.
+func (c *callerConn) rejectForMemory() *rejection {
+	c.gateway.stats.bodiesRejected.Add(1)
+	return &rejection{status: http.StatusServiceUnavailable, reason: "NoMemoryForBody", retryAfter: refusedRetryAfter}
+}
+
 // limits returns the limits of requests that are in force.
 func (g *Gateway) limits() note.Limits {
 	if l := g.rules.Load().limits; l.HeaderBytes > 0 && l.IdleTimeout > 0 {
@@ -206,46 +208,31 @@
 
 // fingerprint returns a hash of the caller's address, path and body, by which the platform defines repetitions of a request
 // that makes targets crash. A repetition may have another query.
-func (q *request) fingerprint() uint64 { return hash([]byte(q.callerAddress), []byte(q.path), q.body) }
+func (q *request) fingerprint() uint64 { return hash(q.body, q.callerAddress, q.path) }
 
 // sharedFingerprints returns hashes of what the request shares with requests of other callers: the path with the query and the
 // body, and without the query.
 func (q *request) sharedFingerprints() []uint64 {
-	withoutQuery := hash([]byte(q.path), q.body)
+	withoutQuery := hash(q.body, q.path)
 	if !strings.Contains(q.uri, "?") {
 		return []uint64{withoutQuery}
 	}
-	return []uint64{hash([]byte(q.uri), q.body), withoutQuery}
+	return []uint64{hash(q.body, q.uri), withoutQuery}
 }
 
-// hash returns a hash of the parts and their order.
-func hash(parts ...[]byte) uint64 {
+// hash returns a hash of the parts, their order and the body.
+func hash(body *payload, parts ...string) uint64 {
 	d := xxhash.New()
 	for _, part := range parts {
 		// A hash never fails to write.
-		_, _ = d.Write(part)
+		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
+	body.writeTo(d)
+	_, _ = d.Write([]byte{0})
 	return d.Sum64()
 }
 
-// bodyBudget bounds the memory that request bodies take, in bytes.
-type bodyBudget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// acquire reserves n bytes and reports whether they were available.
-func (b *bodyBudget) acquire(n int64) bool {
-	if b.used.Add(n) > b.limit {
-		b.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (b *bodyBudget) release(n int64) { b.used.Add(-n) }
-
 // newReader returns the buffered reader of a caller's connection.
 func newReader(c *limitedConn) *bufio.Reader { return bufio.NewReaderSize(c, callerReadBytes) }
 
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -144,6 +144,8 @@
 	// unresponsiveHomes counts homes that gave no verdict within firstVerdictTimeout; slowReaders, hosts that were cut off
 	// because they did not read their verdicts; rejected, requests that could not be read.
 	unresponsiveHomes, slowReaders, rejected atomic.Int64
+	// bodiesRejected counts the requests for whose bodies there was no memory.
+	bodiesRejected atomic.Int64
 	// tooLarge counts connections that were closed because a target sent more than a response may have.
 	tooLarge atomic.Int64
 	// relayed counts the runs that peers relayed for this host, and relayedForPeers those that it relayed for peers.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,8 +39,14 @@
 	Cores     float64
 	CoreShare float64
 	LinkMbps  float64
+	// MemoryMB is the memory in units of 1,000,000 bytes from which on the platform ends the process; zero means that there is no
+	// limit or that it is not known. Only hosts with Platform.Kind Native use it.
+	MemoryMB float64
 }
 
+// MemoryLimit returns MemoryMB in bytes.
+func (h Host) MemoryLimit() int64 { return int64(h.MemoryMB * 1e6) }
+
 // PeerAddress returns the address that the host announces to other entry hosts.
 func (h Host) PeerAddress() string {
 	if h.Announced != "" {
@@ -81,7 +87,7 @@
 type Limits struct {
 	HeaderBytes int
 	// KeyedBodyBytes is the maximum size of the body of a request with an Idempotency-Key, and of a response that is stored
-	// for its resends. Hosts with Platform.Kind Native reserve as much memory for a request body of unknown length.
+	// for its resends.
 	KeyedBodyBytes int
 	BodyBytes      int
 	HeaderTimeout  time.Duration
@@ -100,10 +106,12 @@
 	KeptBytes   int
 	// ClaimsPerSec is the maximum rate at which this host claims Idempotency-Keys without a grant in the store.
 	ClaimsPerSec float64
-	// HeldBytes bounds the memory that request bodies take, and that which responses of unknown length take. Only hosts with Platform.Kind Native use it.
+	// HeldBytes bounds the memory that the bodies of requests take, and that which those of responses take. If Host.MemoryMB is known,
+	// they take at most shares of it; zero means that only these hold, or 64 MiB if it is not known. Only hosts with Platform.Kind
+	// Native use it.
 	HeldBytes int
-	// MemoryBytes is the memory use above which the process collects garbage more often; zero means no limit. Only hosts
-	// with Platform.Kind Native use it.
+	// MemoryBytes is the memory use above which the process collects garbage more often; zero means a share of Host.MemoryMB if that
+	// is known, or else no limit. Only hosts with Platform.Kind Native use it.
 	MemoryBytes int
 }
 
@@ -201,7 +209,7 @@
 			HeaderBytes: 32 << 10, KeyedBodyBytes: 1 << 20, BodyBytes: 64 << 20,
 			HeaderTimeout: 5 * time.Second, IdleTimeout: 90 * time.Second, StopTimeout: 20 * time.Second,
 			AddressMaxAge: 2 * time.Second, GrantWindow: 30 * time.Second,
-			KeptEntries: 100_000, KeptBytes: 16 << 20, ClaimsPerSec: 20, HeldBytes: 64 << 20,
+			KeptEntries: 100_000, KeptBytes: 16 << 20, ClaimsPerSec: 20,
 		},
 		Budget:     Budget{ProbesPerSec: 20, BytesPerSec: 10_000, CoreShare: 0.01},
 		Log:        Log{Level: "info"},
@@ -294,7 +302,7 @@
 		{"BodyBytes", s.Limits.BodyBytes > 0}, {"HeaderTimeout", s.Limits.HeaderTimeout > 0},
 		{"StopTimeout", s.Limits.StopTimeout > 0}, {"GrantWindow", s.Limits.GrantWindow > 0},
 		{"KeptEntries", s.Limits.KeptEntries > 0}, {"KeptBytes", s.Limits.KeptBytes > 0},
-		{"AddressMaxAge", s.Limits.AddressMaxAge >= time.Second}, {"HeldBytes", s.Limits.HeldBytes > 0},
+		{"AddressMaxAge", s.Limits.AddressMaxAge >= time.Second},
 	}
 	for _, p := range positive {
 		if !p.ok {
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -50,6 +50,7 @@
 				WithdrawalLimit: 5 * time.Second, StrictWithdrawal: true, AllowanceWindow: 4 * time.Second, AllowanceOverage: 0.2, AllowanceSlack: 30,
 			})
 		}},
+		{"memory limit", map[string]string{"limits.memory-mb": "284"}, func(is *is.I, s Settings) { is.Equal(s.Host.MemoryLimit(), int64(284_000_000)) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
