Responses count in the memory budget until they were sent

What callers see: a host that holds many responses, because callers read slowly or pipeline behind a slow request, is killed by the platform for its memory, and all requests that it holds end without an answer.

Cause: only responses of unknown length counted in Limits.HeldBytes. Those of known length below 1 MiB counted nowhere, neither while they were read nor while they waited: up to 16 of them on each connection. Hedges held another one each. io.ReadAll copied each several times while it grew.

Fix: the body and the head of each response count from when they are read until the response was sent or discarded, in parts that are reserved before they are filled. If there is no room, what was read is kept, and the rest is passed on while it is read, as for responses from 1 MiB on: what a target has run is delivered, but a response that breaks off can then not be replaced by that of another target. Failures up to 64 KiB count beyond the limit, because they may be kept while the request is retried. Responses that were superseded by another attempt are closed, so that their connections no longer count as open.

New metrics HeldResponseBytes and ResponsesUnbuffered.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -17,18 +17,20 @@
 	// maxBufferedResponse is the size below which a response is read completely before any of it is sent to the caller, so
 	// that the request can still be retried if the response is truncated.
 	maxBufferedResponse = 1 << 20
-	// minBufferedResponse replaces it for responses of unknown length while no memory is left for them.
-	minBufferedResponse = 32 << 10
 	// maxFailureBytes is the size below which an error response of unknown length must stay.
 	maxFailureBytes = 64 << 10
+	// copyBytes and minCopyBytes are the sizes of the buffer for responses that are passed on while they are read, the latter while
+	// no memory is left for responses.
+	copyBytes    = 32 << 10
+	minCopyBytes = 4 << 10
 )
 
 // callerResponse is the response to a caller.
 type callerResponse struct {
 	status int
 	header http.Header
-	body   []byte
-	// unread is what follows body in a response too large to buffer; otherwise it is nil.
+	body   *payload
+	// unread is what follows body in a response that was not read completely; otherwise it is nil.
 	unread io.ReadCloser
 	// length is the whole body's size in bytes; it is below zero when unknown.
 	length int64
@@ -44,11 +46,20 @@
 	if retryAfter > 0 {
 		r.header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	r.body = []byte(reason + "\n")
-	r.length = int64(len(r.body))
+	r.body = newPayload([]byte(reason + "\n"))
+	r.length = r.body.length()
 	return r
 }
 
+// release returns the memory of a response to the budget, and closes its connection if it was not read completely.
+func (r *callerResponse) release() {
+	r.body.release()
+	if r.unread != nil {
+		// What was not read is not needed, so an error makes no difference.
+		_ = r.unread.Close()
+	}
+}
+
 // refusalResponse returns the response to a request that no target has run or will run.
 func refusalResponse(r placement.Refused) *callerResponse {
 	status := http.StatusServiceUnavailable
@@ -61,9 +72,6 @@
 // writeResponse sends a response and reports whether all of it was sent. After one that was not, nothing more is sent on the
 // connection: the caller would take it for the rest of the truncated response.
 func (c *callerConn) writeResponse(q *request, r *callerResponse, closing bool) bool {
-	if r.unread != nil {
-		defer r.unread.Close()
-	}
 	if c.truncated.Load() {
 		return false
 	}
@@ -106,12 +114,13 @@
 	case r.unread != nil && r.length < 0:
 		return c.writeChunked(w, r)
 	}
-	if _, err := w.Write(r.body); err != nil {
+	writer := stallWriter{c, w}
+	if err := r.body.writeTo(writer); err != nil {
 		return err
 	}
 	if r.unread != nil {
-		rest := r.length - int64(len(r.body))
-		n, err := io.Copy(stallWriter{c, w}, io.LimitReader(r.unread, rest))
+		rest := r.length - r.body.length()
+		n, err := c.copyUnread(writer, io.LimitReader(r.unread, rest))
 		if err != nil {
 			return err
 		}
@@ -154,10 +163,10 @@
 // recognizes the response as incomplete.
 func (c *callerConn) writeChunked(w *bufio.Writer, r *callerResponse) error {
 	chunks := chunkWriter{c, w}
-	if _, err := chunks.Write(r.body); err != nil {
+	if err := r.body.writeTo(chunks); err != nil {
 		return err
 	}
-	if _, err := io.Copy(chunks, r.unread); err != nil {
+	if _, err := c.copyUnread(chunks, r.unread); err != nil {
 		return err
 	}
 	if _, err := w.WriteString("0\r\n\r\n"); err != nil {
@@ -166,6 +175,17 @@
 	return w.Flush()
 }
 
+// copyUnread copies what was not read of a response. The buffer is small while no memory is left for responses.
+func (c *callerConn) copyUnread(w io.Writer, unread io.Reader) (int64, error) {
+	budget, size := c.gateway.responses, int64(copyBytes)
+	if budget.acquire(size, size) {
+		defer budget.release(size)
+	} else {
+		size = minCopyBytes
+	}
+	return io.CopyBuffer(w, unread, make([]byte, size))
+}
+
 // chunkWriter writes each slice as one chunk of the chunked transfer encoding.
 type chunkWriter struct {
 	c *callerConn
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,7 +77,7 @@
 	end := placement.RunEnd{Target: p.Target, Outcome: r.outcome, Duration: r.duration, Load: r.load, RateLimit: r.rateLimit, Notice: x.gateway.noticeOf(key)}
 	switch {
 	case r.response != nil:
-		end.Bytes = len(r.response.body)
+		end.Bytes = int(r.response.body.length())
 		if x.gateway.settings.Placement.DomainPlan {
 			// Of a very large response only the beginning has been read.
 			end.Bytes = int(max(int64(end.Bytes), min(math.MaxUint32, r.response.length)))
@@ -183,22 +183,6 @@
 	}
 }
 
-// bufferLimit returns how many bytes of a response are read before any of it is sent to the caller. A response of unknown
-// length may have no end: if it is a failure, it must be shorter than maxFailureBytes, and otherwise its buffer counts
-// against Limits.HeldBytes until the context ends and is small while none is left.
-func (x *exchange) bufferLimit(ctx context.Context, response *http.Response) int {
-	switch {
-	case response.ContentLength >= 0:
-		return maxBufferedResponse
-	case response.StatusCode >= http.StatusMultipleChoices:
-		return maxFailureBytes
-	case !x.gateway.responses.acquire(maxBufferedResponse, maxBufferedResponse):
-		return minBufferedResponse
-	}
-	context.AfterFunc(ctx, func() { x.gateway.responses.release(maxBufferedResponse) })
-	return maxBufferedResponse
-}
-
 // impliesNotRun reports whether callers understand a status as proof that the request was not run, so that they may
 // send even an unsafe one again.
 func impliesNotRun(status int) bool {
@@ -209,9 +193,9 @@
 	return false
 }
 
-// readResponse reads a response completely, or its beginning when it reaches maxBufferedResponse. A success, or a status
-// that implies that the request was not run, counts as a broken connection unless the seal header proves that the
-// target itself sent it.
+// readResponse reads a response completely, or its beginning when it reaches maxBufferedResponse or no memory is left. A
+// success, or a status that implies that the request was not run, counts as a broken connection unless the seal header proves
+// that the target itself sent it.
 func (x *exchange) readResponse(ctx context.Context, p placement.Placed, r *runResult, response *http.Response) *runResult {
 	sealed := response.Header.Get(x.gateway.dialect.SealHeader) != ""
 	if !sealed && (response.StatusCode < http.StatusMultipleChoices || impliesNotRun(response.StatusCode)) {
@@ -219,23 +203,39 @@
 		r.outcome = placement.OutcomeConnectionBroke
 		return r
 	}
-	limit := x.bufferLimit(ctx, response)
-	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)))
-	if err == nil && len(body) == limit && limit == maxFailureBytes {
+	body, limit := newBudgetedPayload(x.gateway.responses, headerSize(response.Header)), int64(maxBufferedResponse)
+	if response.StatusCode >= http.StatusMultipleChoices && response.ContentLength <= maxFailureBytes {
+		// A failure may be kept while the request is retried. One of unknown length may have no end.
+		body.overdraws = true
+		if response.ContentLength < 0 {
+			limit = maxFailureBytes
+		}
+	}
+	length := response.ContentLength
+	if x.request.method == http.MethodHead {
+		length = 0
+	}
+	ended, err := body.fill(response.Body, length, limit)
+	switch {
+	case errors.Is(err, errNoRoom):
+		// What the target has run is delivered while it is read.
+		x.gateway.stats.responsesUnbuffered.Add(1)
+	case err == nil && !ended && body.overdraws:
 		err = errFailureTooLarge
 		x.gateway.recordTooLarge(p)
-	}
-	if err != nil {
+		fallthrough
+	case err != nil:
+		body.release()
 		_ = response.Body.Close()
 		r.outcome = x.outcomeOfError(ctx, err)
 		return r
 	}
-	c := &callerResponse{status: response.StatusCode, header: response.Header, body: body, length: int64(len(body))}
+	c := &callerResponse{status: response.StatusCode, header: response.Header, body: body, length: body.length()}
 	backend.RemoveHopByHopHeaders(c.header)
-	if len(body) == limit {
-		c.unread, c.length = response.Body, response.ContentLength
-	} else {
+	if ended {
 		_ = response.Body.Close()
+	} else {
+		c.unread, c.length = response.Body, length
 	}
 	if x.request.method == http.MethodHead {
 		c.length = max(0, response.ContentLength)
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -155,6 +155,8 @@
 		{"RejectedRequests", func() any { return s.rejected.Load() }},
 		{"BodiesRejected", func() any { return s.bodiesRejected.Load() }},
 		{"HeldBodyBytes", func() any { return g.bodies.used.Load() }},
+		{"ResponsesUnbuffered", func() any { return s.responsesUnbuffered.Load() }},
+		{"HeldResponseBytes", func() any { return g.responses.used.Load() }},
 		{"Attempts", func() any { return s.attempts.Load() }},
 		{"Probes", func() any { return s.primaryProbes.Load() + s.fallbackProbes.Load() }},
 		{"Quarantined", func() any { return s.quarantined.Load() }},
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -69,6 +69,8 @@
 	sharedFingerprints []uint64
 	// relayedBy is the name of the peer that relayed a run last; nil means that none did.
 	relayedBy atomic.Pointer[string]
+	// responses are those of the runs that have ended. They are released when the exchange ends.
+	responses []*callerResponse
 	// cancel ends the context of the runs. A response that is still being read from a target needs it until it is sent.
 	cancel context.CancelFunc
 }
@@ -310,6 +312,9 @@
 		select {
 		case r := <-runs.results:
 			runs.active--
+			if r.response != nil {
+				x.responses = append(x.responses, r.response)
+			}
 			best = moreConclusive(r, best)
 			if r.outcome == placement.OutcomeAnswered || runs.active == 0 {
 				runs.cancelOthers(best)
@@ -363,17 +368,20 @@
 	}
 }
 
-// discardResults waits for the canceled runs and closes their responses.
+// discardResults waits for the canceled runs and releases their responses.
 func (h *hedgedRuns) discardResults() {
 	for range h.active {
-		if r := <-h.results; r.response != nil && r.response.unread != nil {
-			_ = r.response.unread.Close()
+		if r := <-h.results; r.response != nil {
+			r.response.release()
 		}
 	}
 }
 
 // finish releases the runs and logs how the exchange ended; sent reports whether the whole response was written.
 func (x *exchange) finish(response *callerResponse, sent bool) {
+	for _, r := range x.responses {
+		r.release()
+	}
 	x.cancel()
 	x.gateway.finish(x, response, sent)
 }
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -3,11 +3,10 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"sync/atomic"
 
 	"briarcroft/internal/settings"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Sizes in bytes of what requests hold in memory.
@@ -79,6 +78,9 @@
 // hasRoom reports whether a payload of a size finds room at present.
 func (b *memoryBudget) hasRoom(size int64) bool { return b.used.Load()+size <= b.limitFor(size) }
 
+// overdraw counts n bytes that are in memory whether there is room or not.
+func (b *memoryBudget) overdraw(n int64) { b.used.Add(n) }
+
 func (b *memoryBudget) release(n int64) { b.used.Add(-n) }
 
 // errNoRoom reports that the budget of a payload has no room for more of it.
@@ -89,9 +91,34 @@
 type payload struct {
 	parts [][]byte
 	size  int64
-	// held is what was reserved of the budget.
+	// held is what was reserved of the budget, which is nil in a response of this host itself.
 	budget *memoryBudget
 	held   int64
+	// overdraws makes the payload grow although the budget has no room.
+	overdraws bool
+}
+
+// newPayload returns a payload that holds nothing of a budget.
+func newPayload(content []byte) *payload {
+	return &payload{parts: [][]byte{content}, size: int64(len(content))}
+}
+
+// newBudgetedPayload returns an empty payload that counts with the size of the head of its request or response, which is in memory
+// already.
+func newBudgetedPayload(budget *memoryBudget, head int64) *payload {
+	budget.overdraw(head)
+	return &payload{budget: budget, held: head}
+}
+
+// headerSize returns the size in bytes of the names and values of a header.
+func headerSize(h http.Header) int64 {
+	size := 0
+	for name, values := range h {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return int64(size)
 }
 
 // length returns the size in bytes.
@@ -112,7 +139,10 @@
 
 // grow adds an empty part of the given capacity. The error is errNoRoom.
 func (p *payload) grow(n int64) error {
-	if !p.budget.acquire(n, p.size+n) {
+	switch {
+	case p.overdraws:
+		p.budget.overdraw(n)
+	case !p.budget.acquire(n, p.size+n):
 		return errNoRoom
 	}
 	p.held += n
@@ -187,15 +217,17 @@
 	return joined
 }
 
-// writeTo adds the content to a hash.
-func (p *payload) writeTo(d *xxhash.Digest) {
+// writeTo writes the content, each part by itself.
+func (p *payload) writeTo(w io.Writer) error {
 	if p == nil {
-		return
+		return nil
 	}
 	for _, part := range p.parts {
-		// A hash never fails to write.
-		_, _ = d.Write(part)
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
 	}
+	return nil
 }
 
 // payloadReader reads the parts of a payload.
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -204,6 +205,105 @@
 // expectNothingHeld checks that a host without requests holds no memory for any.
 func (f *fleet) expectNothingHeld(host string) {
 	time.Sleep(2 * time.Second)
-	requests, _ := f.hosts[host].gateway.HeldBytes()
+	requests, responses := f.hosts[host].gateway.HeldBytes()
 	f.is.Equal(requests, int64(0))
+	f.is.Equal(responses, int64(0))
+}
+
+// longTarget sends responses of longResponse bytes and counts what was taken of them.
+type longTarget struct {
+	*standin.Target
+	status  int
+	chunked bool
+	sent    *atomic.Int64
+}
+
+// longResponse is the size in bytes of the responses of a longTarget.
+const longResponse = 256 << 10
+
+func (t *longTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		t.Target.ServeHTTP(w, r)
+		return
+	}
+	w.Header().Set("X-Response-Seal", "seal")
+	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+	if !t.chunked {
+		w.Header().Set("Content-Length", strconv.Itoa(longResponse))
+	}
+	w.WriteHeader(t.status)
+	part := bytes.Repeat([]byte("r"), 4<<10)
+	for range longResponse / len(part) {
+		n, err := w.Write(part)
+		t.sent.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
+}
+
+// TestWaitingResponsesStayWithinMemory guards against responses that take a host more memory than its budget while they are read
+// from targets, wait behind an earlier one on their connection or for a slow caller. All of them must arrive whole.
+func TestWaitingResponsesStayWithinMemory(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		chunked bool
+		status  int
+	}{{"of known length", false, http.StatusOK}, {"in chunks", true, http.StatusOK}, {"failures", false, http.StatusNotFound}} {
+		t.Run(c.name, func(t *testing.T) {
+			const callers, each, targets = 10, 8, 4
+			prepare := func(f *fleet) {
+				f.maxConnections = callers * each
+				f.changeSettings = limitUploads
+			}
+			withPreparedFleet(t, 1, 0, prepare, func(f *fleet) {
+				var sent, received atomic.Int64
+				for i := range targets {
+					x := &longTarget{standin.NewTarget(fmt.Sprintf("t%d", i)), c.status, c.chunked, &sent}
+					x.Address = f.serve(x.Name, "", x)
+					f.register(x.Target, "ready")
+				}
+				time.Sleep(time.Second)
+				for i := range 40 {
+					f.is.Equal(f.call("h0", http.MethodGet, "/lookup/1", fmt.Sprintf("before%d", i)).status, c.status)
+				}
+				sent.Store(0)
+				var group sync.WaitGroup
+				for i := range callers {
+					time.Sleep(5 * time.Millisecond)
+					conn, err := f.net.Dialer("caller")(context.Background(), "tcp", f.hosts["h0"].listen)
+					f.is.NoErr(err)
+					defer conn.Close()
+					go func() {
+						for j := range each {
+							_, _ = io.WriteString(conn, getRequest("/lookup/1", fmt.Sprintf("w%d-%d", i, j)))
+							time.Sleep(10 * time.Millisecond)
+						}
+					}()
+					group.Go(func() {
+						time.Sleep(300 * time.Millisecond)
+						reader := bufio.NewReader(conn)
+						for range each {
+							response, err := http.ReadResponse(reader, nil)
+							f.is.NoErr(err)
+							f.is.Equal(response.StatusCode, c.status)
+							n, err := io.Copy(io.Discard, response.Body)
+							f.is.NoErr(err)
+							f.is.Equal(n, int64(longResponse))
+							received.Add(n)
+						}
+					})
+				}
+				most := int64(0)
+				for range 35 {
+					time.Sleep(10 * time.Millisecond)
+					most = max(most, sent.Load()-received.Load())
+				}
+				group.Wait()
+				t.Logf("most in memory %d KiB", most>>10)
+				f.is.True(most <= uploadBudget+uploadBudget/8+callers*each*16<<10) // each response may be partly in the buffers of its connections
+				f.expectNothingHeld("h0")
+			})
+		})
+	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -228,7 +228,7 @@
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
-	body.writeTo(d)
+	_ = body.writeTo(d)
 	_, _ = d.Write([]byte{0})
 	return d.Sum64()
 }
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -146,6 +146,8 @@
 	unresponsiveHomes, slowReaders, rejected atomic.Int64
 	// bodiesRejected counts the requests for whose bodies there was no memory.
 	bodiesRejected atomic.Int64
+	// responsesUnbuffered counts the responses that were passed on while they were read because no memory was left for them.
+	responsesUnbuffered atomic.Int64
 	// tooLarge counts connections that were closed because a target sent more than a response may have.
 	tooLarge atomic.Int64
 	// relayed counts the runs that peers relayed for this host, and relayedForPeers those that it relayed for peers.
