Bodies of relayed requests count in the memory budget

Fix: both count while the request is relayed. A peer without room says that it has no connection to spare, so that another one is asked; a host without room sends the request over its own link or refuses it as not run. The copy into a string is gone.

Evidence: TestRelayedBodiesCountAtPeers fails on the code before (nothing is counted at the peers). Not covered: a peer's message is in memory before it can be counted.

--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -307,3 +307,26 @@
 		})
 	}
 }
+
+// TestRelayedBodiesCountAtPeers guards against the bodies of requests that hosts relay for peers taking memory outside the budget.
+func TestRelayedBodiesCountAtPeers(t *testing.T) {
+	withSettings(t, limitUploads, 5, 6, func(f *fleet) {
+		f.cutOff("h0")
+		const size = 600 << 10
+		done := make(chan reply, 1)
+		go func() { done <- f.callBody("h0", "relayed", make([]byte, size)) }()
+		time.Sleep(25 * time.Millisecond)
+		held := int64(0)
+		for name := range f.hosts {
+			if requests, _ := f.hosts[name].gateway.HeldBytes(); name != "h0" {
+				held += requests
+			}
+		}
+		f.is.True(held >= size)
+		f.is.Equal((<-done).status, http.StatusOK)
+		f.is.True(f.hosts["h0"].gateway.RelayedRequests() > 0)
+		for name := range f.hosts {
+			f.expectNothingHeld(name)
+		}
+	})
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,12 +1,12 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -145,6 +145,12 @@
 	if x.request.body.length() > maxRelayedBody {
 		return nil, backend.ErrNotSent.New("the request is too large to be relayed to target %s", p.Target)
 	}
+	// The message holds the body once more, and its encoding does until it was sent.
+	size := 2 * x.request.body.length()
+	if !g.bodies.acquire(size, size) {
+		return nil, backend.ErrNotSent.New("no memory is left to relay the request to target %s", p.Target)
+	}
+	defer g.bodies.release(size)
 	err := error(backend.ErrNotSent.New("no peer relays to target %s", p.Target))
 	for _, peer := range g.relayPeers(from, p) {
 		if g.evacuated(p.Target) {
@@ -367,6 +373,12 @@
 		send(&inner.RelayReply{Kind: inner.RelayKind_RelayExhausted})
 		return
 	}
+	size := int64(len(r.Body))
+	if !g.bodies.acquire(size, size) {
+		send(&inner.RelayReply{Kind: inner.RelayKind_RelayExhausted})
+		return
+	}
+	defer g.bodies.release(size)
 	target, found := g.findTarget(r.Target)
 	if !found || target.Draining || target.Address != r.Address || !g.reach.Direct(r.Target) || g.maySend(r.Target) != nil {
 		if found {
@@ -375,7 +387,7 @@
 		send(&inner.RelayReply{Kind: inner.RelayKind_RelayNotSent})
 		return
 	}
-	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Address, strings.NewReader(string(r.Body)))
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Address, bytes.NewReader(r.Body))
 	if err != nil {
 		send(&inner.RelayReply{Kind: inner.RelayKind_RelayNotSent})
 		return
