Heads of pipelined requests do not pile up without memory

Fix: heads count in the budget of bodies. While it, or that of responses, has no room, a connection reads no further request until the ones before it have been answered; nothing is refused for it.

A caller that disconnects while its connection waits like this is noticed only when its earlier requests have been answered, which their time limits bound.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -91,6 +91,7 @@
 func (c *callerConn) serve() {
 	var handlers sync.WaitGroup
 	for {
+		c.awaitMemory()
 		q, rejected := c.readRequest()
 		if q == nil {
 			c.reject(rejected)
@@ -110,6 +111,18 @@
 	c.awaitHandlers(&handlers)
 }
 
+// awaitMemory waits until the requests of the connection have been answered if no memory is left, so that no further ones wait
+// behind them.
+func (c *callerConn) awaitMemory() {
+	if !c.gateway.bodies.full() && !c.gateway.responses.full() {
+		return
+	}
+	c.mu.Lock()
+	lastDone := c.lastDone
+	c.mu.Unlock()
+	<-lastDone
+}
+
 // awaitHandlers waits for the requests that are being handled and closes the connection. If the caller disconnects
 // meanwhile, its repeatable requests are canceled.
 func (c *callerConn) awaitHandlers(handlers *sync.WaitGroup) {
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -83,6 +83,9 @@
 
 func (b *memoryBudget) release(n int64) { b.used.Add(-n) }
 
+// full reports whether there is no room left for any but short payloads.
+func (b *memoryBudget) full() bool { return b.used.Load() >= b.limit }
+
 // errNoRoom reports that the budget of a payload has no room for more of it.
 var errNoRoom = errors.New("no memory is left for the body")
 
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -330,3 +331,51 @@
 		}
 	})
 }
+
+// TestPipelinedHeadsStayWithinMemory guards against the heads of pipelined requests taking memory outside the budget.
+func TestPipelinedHeadsStayWithinMemory(t *testing.T) {
+	const budget, callers, each, field = 64 << 10, 10, 16, 3500
+	withSettings(t, func(s *settings.Settings) { s.Limits.HeldBytes = budget }, 1, 4, func(f *fleet) {
+		for _, x := range f.targets {
+			x.Update(func(t *standin.Target) { t.RunDuration = 300 * time.Millisecond })
+		}
+		var taken atomic.Int64
+		var group sync.WaitGroup
+		for i := range callers {
+			conn, err := f.net.Dialer("caller")(context.Background(), "tcp", f.hosts["h0"].listen)
+			f.is.NoErr(err)
+			defer conn.Close()
+			go func() {
+				for j := range each {
+					n, _ := fmt.Fprintf(conn, "GET /lookup/1 HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: p%d-%d\r\nX-Deadline-Ms: 1000\r\nX-Padding: %s\r\n\r\n", i, j, strings.Repeat("p", field))
+					if n > 0 {
+						taken.Add(field)
+					}
+					if j == 0 {
+						time.Sleep(20 * time.Millisecond) // the first request of each caller begins to run
+					}
+				}
+			}()
+			group.Go(func() {
+				reader := bufio.NewReader(conn)
+				for range each {
+					response, err := http.ReadResponse(reader, nil)
+					f.is.NoErr(err)
+					f.is.True(response.StatusCode == http.StatusOK || response.StatusCode == http.StatusServiceUnavailable)
+					_, err = io.Copy(io.Discard, response.Body)
+					f.is.NoErr(err)
+					taken.Add(-field)
+				}
+			})
+		}
+		most := int64(0)
+		for range 50 {
+			time.Sleep(10 * time.Millisecond)
+			most = max(most, taken.Load())
+		}
+		t.Logf("most in memory %d KiB", most>>10)
+		f.is.True(most <= budget+callers*12<<10) // each connection has a buffer, a request and the next one
+		group.Wait()
+		f.expectNothingHeld("h0")
+	})
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -82,12 +82,14 @@
 	if err != nil {
 		return nil, rejectionFor(err)
 	}
+	head := int64(limits.HeaderBytes + requestLineBytes - c.conn.remaining)
 	// The body has its own limit, in readBody.
 	c.conn.remaining = int(^uint(0) >> 1)
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
 	q := &request{
 		attemptID: r.Header.Get(c.gateway.dialect.AttemptIDHeader), method: r.Method, uri: r.RequestURI, path: r.URL.Path, host: r.Host,
 		header: r.Header, callerAddress: c.address, arrived: arrived, closeAfter: r.Close || !r.ProtoAtLeast(1, 1),
+		body: newBudgetedPayload(c.gateway.bodies, head),
 	}
 	if ms, err := strconv.ParseFloat(r.Header.Get(c.gateway.dialect.DeadlineHeader), 64); err == nil && ms > 0 {
 		q.timeout = time.Duration(ms * float64(time.Millisecond))
@@ -145,7 +147,6 @@
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		defer c.sendContinue()()
 	}
-	q.body = &payload{budget: budget}
 	ended, err := q.body.fill(r.Body, length, int64(limits.BodyBytes))
 	if err == nil && !ended {
 		// The body has reached the limit and must end here.
