--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -7,7 +7,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"briarcroft/internal/duty"
 )
 
 // Limits of the connections of callers.
@@ -20,6 +23,8 @@
 	maxPipelined = 16
 	// lingerTime is how long a closing connection is still read, so that a reset does not destroy its last response.
 	lingerTime = 500 * time.Millisecond
+	// lingerBytes is how many bytes are read and discarded then.
+	lingerBytes = 256 << 10
 	// stallTimeout is how long one write of a part of a response to a caller may block.
 	stallTimeout = 10 * time.Second
 	// firstRequestTime is how long a new connection is kept for its first request once the host is closing idle connections.
@@ -49,6 +54,8 @@
 	closesWhenIdle bool
 	// readStopped is set once a request that is still arriving is refused.
 	readStopped bool
+	// truncated is set once a response was not sent completely; nothing may follow it.
+	truncated atomic.Bool
 	// lastDone is closed when the last accepted request has been answered.
 	lastDone chan struct{}
 	// progress is guarded by mu.
@@ -98,6 +105,7 @@
 func (c *callerConn) serve() {
 	var handlers sync.WaitGroup
 	for {
+		c.awaitMemory()
 		q, rejected := c.nextRequest()
 		if q == nil {
 			c.reject(rejected)
@@ -105,7 +113,7 @@
 		}
 		done, previous, ok := c.accept(q.closeAfter)
 		if !ok {
-			q.release()
+			q.body.release()
 			break
 		}
 		c.pipelineSlots <- struct{}{}
@@ -117,6 +125,18 @@
 	c.awaitHandlers(&handlers)
 }
 
+// awaitMemory waits until the requests of the connection have been answered if no memory is left, so that no further ones wait
+// behind them.
+func (c *callerConn) awaitMemory() {
+	if !c.gateway.bodies.full() && !c.gateway.responses.full() {
+		return
+	}
+	c.mu.Lock()
+	lastDone := c.lastDone
+	c.mu.Unlock()
+	<-lastDone
+}
+
 // awaitHandlers waits for the requests that are being handled and closes the connection. If the caller disconnects
 // meanwhile, its repeatable requests are canceled.
 func (c *callerConn) awaitHandlers(handlers *sync.WaitGroup) {
@@ -124,7 +144,7 @@
 	readEnded := make(chan struct{})
 	go func() {
 		defer close(readEnded)
-		if _, err := io.Copy(io.Discard, c.conn.Conn); err == nil {
+		if _, err := io.CopyN(io.Discard, c.conn.Conn, lingerBytes); err == io.EOF {
 			c.update(func(p *connProgress) { p.left = true })
 			c.cancel()
 		}
@@ -149,8 +169,12 @@
 		// An error does not matter: the connection is closed completely below.
 		_ = closer.CloseWrite()
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, c.conn.Conn)
+	end := time.Now().Add(lingerTime)
+	_ = c.conn.SetReadDeadline(end)
+	if _, err := io.CopyN(io.Discard, c.conn.Conn, lingerBytes); err == nil {
+		// The caller goes on sending; it still has to read its last response.
+		duty.Sleep(c.gateway.background, time.Until(end))
+	}
 	_ = c.conn.Conn.Close()
 }
 
@@ -200,12 +224,12 @@
 func (c *callerConn) handle(q *request, done chan struct{}, previous <-chan struct{}) {
 	defer func() { <-c.pipelineSlots }()
 	defer close(done)
-	defer q.release()
+	defer q.body.release()
 	x := newExchange(c, q)
 	response := x.respond()
 	<-previous
 	closing := c.isLastResponse()
-	sent := c.sendResponse(q, response, closing)
+	sent := c.writeGuarded(q, response, closing)
 	x.finish(response, sent)
 	c.responseWritten(closing || !sent)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -199,8 +199,8 @@
 	applied atomic.Pointer[roster.View]
 	// receiving is the number of streams on which an update of the store has arrived in part.
 	receiving atomic.Int32
-	// bodies bounds the memory for request bodies, and responses that for responses of unknown length.
-	bodies, responses bodyBudget
+	// bodies bounds the memory for the bodies of requests, and responses that for those of responses.
+	bodies, responses *memoryBudget
 	// applyMu serializes applyView and guards targetStates, which holds the recorded state of each target by name.
 	applyMu      sync.Mutex
 	targetStates map[string]string
@@ -238,7 +238,7 @@
 	g := &Gateway{
 		config: c, settings: c.Settings, dialect: c.Dialect, start: time.Now(), chain: &note.Chain{},
 		heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}), peersAhead: ring.NewQueue[peerAhead](ring.Config{Capacity: 1}), histograms: meter.NewHistograms(), logger: c.Logger,
-		panics: newPanics(), bodies: bodyBudget{limit: int64(c.Settings.Limits.HeldBytes)}, responses: bodyBudget{limit: int64(c.Settings.Limits.HeldBytes)},
+		panics: newPanics(), bodies: newMemoryBudget(c.Settings, requestShare), responses: newMemoryBudget(c.Settings, responseShare),
 	}
 	g.descriptors = socket.DescriptorLimit(c.Settings.Limits.Descriptors)
 	g.reloadable.Store(&g.settings)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,12 +1,12 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 	"unicode/utf8"
@@ -144,12 +144,18 @@
 // none does.
 func (x *exchange) relay(ctx context.Context, from placer, p placement.Placed) (*http.Response, error) {
 	g := x.gateway
-	if len(x.request.body) > maxRelayedBody {
+	if x.request.body.length() > maxRelayedBody {
 		return nil, backend.ErrNotSent.New("the request is too large to be relayed to target %s", p.Target)
 	}
 	if !x.request.isUTF8() {
 		return nil, backend.ErrNotSent.New("the request is not UTF-8, as messages to peers must be, and cannot be relayed to target %s", p.Target)
 	}
+	// The message holds the body once more, and its encoding does until it was sent.
+	size := 2 * x.request.body.length()
+	if !g.bodies.acquire(size, size) {
+		return nil, backend.ErrNotSent.New("no memory is left to relay the request to target %s", p.Target)
+	}
+	defer g.bodies.release(size)
 	err := error(backend.ErrNotSent.New("no peer relays to target %s", p.Target))
 	for _, peer := range g.relayPeers(from, p) {
 		if g.evacuated(p.Target) {
@@ -206,7 +212,7 @@
 func (x *exchange) relayRequest(ctx context.Context, p placement.Placed) *inner.RelayRequest {
 	r := x.targetRequest(ctx, p)
 	return &inner.RelayRequest{
-		Target: p.Target, Address: p.Address, Method: r.Method, Host: r.Host, Uri: x.request.uri, Headers: encodeHeader(r.Header), Body: x.request.body,
+		Target: p.Target, Address: p.Address, Method: r.Method, Host: r.Host, Uri: x.request.uri, Headers: encodeHeader(r.Header), Body: x.request.body.bytes(),
 		TimeoutMilliseconds: max(1, (x.deadline - x.gateway.now()).Milliseconds()), RecentlyUsed: !x.repeatable(),
 	}
 }
@@ -388,6 +394,12 @@
 		send(&inner.RelayReply{Kind: inner.RelayKind_RelayExhausted})
 		return
 	}
+	size := int64(len(r.Body))
+	if !g.bodies.acquire(size, size) {
+		send(&inner.RelayReply{Kind: inner.RelayKind_RelayExhausted})
+		return
+	}
+	defer g.bodies.release(size)
 	target, found := g.findTarget(r.Target)
 	if !found || target.Draining || target.Address != r.Address || !g.reach.Direct(r.Target) || g.maySend(r.Target) != nil {
 		if found {
@@ -396,7 +408,7 @@
 		send(&inner.RelayReply{Kind: inner.RelayKind_RelayNotSent})
 		return
 	}
-	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Address, strings.NewReader(string(r.Body)))
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Address, bytes.NewReader(r.Body))
 	if err != nil {
 		send(&inner.RelayReply{Kind: inner.RelayKind_RelayNotSent})
 		return
--- a/internal/gateway/request_fuzz_test.go
+++ b/internal/gateway/request_fuzz_test.go
@@ -46,7 +46,7 @@
 		if q == nil {
 			return requests
 		}
-		q.release()
+		q.body.release()
 		requests = append(requests, q)
 		if q.closeAfter {
 			return requests
@@ -69,7 +69,7 @@
 	f.Fuzz(func(t *testing.T, sent []byte) {
 		requests := readAll(g, sent)
 		for _, q := range requests {
-			if q.method == "" || len(q.body) > 8<<10 || q.timeout < 0 || q.timeout > maxTimeout {
+			if q.method == "" || q.body.length() > 8<<10 || q.timeout < 0 || q.timeout > maxTimeout {
 				t.Errorf("%q is read as %+v", sent, q)
 			}
 			q.fingerprint()
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -151,6 +151,10 @@
 	unresponsiveHomes, slowReaders, rejected atomic.Int64
 	// panics counts the panics that did not end the process.
 	panics atomic.Int64
+	// bodiesRejected counts the requests for whose bodies there was no memory.
+	bodiesRejected atomic.Int64
+	// responsesUnbuffered counts the responses that were passed on while they were read because no memory was left for them.
+	responsesUnbuffered atomic.Int64
 	// tooLarge counts connections that were closed because a target sent more than a response may have.
 	tooLarge atomic.Int64
 	// unidentified counts runs that ended with a response that did not have the attempt ID of the request.
