Targets: a head in which another response begins counts for no request

A target that wrote the beginning of an extra response, and then the real one, made both into one head: the status line of a refusal, or its X-Not-Executed, with the attempt ID and the seal of the real response. Callers got 503 for a request that had run, with the body of the success; a refusal merged so could also send an unsafe request to a second target.

A head whose status line or whose fields contain the beginning of another status line is now a broken connection, and so is a field name with a space, as which such a line may be read. Of the merged heads these are all that net/http does not reject: the status line of the real response falls into the status line, into a field's value or into a field's name.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,6 +45,7 @@
 	// errUnknownEnd reports a response to another request that may or may not have had the method HEAD, so that its end is unknown.
 	errUnknownEnd        = errors.New("a response to another request whose end is unknown")
 	errSwitchesProtocols = errors.New("a change of the protocol that was not asked for")
+	errMerged            = errors.New("a head in the middle of which another one begins")
 )
 
 // expected is the response that a request expects.
@@ -152,6 +155,8 @@
 		switch {
 		case err != nil:
 			return nil, err
+		case isMerged(response):
+			return nil, errMerged
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errSwitchesProtocols
 		case response.StatusCode < http.StatusOK:
@@ -175,6 +180,23 @@
 	return nil, errTooManySkipped
 }
 
+// isMerged reports whether another response begins within the head of a response, as behind one that was cut. The fields may be those of
+// either. A field name with a space, which net/http tolerates, is no field name.
+func isMerged(response *http.Response) bool {
+	if strings.Contains(response.Status, "HTTP/1.") {
+		return true
+	}
+	for name, values := range response.Header {
+		if strings.Contains(name, " ") || slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
+// statusLine matches the beginning of the status line of a response.
+var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}`)
+
 // belongs reports whether a response belongs to the request. If it does not, it belongs to an earlier one and can be skipped.
 func (c *connection) belongs(response *http.Response, e expected) (bool, error) {
 	if e.idOf == nil {
--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -117,6 +117,7 @@
 		{"a length that is too large", "Content-Length: 99999999999999999999\r\n"},
 		{"an empty length", "Content-Length:\r\n"},
 		{"a line without a colon", "Content-Length: 4\r\nabc\r\n"},
+		{"a name with a space", "Content-Length : 4\r\n"},
 		{"an unknown encoding", "Transfer-Encoding: gzip\r\n"},
 		{"two encodings", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"},
 		{"a folded first line", " Content-Length: 4\r\n"},
--- a/internal/backend/identity_test.go
+++ b/internal/backend/identity_test.go
@@ -149,3 +149,63 @@
 	}
 	is.Equal(connections, 2)
 }
+
+// gatedConn is a connection to a backend server that writes the next bytes after each request, and closes the connection after the last.
+type gatedConn struct {
+	cutConn
+	written []string
+}
+
+func (c *gatedConn) Write(p []byte) (int, error) {
+	if strings.Contains(string(p), "HTTP/1.1\r\n") {
+		c.sent, c.written = strings.NewReader(c.written[0]), c.written[1:]
+	}
+	return len(p), nil
+}
+
+// TestCutExtraResponse guards against an extra response that was cut, at each byte, and merges with the response behind it: the status
+// of one and the ID of the other make neither.
+func TestCutExtraResponse(t *testing.T) {
+	const fields = "Retry-After: 1\r\nContent-Type: text/plain\r\nNot-Run: 1\r\nLoad: 1,2,3\r\n"
+	for _, extra := range []string{
+		"HTTP/1.1 503 Service Unavailable\r\n" + fields + "Content-Length: 4\r\n\r\nbusy",
+		"HTTP/1.1 503 Service Unavailable\r\n" + fields + "Id: other\r\nContent-Length: 4\r\n\r\nbusy",
+		"HTTP/1.1 503 Service Unavailable\r\nId: other\r\n" + fields + "Content-Length: 4\r\n\r\nbusy",
+		"HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 9\r\n\r\nnot yours",
+		"HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n9\r\nnot yours\r\n0\r\n\r\n",
+	} {
+		for _, own := range []string{ownSuccess, strings.Replace(ownSuccess, "200 OK", "200 OK: done", 1)} {
+			for cut := range len(extra) + 1 {
+				pool, closePool := New(Config{
+					Address: "extra", MaxConnections: 1, DialTimeout: time.Second, RecentUseWindow: time.Hour, ID: func(h http.Header) string { return h.Get("Id") },
+					Dial: func(context.Context, string, string) (net.Conn, error) {
+						return &gatedConn{cutConn{end: io.EOF}, []string{otherSuccess, extra[:cut] + own}}, nil
+					},
+				})
+				if got, err := exchange(pool, "other"); err != nil || got != "200 othe" {
+					t.Fatalf("the first response is %q, %v", got, err)
+				}
+				if got, err := exchange(pool, "own"); err == nil && got != "200 done" {
+					t.Errorf("%q behind %q is taken for %q", own, extra[:cut], got)
+				}
+				closePool()
+			}
+		}
+	}
+}
+
+// exchange sends a request that must not be sent twice, and returns the status and the body of its response.
+func exchange(pool *Pool, id string) (string, error) {
+	r, err := http.NewRequest(http.MethodPost, "http://extra/", nil)
+	if err != nil {
+		return "", err
+	}
+	r.Header.Set("Id", id)
+	response, err := pool.Do(r, Options{Once: true})
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response.Status[:4] + string(body), err
+}
