Targets: skipping a cut response to another request ends in time

The body of an extra response that was cut took the real response for its rest, and the host waited for what was missing until the caller's time was over: 504 after the whole time limit, and a slot of the target that counted as busy. Skipping one body may now take half a second; then the connection counts as broken, and a request that may be repeated goes elsewhere. The new case of TestResponseProvesItsRequest ended with its time limit of 5 s before.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"io"
 	"net"
@@ -27,6 +28,8 @@
 	// before the one to a request. A backend server that sends more is cut off; bodies that are passed on have no bound.
 	maxHeadBytes    = 64 << 10
 	maxSkippedBytes = 1 << 20
+	// maxSkipTime is how long such a body may take. One that was cut may have no end, or take the response for its rest.
+	maxSkipTime = 500 * time.Millisecond
 	// rememberedIDs is the number of last requests whose IDs a connection remembers. A further response to one of them may
 	// arrive late, so none is sent again there.
 	rememberedIDs = 16
@@ -40,6 +43,7 @@
 var (
 	// errTooManySkipped reports that maxSkippedResponses responses were received and none of them belongs to the request.
 	errTooManySkipped = errors.New("too many responses to other requests")
+	errTooSlowSkipped = errors.New("the body of a response to another request does not end")
 	errTooManyBytes   = errors.New("more bytes than a response may have")
 	errUnidentified   = errors.New("a response without the ID of the request")
 	// errUnknownEnd reports a response to another request that may or may not have had the method HEAD, so that its end is unknown.
@@ -171,10 +175,11 @@
 			return response, nil
 		}
 		c.allowed = maxSkippedBytes - skipped
+		timer := time.AfterFunc(maxSkipTime, c.interrupt)
 		n, err := io.Copy(io.Discard, response.Body)
 		skipped += int(n)
-		if err != nil {
-			return nil, err
+		if !timer.Stop() || err != nil {
+			return nil, cmp.Or(err, errTooSlowSkipped)
 		}
 	}
 	return nil, errTooManySkipped
--- a/internal/backend/identity_test.go
+++ b/internal/backend/identity_test.go
@@ -56,6 +56,7 @@
 			{"GET", "own", false, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 9\r\n\r\n" + ownRefusal, "", false}}, 1},
 		{"response to GET before that to HEAD", []sent{{"GET", "other", false, otherSuccess, "200 othe", false}, {"HEAD", "own", false, otherSuccess + "HTTP/1.1 200 OK\r\nId: own\r\n\r\n", "", false}}, 1},
 		{"cut response to another request", []sent{{"GET", "other", false, otherSuccess, "200 othe", false}, {"GET", "own", false, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 900\r\n\r\n" + ownRefusal, "", false}}, 1},
+		{"cut response to another request, connection stays open", []sent{{"GET", "other", false, otherSuccess, "200 othe", false}, {"GET", "own", true, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 901\r\n\r\n" + ownSuccess, "", false}}, 1},
 		{"change of the protocol", []sent{{"GET", "own", false, "HTTP/1.1 101 Switching Protocols\r\nId: own\r\n\r\n", "", false}}, 1},
 		{"bytes that are no response", []sent{{"GET", "own", false, "busy" + ownSuccess, "", false}}, 1},
 	}
