--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,6 +28,8 @@
 	// before the one to a request. A backend server that sends more is cut off; bodies that are passed on have no bound.
 	maxHeadBytes    = 64 << 10
 	maxSkippedBytes = 1 << 20
+	// maxSkipTime is how long such a body may take. One that was cut may have no end, or take the response for its rest.
+	maxSkipTime = 500 * time.Millisecond
 	// rememberedIDs is the number of last requests whose IDs a connection remembers. A further response to one of them may
 	// arrive late, so none is sent again there.
 	rememberedIDs = 16
@@ -38,11 +43,13 @@
 var (
 	// errTooManySkipped reports that maxSkippedResponses responses were received and none of them belongs to the request.
 	errTooManySkipped = errors.New("too many responses to other requests")
+	errTooSlowSkipped = errors.New("the body of a response to another request does not end")
 	errTooManyBytes   = errors.New("more bytes than a response may have")
 	errUnidentified   = errors.New("a response without the ID of the request")
 	// errUnknownEnd reports a response to another request that may or may not have had the method HEAD, so that its end is unknown.
 	errUnknownEnd        = errors.New("a response to another request whose end is unknown")
 	errSwitchesProtocols = errors.New("a change of the protocol that was not asked for")
+	errMerged            = errors.New("a head in the middle of which another one begins")
 )
 
 // expected is the response that a request expects.
@@ -152,6 +159,8 @@
 		switch {
 		case err != nil:
 			return nil, err
+		case isMerged(response):
+			return nil, errMerged
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errSwitchesProtocols
 		case response.StatusCode < http.StatusOK:
@@ -166,15 +175,33 @@
 			return response, nil
 		}
 		c.allowed = maxSkippedBytes - skipped
+		timer := time.AfterFunc(maxSkipTime, c.interrupt)
 		n, err := io.Copy(io.Discard, response.Body)
 		skipped += int(n)
-		if err != nil {
-			return nil, err
+		if !timer.Stop() || err != nil {
+			return nil, cmp.Or(err, errTooSlowSkipped)
 		}
 	}
 	return nil, errTooManySkipped
 }
 
+// isMerged reports whether another response begins within the head of a response, as behind one that was cut. The fields may be those of
+// either. A field name with a space, which net/http tolerates, is no field name.
+func isMerged(response *http.Response) bool {
+	if strings.Contains(response.Status, "HTTP/1.") {
+		return true
+	}
+	for name, values := range response.Header {
+		if strings.Contains(name, " ") || slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
+// statusLine matches the beginning of the status line of a response.
+var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}`)
+
 // belongs reports whether a response belongs to the request. If it does not, it belongs to an earlier one and can be skipped.
 func (c *connection) belongs(response *http.Response, e expected) (bool, error) {
 	if e.idOf == nil {
