--- a/internal/gateway/truncated_test.go
+++ b/internal/gateway/truncated_test.go
@@ -15,8 +15,8 @@
 	"briarcroft/platform/standin"
 )
 
-// cutTarget sends a long response and breaks it off, or stops sending, for requests whose path ends with "/cut".
-type cutTarget struct {
+// brokenTarget sends a long response and breaks it off, or stops sending, for requests whose path ends with "/cut".
+type brokenTarget struct {
 	*standin.Target
 	// length is the length in the header; it is 0 for a response in chunks.
 	length int
@@ -26,7 +26,7 @@
 	pause time.Duration
 }
 
-func (t *cutTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (t *brokenTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !strings.HasSuffix(r.URL.Path, "/cut") {
 		t.Target.ServeHTTP(w, r)
 		return
@@ -50,17 +50,17 @@
 	const size = 3 << 20
 	for _, c := range []struct {
 		name   string
-		target cutTarget
+		target brokenTarget
 		// behind is what follows the request in the pipeline.
 		behind string
 		// pause is how long the caller waits before it reads the body.
 		pause time.Duration
 	}{
-		{"target breaks off", cutTarget{length: size, sent: size / 2}, getRequest("/lookup/1", "next"), 0},
-		{"target breaks off chunks", cutTarget{sent: size / 2}, getRequest("/lookup/1", "next"), 0},
-		{"time limit", cutTarget{length: size, sent: size / 2, pause: time.Minute}, getRequest("/lookup/1", "next"), 0},
-		{"caller stalls", cutTarget{length: size, sent: size}, getRequest("/lookup/1", "next"), 12 * time.Second},
-		{"rejection behind it", cutTarget{length: size, sent: size / 2}, "odd\r\n\r\n", 0},
+		{"target breaks off", brokenTarget{length: size, sent: size / 2}, getRequest("/lookup/1", "next"), 0},
+		{"target breaks off chunks", brokenTarget{sent: size / 2}, getRequest("/lookup/1", "next"), 0},
+		{"time limit", brokenTarget{length: size, sent: size / 2, pause: time.Minute}, getRequest("/lookup/1", "next"), 0},
+		{"caller stalls", brokenTarget{length: size, sent: size}, getRequest("/lookup/1", "next"), 12 * time.Second},
+		{"rejection behind it", brokenTarget{length: size, sent: size / 2}, "odd\r\n\r\n", 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withFleet(t, 1, 0, func(f *fleet) {
@@ -94,7 +94,7 @@
 // they were accepted behind a response that was not sent completely.
 func TestNothingIsSentBehindTruncatedResponse(t *testing.T) {
 	withFleet(t, 1, 0, func(f *fleet) {
-		x := &cutTarget{Target: standin.NewTarget("t0"), length: 3 << 20, sent: 2 << 20, pause: 20 * time.Millisecond}
+		x := &brokenTarget{Target: standin.NewTarget("t0"), length: 3 << 20, sent: 2 << 20, pause: 20 * time.Millisecond}
 		x.Address = f.serve(x.Name, "", x)
 		f.register(x.Target, "ready")
 		time.Sleep(time.Second)
