Refuse a slow head at the limit of connections with 503

A caller whose connection is refused because the host has too many, and whose request head takes longer than 250 ms, got 400 when the head was cut in its request line, which forbids it to send the request again, and 408 without Retry-After otherwise. A graceful stop or another connection that needed room could cut the head in the same way.

The refusal read the head with a deadline of its own and passed on the error of the parser, which hides that the head was cut. It now registers that a request arrives, as the usual reading does, and answers 503 when its time is over; 400 and 431 remain for heads that are wrong.

TestSlowHeadAtConnectionLimit showed 400 and 408 before.

--- a/internal/gateway/descriptors.go
+++ b/internal/gateway/descriptors.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"briarcroft/internal/duty"
@@ -117,13 +120,12 @@
 	}
 	defer t.refusing.Add(-1)
 	c.gateway.stats.refusedConns.Add(1)
-	if arrived {
-		_ = c.conn.SetReadDeadline(time.Now().Add(refusalWait))
+	if arrived && c.awaitPart(refusalWait) {
 		rejected := &rejection{
 			status: http.StatusServiceUnavailable, reason: "TooManyConnections", retryAfter: refusedRetryAfter + rand.N(refusalSpread),
 		}
-		if _, err := http.ReadRequest(c.reader); err != nil {
-			rejected = rejectionFor(err)
+		if _, err := http.ReadRequest(c.reader); err != nil && !errors.Is(c.conn.err, os.ErrDeadlineExceeded) {
+			rejected = rejectionFor(cmp.Or(c.conn.err, err))
 		}
 		c.reject(rejected)
 	} else {
--- a/internal/gateway/descriptors_test.go
+++ b/internal/gateway/descriptors_test.go
@@ -133,3 +133,24 @@
 		f.is.Equal(f.call("h0", "POST", "/order/x", "r4").status, http.StatusOK) // the target is not taken for lost
 	})
 }
+
+// TestSlowHeadAtConnectionLimit guards against a caller that is told that its request is malformed, so that it does not send it again,
+// because the host refuses its connection before the head has arrived.
+func TestSlowHeadAtConnectionLimit(t *testing.T) {
+	const descriptors = 64
+	for _, head := range []string{"GET /unknown/ HT", "GET /unknown/ HTTP/1.1\r\nHost: www.exa", "GET /unknown/ HTTP/1.1\r\nHost: www.example\r\n"} {
+		withSettings(t, func(s *settings.Settings) { s.Limits.Descriptors = descriptors }, 1, 1, func(f *fleet) {
+			for range socket.CallerLimit(descriptors, 0) {
+				_ = f.keep("h0")
+			}
+			c := f.keep("h0")
+			_, err := io.WriteString(c.Conn, head)
+			f.is.NoErr(err)
+			response, err := http.ReadResponse(c.Reader, nil)
+			f.is.NoErr(err)
+			if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+				t.Errorf("%q: %d %v", head, response.StatusCode, response.Header)
+			}
+		})
+	}
+}
