--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -42,7 +42,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			body := &relayedBody{stream: &relayStream{replies: c.replies}, cancel: func() {}, silence: time.NewTimer(time.Hour)}
+			body := &relayedBody{stream: &relayStream{replies: c.replies}, left: -1, cancel: func() {}, silence: time.NewTimer(time.Hour)}
 			content, err := io.ReadAll(body)
 			is.Equal(string(content), "part")
 			is.Equal(err, c.err)
