Backend: idle connections make room for a request that may not use them

What callers saw: up to 30 s after a burst, requests that are not repeatable were refused with 503 (NoTargets) by targets without any load. The same happened at once to requests without an attempt ID. Cause: a pool counts idle connections in MaxConnections. A request that may not use them, because they were not used recently, have carried its ID, or it has none, opened no connection at the maximum: 'all connections are in use'. Since requests without an ID have connections of their own, they never found room once the pool was full of idle ones. Evidence: TestIdleConnectionsExhaustNoPool failed in all three rows with ErrPoolExhausted. Fix: the connection that has been idle for longest is closed for the new one. The maximum holds as before, and connections with a request are not touched.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -287,9 +287,17 @@
 	return nil
 }
 
-// dial opens a connection unless the maximum is reached or the pool is closed.
+// dial opens a connection unless the pool is closed or the maximum of connections carry a request. An idle connection, which the
+// request may not use, makes room for it.
 func (p *Pool) dial(ctx context.Context) (*connection, error) {
 	p.mu.Lock()
+	if p.open >= p.config.MaxConnections && len(p.idle) > 0 {
+		oldest := p.idle[0]
+		p.idle = p.idle[1:]
+		p.open--
+		// No data is lost on an idle connection, so an error makes no difference.
+		_ = oldest.Conn.Close()
+	}
 	if p.open >= p.config.MaxConnections || p.closed {
 		p.mu.Unlock()
 		return nil, ErrPoolExhausted.New("all %d connections to backend server %s are in use; raise Connections in the note", p.config.MaxConnections, p.config.Address)
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -75,6 +75,56 @@
 	is.Equal(pool.Usage(), Usage{})
 }
 
+// TestIdleConnectionsExhaustNoPool guards against requests that are refused because idle connections that they may not use take all
+// the room of the pool.
+func TestIdleConnectionsExhaustNoPool(t *testing.T) {
+	cases := []struct {
+		name, id string
+		// idle is how long the connection was idle.
+		idle    time.Duration
+		options Options
+	}{
+		{"not used recently", "second", time.Second, Options{Once: true}},
+		{"request without an ID", "", 0, Options{}},
+		{"ID that the connection has carried", "first", 0, Options{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				idOf := func(h http.Header) string { return h.Get("Id") }
+				pool, closePool := New(Config{Address: "target", MaxConnections: 1, DialTimeout: time.Second, ID: idOf, Dial: dialEcho})
+				defer closePool()
+				send := func(id string, o Options) {
+					r, _ := http.NewRequest(http.MethodPost, "http://target", nil)
+					r.Header.Set("Id", id)
+					response, err := pool.Do(r, o)
+					is.NoErr(err)
+					is.NoErr(response.Body.Close())
+				}
+				send("first", Options{})
+				is.Equal(pool.Usage(), Usage{Open: 1, Idle: 1})
+				time.Sleep(c.idle)
+				send(c.id, c.options)
+				is.True(pool.Usage().Open <= 1)
+			})
+		})
+	}
+}
+
+// dialEcho opens a connection to a backend server that responds to each request with its ID.
+func dialEcho(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() {
+		defer far.Close()
+		reader := bufio.NewReader(far)
+		for r, err := http.ReadRequest(reader); err == nil; r, err = http.ReadRequest(reader) {
+			_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 0\r\n\r\n")
+		}
+	}()
+	return near, nil
+}
+
 // TestLimitIdle guards against idle connections that stay open while no request comes: they must be closed beyond the limit, the one
 // used last excepted, and after their time.
 func TestLimitIdle(t *testing.T) {
