--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,10 @@
 	defaultTargets = 4
 	defaultLength  = 8 * time.Second
 	minCallers     = 16
+	// stableTime is the time after the last fault from which on time bounds hold, and drainTime how long a draining target may get
+	// requests.
+	stableTime = 3 * time.Second
+	drainTime  = 2 * time.Second
 	// maxShown is the largest number of violations that the message of a failed run shows. The trace has all.
 	maxShown = 20
 )
@@ -79,6 +83,7 @@
 //   - MIXED: a response is that of a backend server to this very request, and whole.
 //   - TWICE, REFUSED, UNASKED: no unsafe request runs twice, no refused one runs, and none runs with another body.
 //   - DENIED: no proper request is rejected as improper.
+//   - DRAIN: a draining target gets no requests after its time, once the faults have ended.
 //   - CONFIG: no host returns to an older configuration while it runs.
 //   - BUDGET: a request that crashes targets is stopped.
 //
@@ -248,13 +253,35 @@
 	}
 	faults.Wait()
 	r.waitForRecovery()
+	r.checkDraining()
 	stopCallers()
 	callers.Wait()
 	time.Sleep(2 * time.Second) // longer than any run that is still in flight
 	r.judgeRequests()
+	for _, p := range r.hosts {
+		r.checkMemory(p.current())
+	}
 	r.checkCrashes(time.Since(r.end) + length)
 }
 
+// checkDraining checks that a target that has registered as draining gets no request later than drainTime after that, while
+// there are no faults.
+func (r *soakRun) checkDraining() {
+	time.Sleep(stableTime)
+	s := r.targets[r.intN(len(r.targets))]
+	r.register(s, "draining")
+	limit := time.Now().Add(drainTime)
+	time.Sleep(drainTime + time.Second)
+	s.Update(func(t *standin.Target) {
+		for _, arrival := range t.ArrivalLog {
+			if arrival.At.After(limit) {
+				r.reportViolation("DRAIN: request %s reached %s %v after it has registered as draining", arrival.AttemptID, s.Name, drainTime+arrival.At.Sub(limit))
+			}
+		}
+	})
+	r.register(s, "ready")
+}
+
 // countFault counts a fault and adds it to the trace.
 func (r *soakRun) countFault(name string) {
 	r.trace("%s", name)
