--- a/soak/session_test.go
+++ b/soak/session_test.go
@@ -212,11 +212,13 @@
 	if s.kind == pipeliningCaller {
 		count += s.run.intN(maxPipelined)
 	}
+	// Several large responses follow each other, so that one can fill the rest of another that was broken off.
+	large := s.kind == slowReader || s.kind == pipeliningCaller && s.run.intN(6) == 0
 	var batch []*sentRequest
 	for i := range count {
 		q := &sentRequest{id: s.run.nextID("q"), method: http.MethodGet, path: "/lookup/1", incarnation: s.in, kept: s.answered > 0, behind: i > 0, pieces: 1}
 		switch {
-		case s.kind == slowReader, s.kind == pipeliningCaller && s.run.intN(10) == 0:
+		case large:
 			q.path = largePath
 		case s.kind == uploadingCaller:
 			q.method, q.path, q.unsafe = http.MethodPost, "/order/1", true
