--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -14,7 +14,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"os/signal"
 	"syscall"
 	"time"
 
@@ -22,6 +21,7 @@
 	"briarcroft/internal/note"
 	"briarcroft/internal/platform"
 	"briarcroft/internal/settings"
+	"briarcroft/internal/signals"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/joomcode/errorx"
@@ -62,11 +62,14 @@
 // baseCommand holds the output and error streams; every command embeds it.
 type baseCommand struct {
 	out, err io.Writer
+	// closeStreams writes what waits for the streams, if they are queues.
+	closeStreams func()
 }
 
 // Run runs the command that the arguments name and returns its exit code.
 func Run(c Config) int {
-	b := &baseCommand{c.Out, c.Err}
+	b := &baseCommand{c.Out, c.Err, func() {}}
+	defer func() { b.closeStreams() }()
 	parser := flags.NewNamedParser("briarcroft", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "A load balancer whose entry hosts recover from failures on their own and record what they changed and why.\n" +
 		"Exit codes: 0 done, 1 failed, 2 bad input, 3 conflict with another operator, 4 outcome unknown."
@@ -153,28 +156,32 @@
 }
 
 // shutdownContexts returns a context that ends at the first SIGINT or SIGTERM, for a graceful stop, and one that ends
-// at a SIGINT after that, for a stop at once. The caller must call release, which stops the handling of signals.
+// at a SIGINT after that, for a stop at once. The caller must call release, which stops the handling of signals; they
+// do not end the process after that either.
 func shutdownContexts() (stop, force context.Context, release func()) {
-	stop, releaseStop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	terminations := signals.Terminations()
+	stop, cancelStop := context.WithCancel(context.Background())
 	force, cancelForce := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		select {
-		case <-stop.Done():
-		case <-force.Done():
-			return
+		for {
+			select {
+			case s := <-terminations:
+				// Some supervisors send SIGTERM repeatedly, which must not cut off running requests. A further SIGINT
+				// comes from a person at a terminal, who wants the process to end at once.
+				if stop.Err() != nil && s == syscall.SIGINT {
+					cancelForce()
+				}
+				cancelStop()
+			case <-force.Done():
+				return
+			}
 		}
-		// Some supervisors send SIGTERM repeatedly, which must not cut off running requests. A further SIGINT comes
-		// from a person at a terminal, who wants the process to end at once.
-		interrupted, releaseInterrupted := signal.NotifyContext(force, syscall.SIGINT)
-		defer releaseInterrupted()
-		<-interrupted.Done()
-		cancelForce()
 	}()
 	return stop, force, func() {
 		cancelForce()
-		releaseStop()
+		cancelStop()
 		<-done
 	}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -51,7 +51,7 @@
 	}
 	if !g.reach.Direct(p.Target) {
 		if !g.reach.Lost() {
-			go g.checkReach(g.background, p.Target)
+			g.startReachCheck(p.Target)
 		}
 		if response, err := x.relay(ctx, from, p); !errorx.IsOfType(err, backend.ErrNotSent) {
 			return response, err
@@ -113,6 +113,7 @@
 	var state atomic.Int32
 	var watch *time.Timer
 	watch = time.AfterFunc(math.MaxInt64, func() {
+		defer g.guard("ReachCheck")
 		switch {
 		case !g.checkReach(directCtx, p.Target) && x.repeatable():
 			if state.CompareAndSwap(runWaits, runHangs) {
@@ -316,9 +317,12 @@
 func (p *peerServer) Relay(r *inner.RelayRequest, stream inner.DRPCPeer_RelayStream) error {
 	ctx, cancel := context.WithTimeout(stream.Context(), time.Duration(r.TimeoutMilliseconds)*time.Millisecond)
 	defer cancel()
+	p.gateway.relaysForPeers.Add(1)
+	defer p.gateway.relaysForPeers.Add(-1)
 	replies := make(chan *inner.RelayReply)
 	go func() {
 		defer close(replies)
+		defer p.gateway.guard("Relay")
 		p.gateway.relayForPeer(ctx, r, func(reply *inner.RelayReply) bool {
 			select {
 			case replies <- reply:
@@ -359,15 +363,14 @@
 // relayForPeer sends a request of a peer to a target and passes the response to send, which returns false once the peer has
 // left.
 func (g *Gateway) relayForPeer(ctx context.Context, r *inner.RelayRequest, send func(*inner.RelayReply) bool) {
-	defer g.relaysForPeers.Add(-1)
-	if g.relaysForPeers.Add(1) > maxRelaysForPeers {
+	if g.relaysForPeers.Load() > maxRelaysForPeers {
 		send(&inner.RelayReply{Kind: inner.RelayKind_RelayExhausted})
 		return
 	}
 	target, found := g.findTarget(r.Target)
 	if !found || target.Draining || target.Address != r.Address || !g.reach.Direct(r.Target) || g.maySend(r.Target) != nil {
 		if found {
-			go g.checkReach(g.background, r.Target)
+			g.startReachCheck(r.Target)
 		}
 		send(&inner.RelayReply{Kind: inner.RelayKind_RelayNotSent})
 		return
