--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -151,7 +151,7 @@
 		_ = reader.Close()
 		_ = file.Close()
 	}()
-	go f.awaitEnd(in)
+	go f.watchEnd(in)
 	f.t.Cleanup(func() {
 		in.kill()
 		<-in.exited
@@ -159,8 +159,8 @@
 	})
 }
 
-// awaitEnd waits until the process has ended, and reports a violation unless a signal of the test has ended it.
-func (f *fleet) awaitEnd(in *incarnation) {
+// watchEnd waits until the process has ended, and reports a violation unless a signal of the test has ended it.
+func (f *fleet) watchEnd(in *incarnation) {
 	// The exit status is checked below.
 	_ = in.command.Wait()
 	in.mu.Lock()
@@ -173,7 +173,8 @@
 	if killed || stopped && (state.Success() || in.endedBeforeServing(state)) {
 		return
 	}
-	f.reportViolation("END: %s ended by itself (%v, SIGTERM sent: %v); end of its log: %s", in.host.name, state, stopped, f.logExcerpt(in))
+	f.reportViolation("END: %s ended by itself after %v of processor time (%v, SIGTERM sent: %v); end of its log: %s",
+		in.host.name, state.UserTime()+state.SystemTime(), state, stopped, f.logExcerpt(in))
 	if !stopped {
 		f.replaceEnded(in)
 	}
@@ -354,23 +355,37 @@
 // waitReady waits until a host's readiness check succeeds. It reports whether the process is still running.
 func (f *fleet) waitReady(p *process) bool {
 	in := p.current()
+	ready := f.awaitReadiness(p, in.exited)
+	select {
+	case <-in.exited:
+		return false
+	default:
+	}
+	if !ready {
+		f.reportViolation("END: %s is not ready after %v", p.name, waitTimeout)
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.ready = ready
+	return true
+}
+
+// awaitReadiness waits until a host's readiness check succeeds, waitTimeout is over or the channel is closed. It reports whether the
+// check succeeded.
+func (f *fleet) awaitReadiness(p *process, canceled <-chan struct{}) bool {
 	for start := time.Now(); time.Since(start) < waitTimeout; {
 		response, err := f.client.Get("http://" + p.ready + "/api/readiness")
 		if err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
-				in.mu.Lock()
-				defer in.mu.Unlock()
-				in.ready = true
 				return true
 			}
 		}
 		select {
-		case <-in.exited:
+		case <-canceled:
 			return false
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
-	f.reportViolation("END: %s is not ready after %v", p.name, waitTimeout)
-	return true
+	return false
 }
--- a/soak/signal_test.go
+++ b/soak/signal_test.go
@@ -45,8 +45,9 @@
 
 // endHost ends the process of a host at once.
 func (f *fleet) endHost(p *process) {
-	f.is.NoErr(p.command.Process.Kill())
-	<-p.exited
+	in := p.current()
+	in.kill()
+	<-in.exited
 }
 
 // openLog opens the file of a process's log for appending.
@@ -77,7 +78,7 @@
 	_, err = settings.Write(old)
 	f.is.NoErr(err)
 	f.is.NoErr(settings.Close())
-	f.waitReady(p)
+	f.is.True(f.awaitReadiness(p, nil))
 	f.awaitLine("early.log", "settings reloaded")
 	f.is.NoErr(c.Process.Signal(syscall.SIGTERM))
 	f.is.NoErr(f.awaitEnd(c))
@@ -102,7 +103,7 @@
 	f.endHost(p)
 	for range 3 {
 		c := f.startChild(p.settingsFile, f.openLog("stop.log"))
-		f.waitReady(p)
+		f.is.True(f.awaitReadiness(p, nil))
 		f.is.NoErr(c.Process.Signal(syscall.SIGTERM))
 		var err error
 		for running := true; running; {
@@ -128,7 +129,7 @@
 	reader, writer, err := os.Pipe()
 	f.is.NoErr(err)
 	c := f.startChild(p.settingsFile, writer)
-	f.waitReady(p)
+	f.is.True(f.awaitReadiness(p, nil))
 	f.is.NoErr(reader.Close())
 	for i := range 100 {
 		r := f.call(p, http.MethodPost, "/order/1", fmt.Sprintf("o%d", i))
@@ -151,7 +152,7 @@
 	defer reader.Close()
 	fillPipe(f, writer)
 	c := f.startChild(p.settingsFile, writer)
-	f.waitReady(p)
+	f.is.True(f.awaitReadiness(p, nil))
 	for i := range 100 {
 		r := f.call(p, http.MethodPost, "/order/1", fmt.Sprintf("o%d", i))
 		f.is.NoErr(r.err)
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -174,6 +175,7 @@
 	r.startProcess(p)
 	if r.isSelected(hangupAfterStart) && r.intN(2) == 0 {
 		r.countFault(hangupAfterStart)
+		r.awaitFirstFile(p.current())
 		for started := time.Now(); time.Since(started) < hangupTime; {
 			r.hangUp(p.current(), 1, 5*time.Millisecond)
 		}
@@ -189,6 +191,24 @@
 	}
 }
 
+// awaitFirstFile waits until a process that was just started opens its first file, the settings. Before that the runtime of its
+// language may not handle signals yet, and the process will read the newest settings anyway.
+func (r *soakRun) awaitFirstFile(in *incarnation) {
+	for {
+		names, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", in.command.Process.Pid))
+		if err != nil || len(names) == 0 {
+			// The process has ended.
+			return
+		}
+		for _, name := range names {
+			if target, err := os.Readlink(name); err == nil && target == "anon_inode:[eventpoll]" {
+				return
+			}
+		}
+		time.Sleep(100 * time.Microsecond)
+	}
+}
+
 // pauseProcess suspends a host's process for a duration.
 func (r *soakRun) pauseProcess(p *process, duration time.Duration) {
 	if !p.beginFault(true) {
