--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -7,7 +7,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"briarcroft/internal/duty"
 )
 
 // Limits of the connections of callers.
@@ -20,12 +23,12 @@
 	maxPipelined = 16
 	// lingerTime is how long a closing connection is still read, so that a reset does not destroy its last response.
 	lingerTime = 500 * time.Millisecond
+	// lingerBytes is how many bytes are read and discarded then.
+	lingerBytes = 256 << 10
 	// stallTimeout is how long one write of a part of a response to a caller may block.
 	stallTimeout = 10 * time.Second
 	// firstRequestTime is how long a new connection is kept for its first request once the host is closing idle connections.
 	firstRequestTime = time.Second
-	// busyReadTimeout bounds the wait for the next request while an earlier one is being handled.
-	busyReadTimeout = 10 * time.Minute
 )
 
 // callerWriters pools the write buffers of responses.
@@ -45,14 +48,18 @@
 	accepted, responded int
 	// acceptedInStop counts those that were read since a graceful stop began.
 	acceptedInStop int
-	// reading is set while a request that has begun to arrive is read.
-	reading bool
 	// closing is set once no further request is accepted.
 	closing bool
 	// closesWhenIdle is set once the connection is to be closed unless a request is being handled or has arrived.
 	closesWhenIdle bool
+	// readStopped is set once a request that is still arriving is refused.
+	readStopped bool
+	// truncated is set once a response was not sent completely; nothing may follow it.
+	truncated atomic.Bool
 	// lastDone is closed when the last accepted request has been answered.
 	lastDone chan struct{}
+	// progress is guarded by mu.
+	progress connProgress
 	// pipelineSlots holds one item for each request in progress, up to maxPipelined.
 	pipelineSlots chan struct{}
 }
@@ -64,6 +71,10 @@
 		if err != nil {
 			return err
 		}
+		serve := (*callerConn).serve
+		if !g.makeRoom() {
+			serve = (*callerConn).serveOrRefuse
+		}
 		g.openConns.Add(1)
 		go func() {
 			defer g.openConns.Add(-1)
@@ -73,7 +84,7 @@
 			if g.closingIdle.Load() {
 				c.closeIfIdle()
 			}
-			c.serve()
+			serve(c)
 		}()
 	}
 }
@@ -86,6 +97,7 @@
 		c.address = host
 	}
 	close(c.lastDone)
+	c.update(func(*connProgress) {})
 	return c
 }
 
@@ -93,6 +105,7 @@
 func (c *callerConn) serve() {
 	var handlers sync.WaitGroup
 	for {
+		c.awaitMemory()
 		q, rejected := c.nextRequest()
 		if q == nil {
 			c.reject(rejected)
@@ -100,7 +113,7 @@
 		}
 		done, previous, ok := c.accept(q.closeAfter)
 		if !ok {
-			q.release()
+			q.body.release()
 			break
 		}
 		c.pipelineSlots <- struct{}{}
@@ -112,13 +125,27 @@
 	c.awaitHandlers(&handlers)
 }
 
+// awaitMemory waits until the requests of the connection have been answered if no memory is left, so that no further ones wait
+// behind them.
+func (c *callerConn) awaitMemory() {
+	if !c.gateway.bodies.full() && !c.gateway.responses.full() {
+		return
+	}
+	c.mu.Lock()
+	lastDone := c.lastDone
+	c.mu.Unlock()
+	<-lastDone
+}
+
 // awaitHandlers waits for the requests that are being handled and closes the connection. If the caller disconnects
 // meanwhile, its repeatable requests are canceled.
 func (c *callerConn) awaitHandlers(handlers *sync.WaitGroup) {
+	_ = c.conn.SetReadDeadline(time.Time{})
 	readEnded := make(chan struct{})
 	go func() {
 		defer close(readEnded)
-		if _, err := io.Copy(io.Discard, c.conn.Conn); err == nil {
+		if _, err := io.CopyN(io.Discard, c.conn.Conn, lingerBytes); err == io.EOF {
+			c.update(func(p *connProgress) { p.left = true })
 			c.cancel()
 		}
 	}()
@@ -132,22 +159,41 @@
 // lingeringClose closes the connection after the caller had time to read the last response. Closing at once would
 // reset the connection if the caller has sent more data.
 func (c *callerConn) lingeringClose() {
+	c.update(func(p *connProgress) { p.lingering = true })
+	defer c.update(func(p *connProgress) { p.closed = true })
+	if c.isReclaimed() {
+		_ = c.conn.Conn.Close()
+		return
+	}
 	if closer, ok := c.conn.Conn.(interface{ CloseWrite() error }); ok {
 		// An error does not matter: the connection is closed completely below.
 		_ = closer.CloseWrite()
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, c.conn.Conn)
+	end := time.Now().Add(lingerTime)
+	_ = c.conn.SetReadDeadline(end)
+	if _, err := io.CopyN(io.Discard, c.conn.Conn, lingerBytes); err == nil {
+		// The caller goes on sending; it still has to read its last response.
+		duty.Sleep(c.gateway.background, time.Until(end))
+	}
 	_ = c.conn.Conn.Close()
 }
 
-// beginReading registers that a request has begun to arrive, and sets the read deadline for its head. From then on until it is
-// accepted the connection is not idle.
-func (c *callerConn) beginReading(timeout time.Duration) {
+// awaitPart registers that a request has begun to arrive, and sets the read deadline for its head or body. From then on until it
+// is accepted the connection is not idle. It returns false if the request would not be accepted.
+func (c *callerConn) awaitPart(timeout time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = true
-	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
+	if c.closing {
+		return false
+	}
+	c.progress.reading = true
+	c.countState()
+	deadline := time.Now().Add(timeout)
+	if c.readStopped {
+		deadline = time.Unix(1, 0)
+	}
+	_ = c.conn.SetReadDeadline(deadline)
+	return true
 }
 
 // accept registers a request that was read, unless the connection is closing. The request may be answered once
@@ -155,7 +201,6 @@
 func (c *callerConn) accept(closeAfter bool) (done chan struct{}, previous <-chan struct{}, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
 	if c.closing {
 		return nil, nil, false
 	}
@@ -167,6 +212,8 @@
 		closeAfter = closeAfter || c.closesWhenIdle && pipelined || c.acceptedInStop >= maxPipelined
 	}
 	c.accepted++
+	c.progress.reading, c.progress.reclaimed = false, false
+	c.countState()
 	c.closing = closeAfter
 	done, previous = make(chan struct{}), c.lastDone
 	c.lastDone = done
@@ -177,22 +224,22 @@
 func (c *callerConn) handle(q *request, done chan struct{}, previous <-chan struct{}) {
 	defer func() { <-c.pipelineSlots }()
 	defer close(done)
-	defer q.release()
+	defer q.body.release()
 	x := newExchange(c, q)
 	response := x.respond()
 	<-previous
 	closing := c.isLastResponse()
-	sent := c.sendResponse(q, response, closing)
+	sent := c.writeGuarded(q, response, closing)
 	x.finish(response, sent)
 	c.responseWritten(closing || !sent)
 }
 
-// isLastResponse reports whether the next response is the last one of the connection, because the connection is closing
-// or the host is stopping and no other request was accepted or has begun to arrive.
+// isLastResponse reports whether the next response is the last one of the connection, because the connection is closing, or is to
+// be closed when it is idle or the host is stopping, and no other request was accepted or has begun to arrive.
 func (c *callerConn) isLastResponse() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.gateway.stopping.Load() && c.accepted == c.responded+1 && !c.reading {
+	if (c.gateway.stopping.Load() || c.closesWhenIdle) && c.accepted == c.responded+1 && !c.progress.reading {
 		c.closing = true
 	}
 	return c.closing && c.accepted == c.responded+1
@@ -203,13 +250,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.responded++
+	c.countState()
 	if end {
 		c.closing = true
 		// A deadline in the past ends the pending read of the next request.
 		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 		return
 	}
-	if c.accepted == c.responded && !c.reading {
+	if c.accepted == c.responded && !c.progress.reading {
 		_ = c.conn.SetReadDeadline(c.idleDeadline(c.gateway.limits().IdleTimeout))
 	}
 }
@@ -220,7 +268,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closesWhenIdle = true
-	if c.accepted == c.responded && !c.reading {
+	if c.accepted == c.responded && !c.progress.reading {
 		_ = c.conn.SetReadDeadline(c.idleDeadline(0))
 	}
 }
@@ -239,9 +287,14 @@
 
 // stopReading ends the reading of a request that has not arrived completely, which is then refused, and of a connection without
 // one.
-func (c *callerConn) stopReading() { _ = c.conn.SetReadDeadline(time.Unix(1, 0)) }
+func (c *callerConn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readStopped = true
+	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+}
 
-// setIdleDeadline sets the read deadline for the next request: idle, or busyReadTimeout while one is being handled.
+// setIdleDeadline sets the read deadline for the next request: idle, or none while one is being handled, whose response sets it.
 func (c *callerConn) setIdleDeadline(idle time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -251,7 +304,7 @@
 	case c.accepted == c.responded:
 		_ = c.conn.SetReadDeadline(c.idleDeadline(idle))
 	default:
-		_ = c.conn.SetReadDeadline(time.Now().Add(busyReadTimeout))
+		_ = c.conn.SetReadDeadline(time.Time{})
 	}
 }
 
@@ -261,6 +314,7 @@
 	if rejected == nil {
 		// The caller has disconnected, or was idle for too long.
 		if c.callerDisconnected() {
+			c.update(func(p *connProgress) { p.left = true })
 			c.cancel()
 		}
 		return
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -42,7 +42,7 @@
 		_ = server.Close()
 	})
 	defer stop()
-	err := server.Serve(l)
+	err := server.Serve(countedListener{l, &g.connections.pages})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -161,6 +161,10 @@
 		{"NotFound", func() any { return s.notFound.Load() }},
 		{"CutAnswers", func() any { return s.truncated.Load() }},
 		{"RejectedRequests", func() any { return s.rejected.Load() }},
+		{"BodiesRejected", func() any { return s.bodiesRejected.Load() }},
+		{"HeldBodyBytes", func() any { return g.bodies.used.Load() }},
+		{"ResponsesUnbuffered", func() any { return s.responsesUnbuffered.Load() }},
+		{"HeldResponseBytes", func() any { return g.responses.used.Load() }},
 		{"Attempts", func() any { return s.attempts.Load() }},
 		{"Probes", func() any { return s.primaryProbes.Load() + s.fallbackProbes.Load() }},
 		{"Quarantined", func() any { return s.quarantined.Load() }},
@@ -181,6 +185,7 @@
 		{"StoreLost", func() any { return g.storeWatch.unreachable.Load() }},
 		{"SilentHomes", func() any { return s.unresponsiveHomes.Load() }},
 		{"ResponsesTooLarge", func() any { return s.tooLarge.Load() }},
+		{"UnidentifiedResponses", func() any { return s.unidentified.Load() }},
 		{"TargetsLost", func() any { return g.reach.Lost() }},
 		{"RelayedRequests", func() any { return s.relayed.Load() }},
 		{"RequestsForPeers", func() any { return s.relayedForPeers.Load() }},
@@ -190,6 +195,11 @@
 		{"TargetNotices", func() any { return s.notices.Load() }},
 		{"ReachChecks", func() any { return s.reachChecks.Load() }},
 		{"SlowReaders", func() any { return s.slowReaders.Load() }},
+		{"Connections", func() any { return g.connectionCounts() }},
+		{"Descriptors", func() any { return g.descriptorCounts() }},
+		{"ConnectionsReclaimed", func() any { return s.reclaimed.Load() }},
+		{"ConnectionsRefused", func() any { return s.refusedConns.Load() }},
+		{"AcceptFailures", func() any { return s.acceptFailures.Load() }},
 		{"OpenConnections", func() any { return g.openConns.Load() }},
 		{"Note", func() any { return g.chain.Number() }},
 		{"UnwrittenLines", func() any { return g.unwrittenLines() }},
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -27,6 +27,11 @@
 // Panics returns how many panics have not ended the process.
 func (g *Gateway) Panics() int64 { return g.stats.panics.Load() }
 
+// HeldBytes returns the memory that the bodies of requests and those of responses take.
+func (g *Gateway) HeldBytes() (requests, responses int64) {
+	return g.bodies.used.Load(), g.responses.used.Load()
+}
+
 // Allowances returns the state of the holder on this host, and whether the host is waiting for another one.
 func (g *Gateway) Allowances() (holder quota.HolderStats, lost bool) {
 	now := g.allowances.bootTime()
@@ -69,3 +74,9 @@
 	}
 	return 0, false
 }
+
+// ConnectionCounts returns the number of open connections as the metrics show it.
+func (g *Gateway) ConnectionCounts() ConnectionCounts { return g.connectionCounts() }
+
+// ConnectionCounts are the counts of the metrics.
+type ConnectionCounts = connectionCounts
--- a/internal/gateway/panic.go
+++ b/internal/gateway/panic.go
@@ -115,10 +115,11 @@
 	return c.readRequest()
 }
 
-// sendResponse does the same as writeResponse. A response whose writing panics counts as incomplete.
-func (c *callerConn) sendResponse(q *request, r *callerResponse, closing bool) (sent bool) {
+// writeGuarded does the same as writeResponse. A response whose writing panics counts as incomplete.
+func (c *callerConn) writeGuarded(q *request, r *callerResponse, closing bool) (sent bool) {
 	defer func() {
 		if c.gateway.recovered("WriteResponse", recover()) {
+			c.truncate()
 			sent = false
 		}
 	}()
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -77,6 +77,8 @@
 	switch {
 	case err == nil:
 		g.recordInReach(p.Target)
+	case errorx.IsOfType(err, backend.ErrNoDescriptor):
+		health = placement.ProbeNotSent
 	case errorx.IsOfType(err, backend.ErrNotSent):
 		g.recordOutOfReach(p.Target)
 	default:
@@ -98,7 +100,7 @@
 	}
 	key, registered := g.noticeKey(p.Target)
 	sent := g.now()
-	response, err := g.pools.get(p.Target, p.Address).Do(r, backend.Options{})
+	response, err := g.pools.probes(p.Target, p.Address).Do(r, backend.Options{})
 	if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
 		g.recordTooLarge(p)
 	}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -151,8 +151,14 @@
 	unresponsiveHomes, slowReaders, rejected atomic.Int64
 	// panics counts the panics that did not end the process.
 	panics atomic.Int64
+	// bodiesRejected counts the requests for whose bodies there was no memory.
+	bodiesRejected atomic.Int64
+	// responsesUnbuffered counts the responses that were passed on while they were read because no memory was left for them.
+	responsesUnbuffered atomic.Int64
 	// tooLarge counts connections that were closed because a target sent more than a response may have.
 	tooLarge atomic.Int64
+	// unidentified counts runs that ended with a response that did not have the attempt ID of the request.
+	unidentified atomic.Int64
 	// relayed counts the runs that peers relayed for this host, and relayedForPeers those that it relayed for peers.
 	relayed, relayedForPeers atomic.Int64
 	// reachChecks counts the checks whether this host reaches a target.
@@ -175,6 +181,11 @@
 	storeBytesSent, storeBytesReceived, followsStarted atomic.Int64
 	// ownDomainBytes counts the bytes of responses of targets in this host's failure domain, and otherDomainBytes those of others.
 	ownDomainBytes, otherDomainBytes atomic.Int64
+	// reclaimed counts the callers' connections without a request that were closed to make room, and refusedConns those that were
+	// refused because there was none.
+	reclaimed, refusedConns atomic.Int64
+	// acceptFailures counts the errors of Accept on all listeners.
+	acceptFailures atomic.Int64
 	// secondRuns counts second runs under a limit of the operators, by this host as a home.
 	secondRuns secondRunStats
 }
@@ -200,6 +211,8 @@
 			Int64("StoreBytesReceived", s.storeBytesReceived.Load()).Int64("FollowsStarted", s.followsStarted.Load()).
 			Int64("OwnDomainBytes", s.ownDomainBytes.Load()).Int64("OtherDomainBytes", s.otherDomainBytes.Load()).
 			Int64("Panics", s.panics.Load()).Int64("LostLogLines", g.config.LostLogLines()).
+			Interface("Connections", g.connectionCounts()).Interface("Descriptors", g.descriptorCounts()).Int64("AcceptFailures", s.acceptFailures.Load()).
+			Int64("ConnectionsReclaimed", s.reclaimed.Load()).Int64("ConnectionsRefused", s.refusedConns.Load()).
 			Int("Followers", g.followers.count()).Int("LiveHosts", len(g.members.Live(g.now()))).
 			Msg("counters")
 	}
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -42,7 +42,11 @@
 		more  map[string]string
 		check func(*is.I, Settings)
 	}{
-		{"older deployment", nil, func(is *is.I, s Settings) { is.Equal(s.Accounts, Default().Accounts) }},
+		{"older deployment", nil, func(is *is.I, s Settings) {
+			is.Equal(s.Accounts, Default().Accounts)
+			is.Equal(s.Limits.Descriptors, 0)
+		}},
+		{"descriptors", map[string]string{"limits.max-fds": "4100"}, func(is *is.I, s Settings) { is.Equal(s.Limits.Descriptors, 4100) }},
 		{"accounts", map[string]string{
 			"bounds.revoke-ms": "5000", "bounds.strict-revocation": "true", "bounds.quota-window-s": "4", "bounds.quota-overage": "0.2", "bounds.quota-slack": "30",
 		}, func(is *is.I, s Settings) {
@@ -50,6 +54,7 @@
 				WithdrawalLimit: 5 * time.Second, StrictWithdrawal: true, AllowanceWindow: 4 * time.Second, AllowanceOverage: 0.2, AllowanceSlack: 30,
 			})
 		}},
+		{"memory limit", map[string]string{"limits.memory-mb": "284"}, func(is *is.I, s Settings) { is.Equal(s.Host.MemoryLimit(), int64(284_000_000)) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
