--- a/soak/descriptors_test.go
+++ b/soak/descriptors_test.go
@@ -73,7 +73,7 @@
 	}
 	running.Wait()
 	select {
-	case <-h.exited:
+	case <-h.current().exited:
 		t.Error("the host has ended")
 	default:
 		f.waitReady(h)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -103,7 +103,12 @@
 	f := &fleet{t: t, is: is.New(t), binary: binary, dir: t.TempDir(), start: time.Now(), store: standin.New(), client: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: waitTimeout,
 	}}
-	t.Cleanup(f.client.CloseIdleConnections)
+	t.Cleanup(func() {
+		f.client.CloseIdleConnections()
+		for _, violation := range f.violations {
+			t.Error(violation)
+		}
+	})
 	f.writeConfiguration(1)
 	for i := range targets {
 		f.addTarget(fmt.Sprintf("t%d", i))
--- a/soak/odd_entries_test.go
+++ b/soak/odd_entries_test.go
@@ -55,11 +55,13 @@
 	f.waitUsed(f.targets[len(f.targets)-1])
 	for _, p := range f.hosts {
 		select {
-		case <-p.exited:
+		case <-p.current().exited:
 			log, err := os.ReadFile(f.dir + "/" + p.name + ".log")
 			t.Errorf("%s has ended (%v): %.2000s", p.name, err, log)
 		default:
-			if used := f.peakMemory(p); used > memoryLimit {
+			used, running := p.current().peakMemory()
+			t.Logf("%s has used %d KiB", p.name, used)
+			if !running || used > memoryLimit {
 				t.Errorf("%s has used %d KiB", p.name, used)
 			}
 		}
@@ -89,15 +91,3 @@
 	}
 	f.t.Errorf("%s gets no request within %v", s.Name, waitTimeout)
 }
-
-// peakMemory returns the most memory that a host's process has used, in KiB.
-func (f *fleet) peakMemory(p *process) int {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
-	f.is.NoErr(err)
-	_, line, _ := strings.Cut(string(status), "VmHWM:")
-	var used int
-	_, err = fmt.Sscan(line, &used)
-	f.is.NoErr(err)
-	f.t.Logf("%s has used %d KiB", p.name, used)
-	return used
-}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -19,8 +19,6 @@
 )
 
 const (
-	// memoryLimit is the memory in bytes that a process may use, as platforms with small hosts set it.
-	memoryLimit = 284 << 20
 	// logPipeBytes is the size of the pipe to which a process writes its log. It is small, so that a reader that does not read
 	// soon blocks the process.
 	logPipeBytes = 4 << 10
@@ -188,18 +186,22 @@
 	return ok && !in.ready && status.Signaled() && status.Signal() == syscall.SIGTERM
 }
 
-// checkMemory checks that a process's resident memory has stayed below the limit.
+// checkMemory checks that a process's memory has stayed below the limit.
 func (f *fleet) checkMemory(in *incarnation) {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", in.command.Process.Pid))
-	_, rest, found := strings.Cut(string(status), "VmHWM:")
-	var peak int
-	if _, scanErr := fmt.Sscan(rest, &peak); err != nil || !found || scanErr != nil {
-		// The process has ended.
-		return
+	if used, running := in.peakMemory(); running && used > memoryLimit {
+		f.reportViolation("END: %s has used %d KiB of memory, and a platform ends it at %d KiB", in.host.name, used, memoryLimit)
 	}
-	if peak > memoryLimit>>10 {
-		f.reportViolation("END: %s used %d MiB of memory, of which a platform allows %d MiB", in.host.name, peak>>10, memoryLimit>>20)
+}
+
+// peakMemory returns the most memory that the process has used, in KiB, unless it has ended.
+func (in *incarnation) peakMemory() (used int, running bool) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", in.command.Process.Pid))
+	if err != nil {
+		return 0, false
 	}
+	_, line, _ := strings.Cut(string(status), "VmHWM:")
+	_, err = fmt.Sscan(line, &used)
+	return used, err == nil
 }
 
 // replaceEnded starts a process that has ended by itself again, as its supervisor does.
@@ -331,8 +333,8 @@
 		!slices.ContainsFunc(in.pauses, func(pause timeSpan) bool { return pause.overlaps(timeSpan{now, now}) })
 }
 
-// limitDescriptors lets the process open only a few descriptors more than it has open, and returns the function that lifts the limit.
-func (f *fleet) limitDescriptors(in *incarnation, more int) (lift func(), ok bool) {
+// restrictDescriptors lets the process open only a few descriptors more than it has open, and returns the function that lifts the limit.
+func (f *fleet) restrictDescriptors(in *incarnation, more int) (lift func(), ok bool) {
 	pid := in.command.Process.Pid
 	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
 	if err != nil {
--- a/soak/session_test.go
+++ b/soak/session_test.go
@@ -22,8 +22,6 @@
 const (
 	// timeLimit is how long callers wait for a response, as their requests state, and the timeout of the routes.
 	timeLimit = 2 * time.Second
-	// answerTimeout is how long after its start a request may be without an answer before that is a violation.
-	answerTimeout = 10 * time.Second
 	// connectTimeout limits the time to open a connection.
 	connectTimeout = time.Second
 	// endNoticeTime is how long after the end of a process the test may take to notice it.
--- a/soak/signal_test.go
+++ b/soak/signal_test.go
@@ -219,7 +219,7 @@
 	defer conn.Close()
 	_, err = io.WriteString(conn, "POST /order/1 HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: slow\r\nContent-Length: 1000000\r\n\r\n")
 	f.is.NoErr(err)
-	f.is.NoErr(p.command.Process.Signal(syscall.SIGTERM))
+	f.signal(p.current(), syscall.SIGTERM)
 	sender := make(chan struct{})
 	go func() {
 		defer close(sender)
@@ -230,7 +230,7 @@
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	f.is.NoErr(err)
 	f.is.Equal(response.StatusCode, http.StatusRequestTimeout)
-	<-p.exited
+	<-p.current().exited
 	<-sender
 	f.is.Equal(f.runCount("slow"), 0)
 }
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -284,7 +284,7 @@
 
 // exhaustDescriptors leaves a process a few descriptors only while callers open many connections to it, half of which send a request.
 func (r *soakRun) exhaustDescriptors(p *process, duration time.Duration) {
-	lift, ok := r.limitDescriptors(p.current(), 5+r.intN(50))
+	lift, ok := r.restrictDescriptors(p.current(), 5+r.intN(50))
 	if !ok {
 		return
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -159,6 +159,7 @@
 			if len(r.violations) > 0 {
 				t.Errorf("%d guarantees violated: %s; the trace and the logs of the hosts are in %s",
 					len(r.violations), strings.Join(r.violations[:min(len(r.violations), maxShown)], ";\n\t"), r.keepLogs(seed))
+				r.violations = nil
 			}
 		})
 	}
