--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -309,6 +309,16 @@
 		slices.ContainsFunc(in.pauses, func(pause timeSpan) bool { return pause.overlaps(s) })
 }
 
+// hasEnded reports whether the process has ended.
+func (in *incarnation) hasEnded() bool {
+	select {
+	case <-in.exited:
+		return true
+	default:
+		return false
+	}
+}
+
 // stopTime returns when the process got its first SIGTERM; zero if it got none.
 func (in *incarnation) stopTime() time.Time {
 	in.mu.Lock()
@@ -358,10 +368,8 @@
 func (f *fleet) waitReady(p *process) bool {
 	in := p.current()
 	ready := f.awaitReadiness(p, in.exited)
-	select {
-	case <-in.exited:
+	if in.hasEnded() {
 		return false
-	default:
 	}
 	if !ready {
 		f.reportViolation("END: %s is not ready after %v", p.name, waitTimeout)
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -164,6 +164,9 @@
 		case <-in.exited:
 			return
 		case <-limit:
+			if in.hasEnded() {
+				return
+			}
 			r.reportViolation("END: %s did not end within %v after SIGTERM although its limit is %v; end of its log: %s", p.name, stopTimeout+stopSlack, stopTimeout, r.logExcerpt(in))
 			r.signal(in, syscall.SIGKILL)
 			<-in.exited
@@ -227,12 +230,11 @@
 	in := p.current()
 	r.pause(in, duration)
 	time.Sleep(pauseRecovery)
-	select {
-	case <-in.exited:
+	if in.hasEnded() {
 		r.startAgain(p)
-	default:
-		p.endFault()
+		return
 	}
+	p.endFault()
 }
 
 // killHalf kills half of the hosts at once and starts them again after downtime.
