Apply changed settings only once the file has stayed the same (LOST)

Callers of a host that was stopping lost their requests when its supervisor killed it: the host had read a settings file that was still being written. Its beginning was valid, so the host applied the defaults for what was missing, among them a StopTimeout of 20 s where 4 s were set, and its graceful stop outlasted the supervisor's grace period.

The new test on the code before this change: StopTimeout [20s 20s 4s], where only [4s] may be applied. It passes now.

A changed file is read again after half a second, until two reads agree. A file that takes longer than that between two writes can still be applied halfway. TestWatch now lets this time pass before it looks at the settings, which is still sooner than the interval after which the file is read without a signal.

--- a/internal/settings/follow.go
+++ b/internal/settings/follow.go
@@ -22,8 +22,12 @@
 	OnRejected func(error)
 }
 
+// settleTime is how long a changed file must stay the same before it is applied. The beginning of a file that is still being
+// written can be valid, with the defaults for what is missing.
+const settleTime = 500 * time.Millisecond
+
 // Watch reads a settings file periodically, in the background, and reports changes until the context ends; then it closes
-// the returned channel. A file that cannot be read or is invalid leaves the settings in force as they are.
+// the returned channel. A change is reported once the file has not changed further for settleTime. A file that cannot be read or is invalid leaves the settings in force as they are.
 func Watch(ctx context.Context, c WatchConfig) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
@@ -43,7 +47,10 @@
 		case <-c.Reload:
 		case <-ticker.C:
 		}
-		content, err := os.ReadFile(c.File)
+		content, err := readSettled(ctx, c.File, last)
+		if ctx.Err() != nil {
+			return
+		}
 		if err == nil && bytes.Equal(content, last) {
 			continue
 		}
@@ -60,3 +67,21 @@
 		c.OnChange(s)
 	}
 }
+
+// readSettled reads a file until it has the former content or has stayed the same for settleTime. It returns early when the context
+// ends.
+func readSettled(ctx context.Context, file string, former []byte) ([]byte, error) {
+	content, err := os.ReadFile(file)
+	for err == nil && !bytes.Equal(content, former) {
+		select {
+		case <-ctx.Done():
+			return former, nil
+		case <-time.After(settleTime):
+		}
+		earlier := content
+		if content, err = os.ReadFile(file); bytes.Equal(content, earlier) {
+			break
+		}
+	}
+	return content, err
+}
--- a/internal/settings/follow_test.go
+++ b/internal/settings/follow_test.go
@@ -32,6 +32,7 @@
 		})
 		write(validSettings + "127.0.0.1:5\n")
 		reload <- syscall.SIGHUP
+		time.Sleep(settleTime)
 		synctest.Wait()
 		is.Equal(seeds, []string{"127.0.0.1:5"})
 		write("[Host]\nName = ")
@@ -46,3 +47,30 @@
 		<-done
 	})
 }
+
+// TestHalfWrittenSettingsAreNotApplied guards against a file that is still being written and whose beginning is valid: a host that
+// applied it had the default StopTimeout, and its graceful stop lasted longer than its supervisor waited.
+func TestHalfWrittenSettingsAreNotApplied(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.ini")
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		write := func(content string) { is.NoErr(os.WriteFile(file, []byte(content), 0o600)) }
+		ctx, cancel := context.WithCancel(context.Background())
+		reload := make(chan os.Signal, 1)
+		var stopTimeouts []time.Duration
+		done := Watch(ctx, WatchConfig{
+			File: file, Interval: 2 * time.Second, Reload: reload,
+			OnChange:   func(s Settings) { stopTimeouts = append(stopTimeouts, s.Limits.StopTimeout) },
+			OnRejected: func(err error) { t.Error(err) },
+		})
+		for _, ending := range []string{"127.0.0.1:5", "127.0.0.1:55\n[Limits]\n", "127.0.0.1:55\n[Limits]\nStopTimeout = 4s\n"} {
+			write(validSettings + ending)
+			reload <- syscall.SIGHUP
+			time.Sleep(settleTime / 2)
+		}
+		time.Sleep(4 * time.Second)
+		cancel()
+		<-done
+		is.Equal(stopTimeouts, []time.Duration{4 * time.Second})
+	})
+}
