Let a full target return to use after one refusal

Callers saw no errors, but one healthy target got nothing for 2 s and more after a change of homes, and the others took its share.

Cause: a target that refuses a request because it is full counted as one that fails, with a failure rate of 0.25. The penalty for it decays over 3 s and otherwise falls only with responses to further runs. While the other targets have room, the target gets no run, so that only time ends the penalty. Its load report already says why it refused.

In a failing run the fallback home places nine requests on t4 in 80 ms; the ninth is refused with the load report 6,0,3, and t4 has a failure rate of 0.25, then of 0.04 after the six other runs. It is available with no run for the rest of the 2 s, with a slowdown of 1.32 falling to 1.14 against 1.00 to 1.05 of idle targets.

Fix: a refusal by a target whose load report says that it is full leaves no failure rate. The target still counts as full until its load is known better. Refusals that the load does not explain, or that come without a load report, are penalized as before.

Not changed here: the refusal does not set the time from which its penalty decays, and the stand-in's load reports are those of the arrival of a request, which is how nine requests came to be placed.

--- a/internal/placement/end.go
+++ b/internal/placement/end.go
@@ -91,9 +91,13 @@
 			// The target is missing for a time, and not ill.
 			break
 		}
+		full := end.Load != nil && t.reportedLoad >= t.Slots
 		// Count the target as full: it has more requests than this home knows of.
 		t.reportedLoad, t.loadAt = max(t.Slots, t.reportedLoad), now
-		t.failureRate = max(t.failureRate, failureGain)
+		if !full {
+			// Its load does not explain the refusal, so that it may refuse the next request too.
+			t.failureRate = max(t.failureRate, failureGain)
+		}
 	case OutcomeUnreachable:
 		t.recordFailure(now, h.mayEject(now))
 		h.recordDown(now, t)
--- a/internal/placement/home_test.go
+++ b/internal/placement/home_test.go
@@ -487,3 +487,44 @@
 		}
 	}
 }
+
+// TestFullTargetIsUsedAgainAfterRefusal guards against a target that gets nothing for seconds after one refusal, which its load explains,
+// while others have room. One whose load does not explain it is still avoided.
+func TestFullTargetIsUsedAgainAfterRefusal(t *testing.T) {
+	const requests, interval = 100, 20 * time.Millisecond
+	for _, c := range []struct {
+		name     string
+		running  int
+		isUsed   bool
+		reported bool
+	}{
+		{"full", 6, true, true},
+		{"with room", 0, false, true},
+		{"load unknown", 0, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestHome(3, RetryBudget{Ratio: 1, Window: 10 * time.Second})
+			refused := f.submit(nil)
+			target := f.placedOn(refused)
+			f.home.byName[target].recordSuccess(f.now)
+			end := RunEnd{ID: RequestID{Number: refused}, Target: target, Outcome: OutcomeNotRun}
+			if c.reported {
+				end.Load = &LoadReport{Running: c.running, Slots: 3, Pace: 1}
+			}
+			f.home.RunEnded(f.now, end)
+			used := 0
+			for range requests {
+				f.now += interval
+				f.reportPace(1)
+				number := f.submit(nil)
+				if f.placedOn(number) == target {
+					used++
+				}
+				f.home.RunEnded(f.now, RunEnd{ID: RequestID{Number: number}, Target: f.placedOn(number), Duration: 10 * time.Millisecond, Load: &LoadReport{Running: 1, Slots: 3, Pace: 1}})
+			}
+			t.Logf("%d of %d requests on the target that refused", used, requests)
+			is.Equal(used > requests/6, c.isUsed)
+		})
+	}
+}
