Gateway: notice that a caller leaves while no memory is left

What callers saw: requests whose callers had left kept running while memory was full. They held slots of targets, and memory, which made the shortage last longer. Cause: serve waited for the responses of the connection (awaitMemory) before it read on. Without a read, the end of a connection is not noticed and repeatable requests are not canceled. Evidence: TestCallerLeavesWhileMemoryIsFull failed: 0 canceled runs 500 ms after the caller had left, where 1 is expected. Fix: the wait begins when a further request has begun to arrive. Until then the connection is read, and its end cancels the requests. What is read before the wait is at most the connection's own buffer, so the budget holds as before (TestPipelinedHeadsStayWithinMemory). The arrival of a request counts from its first byte, so its wait is a part of its time. Elsewhere: awaitHandlers reads while the last requests run. A caller that leaves with a further request unread behind the ones in progress is still noticed only after their responses.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -105,7 +105,6 @@
 func (c *callerConn) serve() {
 	var handlers sync.WaitGroup
 	for {
-		c.awaitMemory()
 		q, rejected := c.nextRequest()
 		if q == nil {
 			c.reject(rejected)
@@ -126,7 +125,7 @@
 }
 
 // awaitMemory waits until the requests of the connection have been answered if no memory is left, so that no further ones wait
-// behind them.
+// behind them. It is called once a request has begun to arrive, so that a caller that leaves meanwhile is noticed.
 func (c *callerConn) awaitMemory() {
 	if !c.gateway.bodies.full() && !c.gateway.responses.full() {
 		return
--- a/internal/gateway/long_request_test.go
+++ b/internal/gateway/long_request_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"briarcroft/internal/settings"
 	"briarcroft/platform/standin"
 )
 
@@ -49,3 +50,26 @@
 		time.Sleep(30 * time.Second)
 	})
 }
+
+// TestCallerLeavesWhileMemoryIsFull guards against a run that goes on after its caller has left, because a host without memory for
+// further requests does not read the connection. The run holds a slot of the target and delays the end of the shortage.
+func TestCallerLeavesWhileMemoryIsFull(t *testing.T) {
+	full := func(s *settings.Settings) { s.Limits.HeldBytes = 16 } // less than the head of one request
+	withSettings(t, full, 1, 1, func(f *fleet) {
+		long := safeRule("long", "/long/")
+		long["timeout-ms"] = time.Minute.Milliseconds()
+		f.configure(2, long)
+		time.Sleep(2 * time.Second)
+		f.targets["t0"].Update(func(t *standin.Target) { t.RunDuration = 5 * time.Second })
+		conn := f.dial("h0")
+		_, err := io.WriteString(conn, "GET /long/1 HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: left\r\n\r\n")
+		f.is.NoErr(err)
+		time.Sleep(time.Second)
+		f.is.Equal(f.arrivalsOf("left"), 1)
+		f.is.Equal(f.canceledRuns(), 0)
+		f.is.NoErr(conn.Close())
+		time.Sleep(500 * time.Millisecond)
+		f.is.Equal(f.canceledRuns(), 1)
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -85,6 +85,7 @@
 		return nil, nil
 	}
 	arrived := c.gateway.now()
+	c.awaitMemory()
 	if !c.awaitPart(limits.HeaderTimeout) {
 		return nil, nil
 	}
