Gateway: a panic while a body is read holds no memory

What callers would see: 503 (NoMemoryForBody) for all bodies once such panics have used up the budget, until the host is restarted. Cause: nextRequest recovers a panic of readRequest, but the payload that had been read was released only after an error. Fix: a deferred call releases the payload unless the body was read completely.

--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -61,3 +61,34 @@
 		})
 	}
 }
+
+// panickingConn is a connection that panics when more than its first bytes are read.
+type panickingConn struct {
+	net.Conn
+	first []byte
+}
+
+// Read implements net.Conn.
+func (c *panickingConn) Read(p []byte) (int, error) {
+	if len(c.first) == 0 {
+		panic("read")
+	}
+	n := copy(p, c.first)
+	c.first = c.first[n:]
+	return n, nil
+}
+
+// TestPanicOfReadingHoldsNoMemory guards against panics that use up the budget for bodies until all bodies are refused.
+func TestPanicOfReadingHoldsNoMemory(t *testing.T) {
+	is := is.New(t)
+	g, closeGateway := New(Config{Settings: settings.Default(), Logger: zerolog.Nop()})
+	defer closeGateway()
+	local, remote := net.Pipe()
+	defer local.Close()
+	defer remote.Close()
+	head := "POST /order/1 HTTP/1.1\r\nHost: www.example\r\nContent-Length: 9\r\n\r\n"
+	q, rejected := newCallerConn(g, &panickingConn{remote, []byte(head)}).nextRequest()
+	is.True(q == nil)
+	is.Equal(rejected.status, http.StatusInternalServerError)
+	is.Equal(g.bodies.used.Load(), int64(0))
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -111,8 +111,15 @@
 	if r.ContentLength == 0 {
 		return q, nil
 	}
-	if complete, rejected := c.readBody(q, r, limits); !complete {
-		q.body.release()
+	complete := false
+	// The body may also end with a panic.
+	defer func() {
+		if !complete {
+			q.body.release()
+		}
+	}()
+	var rejected *rejection
+	if complete, rejected = c.readBody(q, r, limits); !complete {
 		return nil, rejected
 	}
 	return q, nil
