--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -84,7 +84,7 @@
 			if g.closingIdle.Load() {
 				c.closeIfIdle()
 			}
-			serve(c)
+			c.serveGuarded(serve)
 		}()
 	}
 }
@@ -143,6 +143,7 @@
 	readEnded := make(chan struct{})
 	go func() {
 		defer close(readEnded)
+		defer c.gateway.guard("CallerConnection")
 		if _, err := io.CopyN(io.Discard, c.conn.Conn, lingerBytes); err == io.EOF {
 			c.update(func(p *connProgress) { p.left = true })
 			c.cancel()
@@ -224,12 +225,14 @@
 	defer func() { <-c.pipelineSlots }()
 	defer close(done)
 	defer q.body.release()
-	x := newExchange(c, q)
-	response := x.respond()
+	defer c.closeAfterPanic(previous)
+	x, response := c.respond(q)
 	<-previous
 	closing := c.isLastResponse()
 	sent := c.writeGuarded(q, response, closing)
-	x.finish(response, sent)
+	if x != nil {
+		x.finish(response, sent)
+	}
 	c.responseWritten(closing || !sent)
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -370,6 +370,7 @@
 
 // discardResults waits for the canceled runs and releases their responses.
 func (h *hedgedRuns) discardResults() {
+	defer h.exchange.gateway.guard("Run")
 	for range h.active {
 		if r := <-h.results; r.response != nil {
 			r.response.release()
--- a/internal/gateway/panic.go
+++ b/internal/gateway/panic.go
@@ -80,15 +80,38 @@
 	}
 }
 
-// respond handles the request and returns the response for the caller. After a panic that response promises nothing, because
-// a target may have run the request.
-func (x *exchange) respond() (response *callerResponse) {
+// respond handles a request and returns the response for the caller. After a panic that response promises nothing, because a target
+// may have run the request, and the exchange may be nil.
+func (c *callerConn) respond(q *request) (x *exchange, response *callerResponse) {
 	defer func() {
-		if x.gateway.recovered("Request", recover()) {
+		if c.gateway.recovered("Request", recover()) {
 			response = localResponse(http.StatusInternalServerError, "InternalError", 0)
 		}
 	}()
-	return x.run()
+	x = newExchange(c, q)
+	return x, x.run()
+}
+
+// closeAfterPanic, when it is deferred, closes the connection after a panic of the goroutine of a request, whose response may not have
+// been sent completely. The earlier requests of the connection are answered first.
+func (c *callerConn) closeAfterPanic(previous <-chan struct{}) {
+	if c.gateway.recovered("HandleRequest", recover()) {
+		<-previous
+		c.truncate()
+		c.responseWritten(true)
+	}
+}
+
+// serveGuarded serves the connection in one of the two ways. A panic closes it.
+func (c *callerConn) serveGuarded(serve func(*callerConn)) {
+	defer func() {
+		if c.gateway.recovered("CallerConnection", recover()) {
+			c.cancel()
+			c.update(func(p *connProgress) { p.closed = true })
+			_ = c.conn.Conn.Close()
+		}
+	}()
+	serve(c)
 }
 
 // runRecovered does the same as runOn. After a panic the run counts as one whose connection broke, because the target may have
--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"briarcroft/internal/note"
 	"briarcroft/internal/placement"
@@ -62,6 +63,58 @@
 	}
 }
 
+// TestPanicOfHandlerEndsOnlyItsConnection guards against a panic that ends the process although the request is answered already.
+func TestPanicOfHandlerEndsOnlyItsConnection(t *testing.T) {
+	is := is.New(t)
+	g, closeGateway := New(Config{Settings: settings.Default(), Logger: zerolog.Nop()})
+	defer closeGateway()
+	local, remote := net.Pipe()
+	conn := newCallerConn(g, &panickingDeadline{Conn: remote, fails: true})
+	done, previous, ok := conn.accept(true)
+	is.True(ok)
+	conn.pipelineSlots <- struct{}{}
+	statuses := make(chan int, 1)
+	go func() {
+		defer close(statuses)
+		if response, err := http.ReadResponse(bufio.NewReader(local), nil); err == nil {
+			statuses <- response.StatusCode
+		}
+	}()
+	conn.handle(&request{method: http.MethodGet}, done, previous)
+	<-done
+	is.Equal(<-statuses, http.StatusServiceUnavailable)
+	is.Equal(g.stats.panics.Load(), int64(1))
+	_, err := local.Write([]byte("GET"))
+	is.True(err != nil) // the connection is closed
+}
+
+// TestPanicBeforeRequestIsAnswered guards against a panic that ends the process before the handling of a request has begun.
+func TestPanicBeforeRequestIsAnswered(t *testing.T) {
+	is := is.New(t)
+	g, closeGateway := New(Config{Settings: settings.Default(), Logger: zerolog.Nop()})
+	defer closeGateway()
+	local, remote := net.Pipe()
+	defer local.Close()
+	x, response := newCallerConn(g, remote).respond(nil)
+	is.True(x == nil)
+	is.Equal(response.status, http.StatusInternalServerError)
+}
+
+// panickingDeadline is a connection whose read deadline panics once if fails is set.
+type panickingDeadline struct {
+	net.Conn
+	fails bool
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *panickingDeadline) SetReadDeadline(t time.Time) error {
+	if c.fails {
+		c.fails = false
+		panic("deadline")
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // panickingConn is a connection that panics when more than its first bytes are read.
 type panickingConn struct {
 	net.Conn
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -196,6 +196,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		defer c.gateway.guard("SendContinue")
 		select {
 		case <-previous:
 		case <-ctx.Done():
