--- a/Makefile
+++ b/Makefile
@@ -37,8 +37,8 @@
 
 # Runs entry hosts as processes under random faults, for example: make soak-processes SEED=1 SEEDS=50 SECONDS=8. With
 # SOAK_OLD=COMMIT and SOAK_PLAN=upgrade, rollback, back or half some of them run an older release. FAULTS=LogClosed,HostStopped
-# plays only these faults, FAULTS=-LogClosed all but this one. HOSTS=150 TARGETS=24 SEEDS=1 SECONDS=15 is a run with many
-# processes, which take about 30 MB of memory each.
+# plays only these faults, FAULTS=-LogClosed all but this one. HOSTS=100 TARGETS=24 SEEDS=1 SECONDS=15 is a run with many
+# processes.
 SEEDS ?= 50
 SECONDS ?= 8
 HOSTS ?= 3
--- a/internal/settings/follow.go
+++ b/internal/settings/follow.go
@@ -27,7 +27,8 @@
 const settleTime = 500 * time.Millisecond
 
 // Watch reads a settings file periodically, in the background, and reports changes until the context ends; then it closes
-// the returned channel. A change is reported once the file has not changed further for settleTime. A file that cannot be read or is invalid leaves the settings in force as they are.
+// the returned channel. A change is reported once the file has not changed further for settleTime. A file that cannot be read or is
+// invalid leaves the settings in force as they are.
 func Watch(ctx context.Context, c WatchConfig) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
