--- a/review/driver-2/stop.go
+++ b/review/driver-2/stop.go
@@ -4,9 +4,11 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -15,22 +17,48 @@
 
 func init() { cases["stop"] = playStop }
 
-// Times of the case after SIGTERM. The grace time is that of the settings; the rule excuses a target that is still at work in its last
+// Times of the case, after SIGTERM. The grace time is that of the settings; the rule excuses a target that is still at work in its last
 // sixth only for requests that were sent no later than excused.
 const (
 	stopGrace = 6 * time.Second
 	excused   = 3 * time.Second
 	stopWork  = 2900 * time.Millisecond
+	// lookUp is when clients look up the addresses, and keepFactor how many times its ttl they keep a response.
+	lookUp     = 200 * time.Millisecond
+	keepFactor = 3
+	// connect is when they open the connection, and send when they use it: within keepFactor times the ttl of one second.
+	connect = 2400 * time.Millisecond
+	send    = 3080 * time.Millisecond
 )
 
-// playStop stops a host while clients use connections to it that they have opened before: some send their first request after
-// three seconds, and some send one behind another that is still being answered.
+// names reports whether the directory of a host names another host, and for how long clients may keep the response that do so for
+// longest.
+func (f *fleet) names(directory, h *host) (keep time.Duration, named bool) {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + directory.directory + "/api/resolve?name=gw.example&region=region&zone=a")
+	if err != nil {
+		return 0, false
+	}
+	defer response.Body.Close()
+	var body struct {
+		Addresses []string `json:"addresses"`
+		TTL       float64  `json:"ttl-s"`
+	}
+	if json.NewDecoder(response.Body).Decode(&body) != nil || !slices.Contains(body.Addresses, h.front) {
+		return 0, false
+	}
+	return time.Duration(keepFactor * body.TTL * float64(time.Second)), true
+}
+
+// playStop stops a host while clients use its address from a look-up that still named it: some send the first request on a connection
+// that they have opened before, and some send one behind another that is still being answered.
 func playStop(rec *recorder, root string, trouble bool) (int, error) {
-	f, err := newFleet(rec, root, nil, "a", "b", "c")
+	f, err := newFleet(rec, root, nil, "a", "a", "a", "a", "a", "b", "b", "b", "b", "b", "c", "c", "c")
 	defer f.close()
 	if err != nil {
 		return 0, err
 	}
+	f.oneCore = true
 	routes := []map[string]any{
 		route("command", "gw.example", "/command/", "unsafe", "commands", 6000, 4000, 2),
 		route("reading", "gw.example", "/reading/", "safe", "commands", 6000, 4000, 2),
@@ -42,7 +70,7 @@
 		}
 		return 900 * time.Millisecond
 	}
-	for i, zone := range []string{"a", "b", "c", "a"} {
+	for i, zone := range []string{"a", "b", "c", "a", "b", "c", "a", "b"} {
 		if _, err := f.addTarget(fmt.Sprintf("i-commands%d", i+1), "commands", zone, 4, work); err != nil {
 			return 0, err
 		}
@@ -78,19 +106,29 @@
 		}
 	}
 	var group sync.WaitGroup
-	for i := range 3 {
+	// mayUse looks up the addresses for a client, and reports whether it may still use the host when it sends.
+	mayUse := func(client string, directory *host) bool {
+		sleepUntil(lookUp)
+		asked := time.Now()
+		keep, named := f.names(directory, h)
+		f.rec.add("client %s: the directory of %s names %s: %v, to be kept for %d ms at most", client, directory.name, h.name, named, keep.Milliseconds())
+		return named && asked.Add(keep).After(stopAt.Add(send+50*time.Millisecond))
+	}
+	for i, directory := range f.hosts[1:] {
 		group.Go(func() {
-			// The client has the address from before the stop, and connects within three times ttl_max of it. It has its first
-			// request a little later.
-			sleepUntil(2500 * time.Millisecond)
+			id := fmt.Sprintf("first-%d", i+1)
+			if !mayUse(id, directory) {
+				return
+			}
+			sleepUntil(connect)
 			conn, err := net.DialTimeout("tcp", h.front, time.Second)
 			if err != nil {
 				f.rec.add("client: no connection: %v", err)
 				return
 			}
 			defer conn.Close()
-			sleepUntil(3150 * time.Millisecond)
-			a := attempt{id: fmt.Sprintf("first-%d", i+1), method: "POST", host: "gw.example", uri: fmt.Sprintf("/command/long%d", i), timeout: 6 * time.Second, body: "threshold"}
+			sleepUntil(send)
+			a := attempt{id: id, method: "POST", host: "gw.example", uri: fmt.Sprintf("/command/long%d", i), timeout: 6 * time.Second, body: "threshold"}
 			result := answer{id: a.id}
 			sent := time.Now()
 			if _, err := conn.Write(a.bytes()); err != nil {
@@ -103,7 +141,12 @@
 			judge(result, sent.Sub(stopAt))
 		})
 		group.Go(func() {
-			sleepUntil(2300 * time.Millisecond)
+			ahead := attempt{id: fmt.Sprintf("ahead-%d", i+1), method: "GET", host: "gw.example", uri: fmt.Sprintf("/reading/%d", i), timeout: 6 * time.Second}
+			behind := attempt{id: fmt.Sprintf("behind-%d", i+1), method: "GET", host: "gw.example", uri: fmt.Sprintf("/reading/long%d", i), timeout: 6 * time.Second}
+			if !mayUse(behind.id, directory) {
+				return
+			}
+			sleepUntil(connect)
 			conn, err := net.DialTimeout("tcp", h.front, time.Second)
 			if err != nil {
 				f.rec.add("client: no connection: %v", err)
@@ -111,15 +154,13 @@
 			}
 			defer conn.Close()
 			reader := bufio.NewReader(conn)
-			ahead := attempt{id: fmt.Sprintf("ahead-%d", i+1), method: "GET", host: "gw.example", uri: fmt.Sprintf("/reading/%d", i), timeout: 6 * time.Second}
-			behind := attempt{id: fmt.Sprintf("behind-%d", i+1), method: "GET", host: "gw.example", uri: fmt.Sprintf("/reading/long%d", i), timeout: 6 * time.Second}
 			first, second := answer{id: ahead.id}, answer{id: behind.id}
 			sentFirst := time.Now()
 			if _, err := conn.Write(ahead.bytes()); err != nil {
 				return
 			}
 			f.rec.add("client: %s sent to %s: %s %s", ahead.id, h.name, ahead.method, ahead.uri)
-			sleepUntil(3100 * time.Millisecond)
+			sleepUntil(send)
 			sentSecond := time.Now()
 			if _, err := conn.Write(behind.bytes()); err != nil {
 				f.rec.add("client: %s could not be sent, as the connection was closed: %v", behind.id, err)
