--- a/review/driver-2/fleet.go
+++ b/review/driver-2/fleet.go
@@ -402,8 +402,11 @@
 	work                       func(*http.Request) time.Duration
 	// loses reports whether the answer of a run is lost; nil means never.
 	loses func(*http.Request) bool
-	mu    sync.Mutex
-	runs  map[string]int
+	// large is the size of answers in bytes; 0 means short ones. breaksOff reports whether the answer of a run is broken off.
+	large     int
+	breaksOff func(*http.Request) bool
+	mu        sync.Mutex
+	runs      map[string]int
 	// heads holds the header of each request that ran, by its attempt.
 	heads                      map[string]http.Header
 	uris                       map[string]string
@@ -514,8 +517,17 @@
 	}
 	t.rec.add("%s has run %s and answers %d", t.id, id, status)
 	answer := "run of " + id + " at " + t.id + "\n"
+	if t.large > 0 {
+		answer += strings.Repeat("x", t.large)
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	}
 	w.Header().Set("X-Response-Seal", fmt.Sprintf("%s.%d.%d", t.id, status, len(answer)))
 	w.WriteHeader(status)
+	if t.breaksOff != nil && t.breaksOff(r) {
+		t.rec.add("%s breaks off its answer to %s", t.id, id)
+		_, _ = io.WriteString(w, answer[:len(answer)*9/10])
+		panic(http.ErrAbortHandler)
+	}
 	_, _ = io.WriteString(w, answer)
 }
 
