--- a/review/driver-2/queue.go
+++ b/review/driver-2/queue.go
@@ -59,14 +59,14 @@
 			}
 		})
 	}
-	for i := range 100 {
-		send([]*host{a, b}[i%2], fmt.Sprintf("usual-%d", i), "/order/")
-		time.Sleep(30 * time.Millisecond)
+	// 110 requests a second go to the host all the time, until clients have other addresses. The targets can take 160.
+	for i := range 330 {
+		send(a, fmt.Sprintf("usual-%d", i), "/order/")
+		time.Sleep(9 * time.Millisecond)
 	}
-	for i := range 16 {
+	for i := range 24 {
 		send(b, fmt.Sprintf("range-%d", i), "/range/")
 	}
-	// 70 requests a second go to the host, from 2 s before the stop until clients have other addresses.
 	start := time.Now()
 	var stopped time.Time
 	for i := 0; time.Since(start) < 4500*time.Millisecond; i++ {
@@ -77,7 +77,7 @@
 			}
 		}
 		send(a, fmt.Sprintf("own-%d", i), "/order/")
-		time.Sleep(14 * time.Millisecond)
+		time.Sleep(9 * time.Millisecond)
 	}
 	group.Wait()
 	breaks := 0
