--- a/review/driver-2/behind.go
+++ b/review/driver-2/behind.go
@@ -62,6 +62,17 @@
 		for i := range 3 {
 			attempts = append(attempts, attempt{id: fmt.Sprintf("stock-%d-%d", n, i), method: "GET", host: "gw.example", uri: fmt.Sprintf("/stock/%d-%d", n, i), timeout: 3 * time.Second})
 		}
+		// A first request shows that the connection is kept.
+		reader := bufio.NewReaderSize(conn, 64<<10)
+		first := attempt{id: fmt.Sprintf("first-%d", n), method: "GET", host: "gw.example", uri: fmt.Sprintf("/stock/first-%d", n), timeout: 3 * time.Second}
+		if _, err := conn.Write(first.bytes()); err != nil {
+			return
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+		kept := answer{id: first.id}
+		if f.readAnswer(&kept, reader, "GET", time.Now()); kept.err != nil || kept.header.Get("Connection") == "close" {
+			return
+		}
 		sent := time.Now()
 		for _, a := range attempts {
 			if _, err := conn.Write(a.bytes()); err != nil {
@@ -70,7 +81,6 @@
 			f.rec.add("client: %s sent to %s: %s %s", a.id, h.name, a.method, a.uri)
 		}
 		_ = conn.SetReadDeadline(sent.Add(3 * time.Second))
-		reader := bufio.NewReaderSize(conn, 64<<10)
 		for _, a := range attempts {
 			result := answer{id: a.id}
 			f.readAnswer(&result, reader, "GET", sent)
