--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,6 +69,8 @@
 // runOn sends the request to one target and reports the end of the run to the home that placed it.
 func (x *exchange) runOn(ctx context.Context, from placer, p placement.Placed) *runResult {
 	started := x.gateway.now()
+	x.gateway.stats.running.Add(1)
+	defer x.gateway.stats.running.Add(-1)
 	key, _ := x.gateway.noticeKey(p.Target)
 	r := x.roundTrip(ctx, from, p, key)
 	if r.duration == 0 {
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -161,6 +161,8 @@
 		{"NotFound", func() any { return s.notFound.Load() }},
 		{"CutAnswers", func() any { return s.truncated.Load() }},
 		{"RejectedRequests", func() any { return s.rejected.Load() }},
+		{"WaitingRequests", func() any { return s.waiting.Load() }},
+		{"RunningRequests", func() any { return s.running.Load() }},
 		{"BodiesRejected", func() any { return s.bodiesRejected.Load() }},
 		{"HeldBodyBytes", func() any { return g.bodies.used.Load() }},
 		{"ResponsesUnbuffered", func() any { return s.responsesUnbuffered.Load() }},
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -211,6 +211,8 @@
 func (x *exchange) place(ctx context.Context) (*placement.Placed, *placement.Refused) {
 	ctx, cancel := x.placementContext(ctx)
 	defer cancel()
+	x.gateway.stats.waiting.Add(1)
+	defer x.gateway.stats.waiting.Add(-1)
 	refused := &placement.Refused{Reason: placement.ReasonNoTargets, RetryAfter: refusedRetryAfter}
 	for _, p := range x.gateway.homeClient.placers(x.service) {
 		x.placer = p
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -36,8 +36,11 @@
 	g.records.Add(record.Record{Kind: record.HostLeft, Cause: "GracefulStop", Note: g.chain.Number()})
 	limit := g.reloadable.Load().Limits.StopTimeout - stopMargin
 	drainTime := min(limit/2, addressAgeFactor*g.reloadable.Load().Limits.AddressMaxAge)
+	g.logStop("graceful stop began", started)
+	defer g.logStop("graceful stop ended", started)
 	duty.Sleep(force, drainTime)
 	closeListener()
+	g.logStop("graceful stop: no new connections are accepted", started)
 	g.closeIdle()
 	if g.awaitUnused(force, started+limit-refusalTime) {
 		return
@@ -46,9 +49,17 @@
 		key.(*callerConn).stopReading()
 		return true
 	})
+	g.logStop("graceful stop: no further requests are read", started)
 	g.awaitUnused(force, started+limit)
 }
 
+// logStop logs a step of a graceful stop that began at the given time of Gateway.now, with what is in progress.
+func (g *Gateway) logStop(step string, began time.Duration) {
+	g.logger.Info().Dur("AfterMilliseconds", g.now()-began).Interface("Connections", g.connectionCounts()).
+		Int64("WaitingRequests", g.stats.waiting.Load()).Int64("RunningRequests", g.stats.running.Load()).
+		Int64("RequestsForPeers", g.relaysForPeers.Load()).Int64("UnwrittenLines", g.unwrittenLines()).Msg(step)
+}
+
 // awaitUnused waits until no connection of a caller is open and no run is relayed for a peer, and reports whether that is so before
 // the given time of Gateway.now and the end of the context.
 func (g *Gateway) awaitUnused(ctx context.Context, until time.Duration) bool {
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -188,6 +188,8 @@
 	acceptFailures atomic.Int64
 	// secondRuns counts second runs under a limit of the operators, by this host as a home.
 	secondRuns secondRunStats
+	// waiting and running are the numbers of requests that wait for a target and of runs on targets at present.
+	waiting, running atomic.Int64
 }
 
 // countersInterval is the time between two lines with the counters in the log.
