--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -37,7 +37,7 @@
 	}
 
 	c := newCallerConn(g, accepted)
-	g.stopping.Store(true)
+	g.stop.Store(newStopSchedule(g.now(), time.Minute, time.Second))
 	c.closeIfIdle()
 	ended := make(chan struct{})
 	go func() {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -148,6 +148,9 @@
 		if x.mayRetry(ctx) {
 			return nil
 		}
+		if !x.mayStartRun() {
+			return x.refuse(hostStopping)
+		}
 		return x.refuse(placement.Refused{Reason: placement.ReasonNoTargets, RetryAfter: refusedRetryAfter})
 	case placement.OutcomeFailed:
 		x.targetFailure = r.response
@@ -163,9 +166,9 @@
 // refused the request.
 const refusedRetryAfter = 200 * time.Millisecond
 
-// mayRetry reports whether the remaining time and the rule's limit of attempts allow another target.
+// mayRetry reports whether the remaining time, that of a graceful stop and the rule's limit of attempts allow another target.
 func (x *exchange) mayRetry(ctx context.Context) bool {
-	if ctx.Err() != nil || x.deadline-x.gateway.now() < minAttemptTime {
+	if ctx.Err() != nil || x.deadline-x.gateway.now() < minAttemptTime || !x.mayStartRun() {
 		return false
 	}
 	return x.rule.Attempts == 0 || len(x.tried)-x.blocked < x.rule.Attempts
@@ -215,6 +218,9 @@
 	defer x.gateway.stats.waiting.Add(-1)
 	refused := &placement.Refused{Reason: placement.ReasonNoTargets, RetryAfter: refusedRetryAfter}
 	for _, p := range x.gateway.homeClient.placers(x.service) {
+		if !x.mayStartRun() {
+			break
+		}
 		x.placer = p
 		x.homesTried++
 		p.place(x.pending, x.placementRequest(p))
@@ -236,6 +242,9 @@
 			return nil, nil
 		}
 	}
+	if !x.mayStartRun() {
+		return nil, &hostStopping
+	}
 	return nil, refused
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -206,8 +206,8 @@
 	targetStates map[string]string
 	// warmUpEntries is guarded by applyMu too.
 	warmUpEntries warmUpEntries
-	// stopping is set once a graceful stop has begun.
-	stopping atomic.Bool
+	// stop is the schedule of the graceful stop; nil before one has begun.
+	stop atomic.Pointer[stopSchedule]
 	// closingIdle is set once idle connections of callers are closed, in a graceful stop.
 	closingIdle atomic.Bool
 	// inForceSince is when the note in force took effect, in Unix milliseconds.
@@ -405,7 +405,7 @@
 // updateReady marks this host as ready if it has a configuration and is not stopping, and sends peers a heartbeat at
 // once if that has changed.
 func (g *Gateway) updateReady() {
-	ready := g.chain.Number() > 0 && !g.stopping.Load()
+	ready := g.chain.Number() > 0 && !g.stopping()
 	if ready != g.members.Self().Ready {
 		g.members.SetReady(ready)
 		g.heartbeatTrigger.Push(struct{}{})
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"briarcroft/internal/duty"
+	"briarcroft/internal/placement"
 	"briarcroft/internal/record"
 )
 
@@ -23,39 +24,85 @@
 	stopCheckInterval = 50 * time.Millisecond
 )
 
+// hostStopping is the refusal of a request that this host cannot finish before its stop. Its caller can go to another host at once,
+// which the shortest Retry-After time says.
+var hostStopping = placement.Refused{Reason: "HostStopping", RetryAfter: time.Millisecond}
+
+// stopSchedule holds the times of a graceful stop, on the clock of Gateway.now.
+type stopSchedule struct {
+	began time.Duration
+	// drained is when callers have stopped using the host's address: no connections are accepted any more. Requests that arrive
+	// later come on connections that are still open.
+	drained time.Duration
+	// lastRun is the latest time at which a run is started that may take longer than the stop.
+	lastRun time.Duration
+	// answered is when the last requests are refused, so that there is time to send the responses.
+	answered time.Duration
+	// ended is when the process ends, with the runs that have not ended by then.
+	ended time.Duration
+}
+
+// newStopSchedule returns the schedule of a stop that begins now and ends after limit. Callers use addresses for addressTime.
+func newStopSchedule(now, limit, addressTime time.Duration) *stopSchedule {
+	s := &stopSchedule{began: now, drained: now + min(limit/2, addressTime), ended: now + limit}
+	s.answered = max(s.drained, s.ended-refusalTime)
+	s.lastRun = s.drained + (s.answered-s.drained)/2
+	return s
+}
+
+// endsInTime reports whether a run with a deadline ends before the stop however long it takes. A nil schedule means that there is no
+// stop.
+func (s *stopSchedule) endsInTime(deadline time.Duration) bool {
+	return s == nil || deadline <= s.answered
+}
+
+// mayStartRun reports whether a run may be started for a request that arrived, and has its deadline, at the given times. A run that the
+// end of the stop may cut off must belong to a request that arrived before callers had stopped using this host, and be started early
+// enough.
+func (s *stopSchedule) mayStartRun(now, arrived, deadline time.Duration) bool {
+	return s.endsInTime(deadline) || arrived <= s.drained && now <= s.lastRun
+}
+
+// mayStartRun reports whether a run of the request may be started, as far as a graceful stop of this host is concerned.
+func (x *exchange) mayStartRun() bool {
+	return x.gateway.stop.Load().mayStartRun(x.gateway.now(), x.request.arrived, x.deadline)
+}
+
+// stopping reports whether a graceful stop has begun.
+func (g *Gateway) stopping() bool { return g.stop.Load() != nil }
+
 // stopGracefully marks this host as leaving and goes on serving callers that still use its address from an earlier
 // directory response, for up to addressAgeFactor times AddressMaxAge but at most half of the time limit, which is
 // StopTimeout minus stopMargin. Then it accepts no connections and waits for the open ones and the runs for peers to end,
 // until the time limit or the end of force. Requests that are still arriving then are refused.
 func (g *Gateway) stopGracefully(force context.Context, closeListener func()) {
-	started := g.now()
-	g.stopping.Store(true)
+	limits := g.reloadable.Load().Limits
+	s := newStopSchedule(g.now(), limits.StopTimeout-stopMargin, addressAgeFactor*limits.AddressMaxAge)
+	g.stop.Store(s)
 	g.members.SetReady(false)
 	g.members.Leave()
 	g.heartbeatTrigger.Push(struct{}{})
 	g.records.Add(record.Record{Kind: record.HostLeft, Cause: "GracefulStop", Note: g.chain.Number()})
-	limit := g.reloadable.Load().Limits.StopTimeout - stopMargin
-	drainTime := min(limit/2, addressAgeFactor*g.reloadable.Load().Limits.AddressMaxAge)
-	g.logStop("graceful stop began", started)
-	defer g.logStop("graceful stop ended", started)
-	duty.Sleep(force, drainTime)
+	g.logStop("graceful stop began", s)
+	defer g.logStop("graceful stop ended", s)
+	duty.Sleep(force, s.drained-g.now())
 	closeListener()
-	g.logStop("graceful stop: no new connections are accepted", started)
+	g.logStop("graceful stop: no new connections are accepted", s)
 	g.closeIdle()
-	if g.awaitUnused(force, started+limit-refusalTime) {
+	if g.awaitUnused(force, s.answered) {
 		return
 	}
 	g.callerConns.Range(func(key, _ any) bool {
 		key.(*callerConn).stopReading()
 		return true
 	})
-	g.logStop("graceful stop: no further requests are read", started)
-	g.awaitUnused(force, started+limit)
+	g.logStop("graceful stop: no further requests are read", s)
+	g.awaitUnused(force, s.ended)
 }
 
-// logStop logs a step of a graceful stop that began at the given time of Gateway.now, with what is in progress.
-func (g *Gateway) logStop(step string, began time.Duration) {
-	g.logger.Info().Dur("AfterMilliseconds", g.now()-began).Interface("Connections", g.connectionCounts()).
+// logStop logs a step of a graceful stop, with what is in progress.
+func (g *Gateway) logStop(step string, s *stopSchedule) {
+	g.logger.Info().Dur("AfterMilliseconds", g.now()-s.began).Interface("Connections", g.connectionCounts()).
 		Int64("WaitingRequests", g.stats.waiting.Load()).Int64("RunningRequests", g.stats.running.Load()).
 		Int64("RequestsForPeers", g.relaysForPeers.Load()).Int64("UnwrittenLines", g.unwrittenLines()).Msg(step)
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -161,6 +161,124 @@
 	}
 }
 
+// longRule returns a rule for the prefix /NAME/ with a time limit that is longer than a stop.
+func longRule(name string, of func(name, prefix string) rule) rule {
+	r := of(name, "/"+name+"/")
+	r["timeout-ms"] = 6000
+	return r
+}
+
+// setRunDuration sets how long all targets take to run a request.
+func (f *fleet) setRunDuration(d time.Duration) {
+	for _, x := range f.targets {
+		x.Update(func(t *standin.Target) { t.RunDuration = d })
+	}
+}
+
+// write sends a request to a host on an open connection.
+func (f *fleet) write(conn net.Conn, method, path, id string, limit time.Duration) {
+	_, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n", method, path, id, limit.Milliseconds())
+	f.is.NoErr(err)
+}
+
+// TestLateRequestIsNotPassedOnInStop guards against a stop that passes on a request which arrives after the drain and that it may have to
+// cut off, or that refuses one which certainly ends in time.
+func TestLateRequestIsNotPassedOnInStop(t *testing.T) {
+	cases := []struct {
+		name string
+		// path and limit are those of the late request, which is sent after the begin of the stop. A request with the path behind
+		// comes before it on its connection.
+		path, behind string
+		limit, after time.Duration
+		status       int
+	}{
+		{"unsafe", "/long/1", "", 6 * time.Second, listenersClose + 280*time.Millisecond, http.StatusServiceUnavailable},
+		{"safe", "/read/1", "", 6 * time.Second, listenersClose + 280*time.Millisecond, http.StatusServiceUnavailable},
+		{"behind another", "/read/1", "/read/0", 6 * time.Second, listenersClose + 280*time.Millisecond, http.StatusServiceUnavailable},
+		{"limit of the caller before the end", "/long/1", "", 1500 * time.Millisecond, listenersClose + 280*time.Millisecond, http.StatusOK},
+		{"limit of the rule before the end", "/order/1", "", 6 * time.Second, listenersClose + 280*time.Millisecond, http.StatusOK},
+		{"limit at the end", "/long/1", "", 2500 * time.Millisecond, listenersClose + 300*time.Millisecond, http.StatusServiceUnavailable},
+		{"in the drain", "/long/1", "", 6 * time.Second, listenersClose - 100*time.Millisecond, http.StatusOK},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 3, 4, func(f *fleet) {
+				f.configure(2, unsafeRule("order", "/order/"), longRule("long", unsafeRule), longRule("read", safeRule))
+				time.Sleep(2 * time.Second)
+				f.hosts["h0"].stop()
+				begun := time.Now()
+				time.Sleep(listenersClose - 400*time.Millisecond)
+				conn := f.dial("h0")
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				f.setRunDuration(900 * time.Millisecond)
+				if c.behind != "" {
+					f.write(conn, http.MethodGet, c.behind, "first", 6*time.Second)
+				}
+				time.Sleep(time.Until(begun.Add(c.after)))
+				method := http.MethodPost
+				if c.path == "/read/1" {
+					method = http.MethodGet
+				}
+				f.write(conn, method, c.path, "late", c.limit)
+				sent := time.Now()
+				if c.behind != "" {
+					status, closes := f.read(reader)
+					f.is.Equal(status, http.StatusOK)
+					f.is.True(!closes)
+				}
+				response, err := http.ReadResponse(reader, nil)
+				f.is.NoErr(err)
+				f.is.Equal(response.StatusCode, c.status)
+				f.is.True(response.Close)
+				runs := 1
+				if c.status != http.StatusOK {
+					runs = 0
+					f.is.Equal(response.Header.Get("Briarcroft-Reason"), "HostStopping")
+					f.is.Equal(response.Header.Get("Retry-After"), "0.001")
+					f.is.True(c.behind != "" || time.Since(sent) < 50*time.Millisecond)
+				}
+				f.is.Equal(f.arrivalsOf("late"), runs)
+				f.is.True(f.awaitStop("h0", begun) <= stopLimit)
+			})
+		})
+	}
+}
+
+// TestRetryIsNotStartedLateInStop guards against a stop that starts a further run of a request, which it may have to cut off, after the
+// first one was refused or broken off.
+func TestRetryIsNotStartedLateInStop(t *testing.T) {
+	cases := []struct {
+		name, path, method string
+		fail               func(*standin.Target)
+		status             int
+	}{
+		{"refused", "/long/1", http.MethodPost, func(t *standin.Target) { t.RefusalDelay, t.RefuseRuns = 1900*time.Millisecond, true }, http.StatusServiceUnavailable},
+		{"answer lost", "/read/1", http.MethodGet, func(t *standin.Target) { t.RunDuration, t.DropResponses = 1900*time.Millisecond, true }, http.StatusBadGateway},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 3, 4, func(f *fleet) {
+				f.configure(2, longRule("long", unsafeRule), longRule("read", safeRule))
+				time.Sleep(2 * time.Second)
+				f.hosts["h0"].stop()
+				begun := time.Now()
+				time.Sleep(listenersClose - 400*time.Millisecond)
+				for _, x := range f.targets {
+					x.Update(c.fail)
+				}
+				conn := f.dial("h0")
+				defer conn.Close()
+				f.write(conn, c.method, c.path, "retried", 6*time.Second)
+				status, _ := f.read(bufio.NewReader(conn))
+				f.is.Equal(status, c.status)
+				f.is.Equal(f.arrivalsOf("retried"), 1)
+				f.is.True(f.awaitStop("h0", begun) < stopLimit-500*time.Millisecond)
+			})
+		})
+	}
+}
+
 // canceledRuns returns the number of runs that targets have ended because their connection was closed.
 func (f *fleet) canceledRuns() int {
 	sum := 0
