--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"briarcroft/internal/inner"
 	"briarcroft/platform/standin"
 )
 
@@ -279,6 +280,55 @@
 	}
 }
 
+// TestLongRelayIsRefusedInStop guards against a stop that passes on a request of a peer which it may have to cut off.
+func TestLongRelayIsRefusedInStop(t *testing.T) {
+	cases := []struct {
+		name     string
+		stops    bool
+		limit    time.Duration
+		expected inner.RelayKind
+	}{
+		{"no stop", false, 6 * time.Second, inner.RelayKind_RelayHead},
+		{"limit after the end", true, 6 * time.Second, inner.RelayKind_RelayExhausted},
+		{"limit before the end", true, time.Second, inner.RelayKind_RelayHead},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 2, 1, func(f *fleet) {
+				client, closeClient := inner.NewClient(inner.ClientConfig{Dial: f.net.Dialer("h1")})
+				defer closeClient()
+				begun := time.Now()
+				if c.stops {
+					f.hosts["h0"].stop()
+					time.Sleep(500 * time.Millisecond)
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				stream, err := client.Peer(ctx, f.hosts["h0"].inner).Relay(ctx, &inner.RelayRequest{
+					Target: "t0", Address: f.targets["t0"].Address, Method: http.MethodGet, Host: "www.example", Uri: "/lookup/1",
+					Headers: []*inner.Header{{Name: "X-Attempt-Id", Value: "relayed"}, {Name: "X-Expect-Instance", Value: "t0"}}, TimeoutMilliseconds: c.limit.Milliseconds(),
+				})
+				f.is.NoErr(err)
+				reply, err := stream.Recv()
+				f.is.NoErr(err)
+				f.is.Equal(reply.Kind, c.expected)
+				arrivals := 0
+				if c.expected == inner.RelayKind_RelayHead {
+					arrivals = 1
+				}
+				f.is.Equal(f.arrivalsOf("relayed"), arrivals)
+				for err == nil {
+					_, err = stream.Recv()
+				}
+				f.is.Equal(err, io.EOF)
+				if c.stops {
+					f.is.True(f.awaitStop("h0", begun) <= stopLimit)
+				}
+			})
+		})
+	}
+}
+
 // canceledRuns returns the number of runs that targets have ended because their connection was closed.
 func (f *fleet) canceledRuns() int {
 	sum := 0
