Refuse requests that wait for a target before a stop ends (LOST)

Cause: nothing refused what waits. The contexts were canceled when the stop had ended, and the refusals raced with the end of the process: in the log, the first one comes 13 ms after 'graceful stop ended', and the process ends about then.

Change: at stopSchedule.lastRun, from which no run is started that may outlast the stop, the requests that wait for one are refused at once with 503 HostStopping, 1.7 s before the end with a StopTimeout of 6 s.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -272,10 +272,12 @@
 }
 
 // awaitVerdict waits until a home has placed or refused the request. The verdict is nil if the home sent none within
-// firstVerdictTimeout or its stream ended, and also if the context ended; timedOut is true only in the last case.
+// firstVerdictTimeout, its stream ended or no run may be started any more in a graceful stop, and also if the context ended;
+// timedOut is true only in the last case.
 func (x *exchange) awaitVerdict(ctx context.Context, p placer) (v placement.Verdict, timedOut bool) {
 	timer := time.NewTimer(firstVerdictTimeout)
 	defer timer.Stop()
+	lastRun := x.gateway.lastRun
 	for {
 		select {
 		case e := <-x.pending.events:
@@ -300,6 +302,11 @@
 			x.gateway.homeClient.suspect(p.name())
 			x.gateway.stats.unresponsiveHomes.Add(1)
 			return nil, false
+		case <-lastRun:
+			if !x.mayStartRun() {
+				return nil, false
+			}
+			lastRun = nil
 		case <-ctx.Done():
 			return nil, true
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -208,6 +208,8 @@
 	warmUpEntries warmUpEntries
 	// stop is the schedule of the graceful stop; nil before one has begun.
 	stop atomic.Pointer[stopSchedule]
+	// lastRun is closed at stopSchedule.lastRun.
+	lastRun chan struct{}
 	// closingIdle is set once idle connections of callers are closed, in a graceful stop.
 	closingIdle atomic.Bool
 	// inForceSince is when the note in force took effect, in Unix milliseconds.
@@ -238,7 +240,7 @@
 	g := &Gateway{
 		config: c, settings: c.Settings, dialect: c.Dialect, start: time.Now(), chain: &note.Chain{},
 		heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}), peersAhead: ring.NewQueue[peerAhead](ring.Config{Capacity: 1}), histograms: meter.NewHistograms(), logger: c.Logger,
-		panics: newPanics(), bodies: newMemoryBudget(c.Settings, requestShare), responses: newMemoryBudget(c.Settings, responseShare),
+		panics: newPanics(), lastRun: make(chan struct{}), bodies: newMemoryBudget(c.Settings, requestShare), responses: newMemoryBudget(c.Settings, responseShare),
 	}
 	g.descriptors = socket.DescriptorLimit(c.Settings.Limits.Descriptors)
 	g.reloadable.Store(&g.settings)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -34,7 +34,7 @@
 	// drained is when callers have stopped using the host's address: no connections are accepted any more. Requests that arrive
 	// later come on connections that are still open.
 	drained time.Duration
-	// lastRun is the latest time at which a run is started that may take longer than the stop.
+	// lastRun is when the last run has been started that may take longer than the stop. Requests that wait for one are refused then.
 	lastRun time.Duration
 	// answered is when the last requests are refused, so that there is time to send the responses.
 	answered time.Duration
@@ -60,7 +60,7 @@
 // end of the stop may cut off must belong to a request that arrived before callers had stopped using this host, and be started early
 // enough.
 func (s *stopSchedule) mayStartRun(now, arrived, deadline time.Duration) bool {
-	return s.endsInTime(deadline) || arrived <= s.drained && now <= s.lastRun
+	return s.endsInTime(deadline) || arrived <= s.drained && now < s.lastRun
 }
 
 // mayStartRun reports whether a run of the request may be started, as far as a graceful stop of this host is concerned.
@@ -74,7 +74,8 @@
 // stopGracefully marks this host as leaving and goes on serving callers that still use its address from an earlier
 // directory response, for up to addressAgeFactor times AddressMaxAge but at most half of the time limit, which is
 // StopTimeout minus stopMargin. Then it accepts no connections and waits for the open ones and the runs for peers to end,
-// until the time limit or the end of force. Requests that are still arriving then are refused.
+// until the time limit or the end of force. Requests that wait for a target, or are still arriving, are refused early enough for
+// their callers to get the response.
 func (g *Gateway) stopGracefully(force context.Context, closeListener func()) {
 	limits := g.reloadable.Load().Limits
 	s := newStopSchedule(g.now(), limits.StopTimeout-stopMargin, addressAgeFactor*limits.AddressMaxAge)
@@ -89,6 +90,11 @@
 	closeListener()
 	g.logStop("graceful stop: no new connections are accepted", s)
 	g.closeIdle()
+	if g.awaitUnused(force, s.lastRun) {
+		return
+	}
+	close(g.lastRun)
+	g.logStop("graceful stop: requests that wait and may not end in time are refused", s)
 	if g.awaitUnused(force, s.answered) {
 		return
 	}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -280,6 +280,80 @@
 	}
 }
 
+// TestWaitingRequestsAreAnsweredInStop guards against a stop that ends without answers to requests which wait for a target: each must be
+// refused, as not run, while its caller still gets the response.
+func TestWaitingRequestsAreAnsweredInStop(t *testing.T) {
+	cases := []struct {
+		name, host string
+		limit      time.Duration
+		// refusedByStop is set if some requests wait until the stop refuses them.
+		refusedByStop bool
+	}{
+		{"at the home", "h0", time.Minute, true},
+		{"at another host", "h1", time.Minute, true},
+		{"limit before the end", "h1", 4 * time.Second, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 2, 2, func(f *fleet) {
+				f.timeLimit = time.Minute
+				long := longRule("long", unsafeRule)
+				long["timeout-ms"] = 60000
+				f.configure(2, long)
+				time.Sleep(2 * time.Second)
+				_, home := f.hosts["h0"].gateway.ReadyHosts("stock")
+				stopping, other := home, "h0"
+				if home == "h0" {
+					other = "h1"
+				}
+				if c.host == "h1" {
+					stopping, other = other, stopping
+				}
+				f.setRunDuration(9 * time.Second)
+				for i := range 6 {
+					go f.call(other, http.MethodPost, "/long/1", fmt.Sprint("busy", i))
+				}
+				time.Sleep(200 * time.Millisecond)
+				const waiting = 40
+				f.timeLimit = c.limit
+				type answered struct {
+					reply
+					at time.Time
+				}
+				answers := make(chan answered, waiting)
+				for i := range waiting {
+					go func() {
+						r := f.call(stopping, http.MethodPost, "/long/1", fmt.Sprint("waiting", i))
+						answers <- answered{r, time.Now()}
+					}()
+				}
+				time.Sleep(200 * time.Millisecond)
+				f.is.Equal(len(answers), 0)
+				f.hosts[stopping].stop()
+				begun := time.Now()
+				ended := f.awaitStop(stopping, begun)
+				f.is.True(ended <= stopLimit)
+				f.is.Equal(len(answers), waiting)
+				byStop := 0
+				for i := range waiting {
+					r := <-answers
+					f.is.NoErr(r.err)
+					f.is.NoErr(r.err)
+					f.is.Equal(r.status, http.StatusServiceUnavailable)
+					f.is.True(r.header.Get("Retry-After") != "")
+					if r.header.Get("Briarcroft-Reason") == "HostStopping" {
+						byStop++
+					}
+					f.is.True(r.at.Before(begun.Add(stopLimit - time.Second)))
+					f.is.Equal(f.arrivalsOf(fmt.Sprint("waiting", i)), 0)
+				}
+				// The home refuses the others earlier.
+				f.is.Equal(byStop > 0, c.refusedByStop)
+			})
+		})
+	}
+}
+
 // TestLongRelayIsRefusedInStop guards against a stop that passes on a request of a peer which it may have to cut off.
 func TestLongRelayIsRefusedInStop(t *testing.T) {
 	cases := []struct {
