Answer requests whose runs a stop cuts off before the process ends (LOST)

A stop now cancels the runs that are left 150 ms before its end and waits until their answers have been written. The reason is HostStopped. The process ends no later than before.

TestCutRunsAreAnsweredInStop: 0 of 6 requests were answered before the host had ended, now 6 of 6.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -92,7 +92,7 @@
 func newCallerConn(g *Gateway, conn net.Conn) *callerConn {
 	c := &callerConn{gateway: g, conn: &limitedConn{Conn: conn}, lastDone: make(chan struct{}), pipelineSlots: make(chan struct{}, maxPipelined)}
 	c.reader = newReader(c.conn)
-	c.ctx, c.cancel = context.WithCancel(g.background)
+	c.ctx, c.cancel = context.WithCancel(g.runs)
 	if host, _, err := net.SplitHostPort(conn.RemoteAddr().String()); err == nil {
 		c.address = host
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -194,6 +194,8 @@
 		return x.targetFailure
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return localResponse(http.StatusGatewayTimeout, "TimedOut", 0)
+	case x.gateway.runs.Err() != nil:
+		return localResponse(http.StatusGatewayTimeout, "HostStopped", 0)
 	case ctx.Err() != nil:
 		return localResponse(http.StatusGatewayTimeout, "CallerLeft", 0)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -222,8 +222,10 @@
 	connections connections
 	// descriptors is the number of descriptors that the process may have open; zero means that it is not known.
 	descriptors int
-	// background is the context of health probes and of requests that continue after their caller has disconnected.
-	background context.Context
+	// background is the context of health probes, and runs that of requests, also after their caller has disconnected. The latter ends
+	// first in a graceful stop.
+	background, runs context.Context
+	cancelRuns       context.CancelFunc
 }
 
 // New returns a gateway and the function that closes its connections, to be called after Serve has returned.
@@ -272,6 +274,7 @@
 	}}
 	var cancelBackground context.CancelFunc
 	g.background, cancelBackground = context.WithCancel(context.Background())
+	g.runs, g.cancelRuns = context.WithCancel(g.background)
 	g.rules.Store(&ruleIndex{})
 	g.quarantine = quarantine.New(quarantine.Config{Targets: crashesToQuarantine})
 	g.rateLimits = ratelimit.New()
@@ -291,6 +294,7 @@
 		OnRestore: g.recordRestore,
 	})
 	return g, func() {
+		g.cancelRuns()
 		cancelBackground()
 		g.homeClient.close()
 		g.pools.close()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -265,5 +265,5 @@
 	if repeatable {
 		return c.ctx
 	}
-	return c.gateway.background
+	return c.gateway.runs
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -20,8 +20,12 @@
 	// refusalTime is how long before the time limit requests that are still arriving are refused. Their connections linger after
 	// that, because the end of the process would reset them.
 	refusalTime = lingerTime + 100*time.Millisecond
+	// cutTime is how long before the time limit the runs that have not ended are canceled, so that their callers get a response.
+	cutTime = 150 * time.Millisecond
 	// stopCheckInterval is how often to check whether all connections of callers have ended.
 	stopCheckInterval = 50 * time.Millisecond
+	// answerCheckInterval is how often to check whether the requests of canceled runs have been answered.
+	answerCheckInterval = 10 * time.Millisecond
 )
 
 // hostStopping is the refusal of a request that this host cannot finish before its stop. Its caller can go to another host at once,
@@ -38,14 +42,15 @@
 	lastRun time.Duration
 	// answered is when the last requests are refused, so that there is time to send the responses.
 	answered time.Duration
-	// ended is when the process ends, with the runs that have not ended by then.
-	ended time.Duration
+	// cut is when the runs that have not ended are canceled, and ended when the process ends.
+	cut, ended time.Duration
 }
 
 // newStopSchedule returns the schedule of a stop that begins now and ends after limit. Callers use addresses for addressTime.
 func newStopSchedule(now, limit, addressTime time.Duration) *stopSchedule {
 	s := &stopSchedule{began: now, drained: now + min(limit/2, addressTime), ended: now + limit}
 	s.answered = max(s.drained, s.ended-refusalTime)
+	s.cut = max(s.answered, s.ended-cutTime)
 	s.lastRun = s.drained + (s.answered-s.drained)/2
 	return s
 }
@@ -103,7 +108,12 @@
 		return true
 	})
 	g.logStop("graceful stop: no further requests are read", s)
-	g.awaitUnused(force, s.ended)
+	if g.awaitUnused(force, s.cut) {
+		return
+	}
+	g.logStop("graceful stop: runs are canceled", s)
+	g.cancelRuns()
+	g.awaitAnswered(force, s.ended)
 }
 
 // logStop logs a step of a graceful stop, with what is in progress.
@@ -124,6 +134,15 @@
 	return true
 }
 
+// awaitAnswered waits until no request of a caller is in progress, until the given time of Gateway.now or the end of the context.
+func (g *Gateway) awaitAnswered(ctx context.Context, until time.Duration) {
+	for counts := g.connectionCounts(); counts.Busy+counts.CallerLeft > 0; counts = g.connectionCounts() {
+		if g.now() >= until || !duty.Sleep(ctx, answerCheckInterval) {
+			return
+		}
+	}
+}
+
 // closeIdle closes the idle connections of callers. The others close by themselves after a response, as the host is
 // stopping.
 func (g *Gateway) closeIdle() {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -354,6 +354,37 @@
 	}
 }
 
+// TestCutRunsAreAnsweredInStop guards against a stop that ends without answers to the requests whose runs it cuts off: that the outcome
+// is unknown must be said, and that it is not the caller who has left.
+func TestCutRunsAreAnsweredInStop(t *testing.T) {
+	for _, c := range []struct{ method, path string }{{http.MethodPost, "/long/1"}, {http.MethodGet, "/read/1"}} {
+		t.Run(c.method, func(t *testing.T) {
+			withFleet(t, 2, 2, func(f *fleet) {
+				f.configure(2, longRule("long", unsafeRule), longRule("read", safeRule))
+				f.setRunDuration(9 * time.Second)
+				time.Sleep(2 * time.Second)
+				f.timeLimit = 20 * time.Second
+				const cut = 6
+				answers := make(chan reply, cut)
+				f.hosts["h0"].stop()
+				begun := time.Now()
+				time.Sleep(time.Second)
+				for i := range cut {
+					go func() { answers <- f.call("h0", c.method, c.path, fmt.Sprint("cut", i)) }()
+				}
+				f.is.True(f.awaitStop("h0", begun) <= stopLimit)
+				f.is.Equal(len(answers), cut)
+				for range cut {
+					r := <-answers
+					f.is.NoErr(r.err)
+					f.is.Equal(r.status, http.StatusGatewayTimeout)
+					f.is.Equal(r.header.Get("Briarcroft-Reason"), "HostStopped")
+				}
+			})
+		})
+	}
+}
+
 // TestLongRelayIsRefusedInStop guards against a stop that passes on a request of a peer which it may have to cut off.
 func TestLongRelayIsRefusedInStop(t *testing.T) {
 	cases := []struct {
