--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -204,7 +204,7 @@
 	if c.closing {
 		return nil, nil, false
 	}
-	if c.gateway.stopping() {
+	if c.gateway.stop.Stopping() {
 		c.acceptedInStop++
 		// Otherwise the stop would never see the end of a connection on which requests always wait. The caller sends those
 		// behind the last accepted one again, because the response to that one closes the connection.
@@ -241,7 +241,7 @@
 func (c *callerConn) isLastResponse() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if (c.gateway.stopping() || c.closesWhenIdle) && c.accepted == c.responded+1 && !c.progress.reading {
+	if (c.gateway.stop.Stopping() || c.closesWhenIdle) && c.accepted == c.responded+1 && !c.progress.reading {
 		c.closing = true
 	}
 	return c.closing && c.accepted == c.responded+1
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"briarcroft/internal/drain"
 	"briarcroft/internal/settings"
 	"briarcroft/internal/socket"
 
@@ -37,7 +38,7 @@
 	}
 
 	c := newCallerConn(g, accepted)
-	g.stop.Store(newStopSchedule(g.now(), time.Minute, time.Second))
+	g.stop.Begin(drain.NewSchedule(drain.Config{Now: g.now(), DrainTime: time.Second, Limit: time.Minute}))
 	c.closeIfIdle()
 	ended := make(chan struct{})
 	go func() {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -279,7 +279,7 @@
 func (x *exchange) awaitVerdict(ctx context.Context, p placer) (v placement.Verdict, timedOut bool) {
 	timer := time.NewTimer(firstVerdictTimeout)
 	defer timer.Stop()
-	lastRun := x.gateway.lastRun
+	lastRun := x.gateway.stop.LastRun()
 	for {
 		select {
 		case e := <-x.pending.events:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"briarcroft/internal/account"
 	"briarcroft/internal/age"
 	"briarcroft/internal/bootclock"
+	"briarcroft/internal/drain"
 	"briarcroft/internal/duty"
 	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
@@ -206,10 +207,8 @@
 	targetStates map[string]string
 	// warmUpEntries is guarded by applyMu too.
 	warmUpEntries warmUpEntries
-	// stop is the schedule of the graceful stop; nil before one has begun.
-	stop atomic.Pointer[stopSchedule]
-	// lastRun is closed at stopSchedule.lastRun.
-	lastRun chan struct{}
+	// stop decides which runs are started in a graceful stop.
+	stop *drain.Gate
 	// closingIdle is set once idle connections of callers are closed, in a graceful stop.
 	closingIdle atomic.Bool
 	// inForceSince is when the note in force took effect, in Unix milliseconds.
@@ -242,7 +241,7 @@
 	g := &Gateway{
 		config: c, settings: c.Settings, dialect: c.Dialect, start: time.Now(), chain: &note.Chain{},
 		heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}), peersAhead: ring.NewQueue[peerAhead](ring.Config{Capacity: 1}), histograms: meter.NewHistograms(), logger: c.Logger,
-		panics: newPanics(), lastRun: make(chan struct{}), bodies: newMemoryBudget(c.Settings, requestShare), responses: newMemoryBudget(c.Settings, responseShare),
+		panics: newPanics(), stop: drain.New(), bodies: newMemoryBudget(c.Settings, requestShare), responses: newMemoryBudget(c.Settings, responseShare),
 	}
 	g.descriptors = socket.DescriptorLimit(c.Settings.Limits.Descriptors)
 	g.reloadable.Store(&g.settings)
@@ -411,7 +410,7 @@
 // updateReady marks this host as ready if it has a configuration and is not stopping, and sends peers a heartbeat at
 // once if that has changed.
 func (g *Gateway) updateReady() {
-	ready := g.chain.Number() > 0 && !g.stopping()
+	ready := g.chain.Number() > 0 && !g.stop.Stopping()
 	if ready != g.members.Self().Ready {
 		g.members.SetReady(ready)
 		g.heartbeatTrigger.Push(struct{}{})
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -390,7 +390,7 @@
 // relayForPeer sends a request of a peer to a target and passes the response to send, which returns false once the peer has
 // left.
 func (g *Gateway) relayForPeer(ctx context.Context, r *inner.RelayRequest, send func(*inner.RelayReply) bool) {
-	endsInTime := g.stop.Load().endsInTime(g.now() + time.Duration(r.TimeoutMilliseconds)*time.Millisecond)
+	endsInTime := g.stop.EndsInTime(g.now() + time.Duration(r.TimeoutMilliseconds)*time.Millisecond)
 	if g.relaysForPeers.Load() > maxRelaysForPeers || !endsInTime {
 		send(&inner.RelayReply{Kind: inner.RelayKind_RelayExhausted})
 		return
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"briarcroft/internal/drain"
 	"briarcroft/internal/duty"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/record"
@@ -17,11 +18,6 @@
 	addressAgeFactor = 3
 	// acceptTime is how long connections that callers have opened may wait to be accepted before the listener is closed.
 	acceptTime = 500 * time.Millisecond
-	// refusalTime is how long before the time limit requests that are still arriving are refused. Their connections linger after
-	// that, because the end of the process would reset them.
-	refusalTime = lingerTime + 100*time.Millisecond
-	// cutTime is how long before the time limit the runs that have not ended are canceled, so that their callers get a response.
-	cutTime = 150 * time.Millisecond
 	// stopCheckInterval is how often to check whether all connections of callers have ended.
 	stopCheckInterval = 50 * time.Millisecond
 	// answerCheckInterval is how often to check whether the requests of canceled runs have been answered.
@@ -32,50 +28,11 @@
 // which the shortest Retry-After time says.
 var hostStopping = placement.Refused{Reason: "HostStopping", RetryAfter: time.Millisecond}
 
-// stopSchedule holds the times of a graceful stop, on the clock of Gateway.now.
-type stopSchedule struct {
-	began time.Duration
-	// drained is when callers have stopped using the host's address: no connections are accepted any more. Requests that arrive
-	// later come on connections that are still open.
-	drained time.Duration
-	// lastRun is when the last run has been started that may take longer than the stop. Requests that wait for one are refused then.
-	lastRun time.Duration
-	// answered is when the last requests are refused, so that there is time to send the responses.
-	answered time.Duration
-	// cut is when the runs that have not ended are canceled, and ended when the process ends.
-	cut, ended time.Duration
-}
-
-// newStopSchedule returns the schedule of a stop that begins now and ends after limit. Callers use addresses for addressTime.
-func newStopSchedule(now, limit, addressTime time.Duration) *stopSchedule {
-	s := &stopSchedule{began: now, drained: now + min(limit/2, addressTime), ended: now + limit}
-	s.answered = max(s.drained, s.ended-refusalTime)
-	s.cut = max(s.answered, s.ended-cutTime)
-	s.lastRun = s.drained + (s.answered-s.drained)/2
-	return s
-}
-
-// endsInTime reports whether a run with a deadline ends before the stop however long it takes. A nil schedule means that there is no
-// stop.
-func (s *stopSchedule) endsInTime(deadline time.Duration) bool {
-	return s == nil || deadline <= s.answered
-}
-
-// mayStartRun reports whether a run may be started for a request that arrived, and has its deadline, at the given times. A run that the
-// end of the stop may cut off must belong to a request that arrived before callers had stopped using this host, and be started early
-// enough.
-func (s *stopSchedule) mayStartRun(now, arrived, deadline time.Duration) bool {
-	return s.endsInTime(deadline) || arrived <= s.drained && now < s.lastRun
-}
-
 // mayStartRun reports whether a run of the request may be started, as far as a graceful stop of this host is concerned.
 func (x *exchange) mayStartRun() bool {
-	return x.gateway.stop.Load().mayStartRun(x.gateway.now(), x.request.arrived, x.deadline)
+	return x.gateway.stop.MayStartRun(x.gateway.now(), x.request.arrived, x.deadline)
 }
 
-// stopping reports whether a graceful stop has begun.
-func (g *Gateway) stopping() bool { return g.stop.Load() != nil }
-
 // stopGracefully marks this host as leaving and goes on serving callers that still use its address from an earlier
 // directory response, for up to addressAgeFactor times AddressMaxAge but at most half of the time limit, which is
 // StopTimeout minus stopMargin. Then it accepts no connections and waits for the open ones and the runs for peers to end,
@@ -83,24 +40,25 @@
 // their callers to get the response.
 func (g *Gateway) stopGracefully(force context.Context, closeListener func()) {
 	limits := g.reloadable.Load().Limits
-	s := newStopSchedule(g.now(), limits.StopTimeout-stopMargin, addressAgeFactor*limits.AddressMaxAge)
-	g.stop.Store(s)
+	limit := limits.StopTimeout - stopMargin
+	s := drain.NewSchedule(drain.Config{Now: g.now(), DrainTime: min(limit/2, addressAgeFactor*limits.AddressMaxAge), Limit: limit})
+	g.stop.Begin(s)
 	g.members.SetReady(false)
 	g.members.Leave()
 	g.heartbeatTrigger.Push(struct{}{})
 	g.records.Add(record.Record{Kind: record.HostLeft, Cause: "GracefulStop", Note: g.chain.Number()})
 	g.logStop("graceful stop began", s)
 	defer g.logStop("graceful stop ended", s)
-	duty.Sleep(force, s.drained-g.now())
+	duty.Sleep(force, s.Drained-g.now())
 	closeListener()
 	g.logStop("graceful stop: no new connections are accepted", s)
 	g.closeIdle()
-	if g.awaitUnused(force, s.lastRun) {
+	if g.awaitUnused(force, s.LastRun) {
 		return
 	}
-	close(g.lastRun)
+	g.stop.EndRuns()
 	g.logStop("graceful stop: requests that wait and may not end in time are refused", s)
-	if g.awaitUnused(force, s.answered) {
+	if g.awaitUnused(force, s.Answered) {
 		return
 	}
 	g.callerConns.Range(func(key, _ any) bool {
@@ -108,17 +66,17 @@
 		return true
 	})
 	g.logStop("graceful stop: no further requests are read", s)
-	if g.awaitUnused(force, s.cut) {
+	if g.awaitUnused(force, s.Cut) {
 		return
 	}
 	g.logStop("graceful stop: runs are canceled", s)
 	g.cancelRuns()
-	g.awaitAnswered(force, s.ended)
+	g.awaitAnswered(force, s.Ended)
 }
 
 // logStop logs a step of a graceful stop, with what is in progress.
-func (g *Gateway) logStop(step string, s *stopSchedule) {
-	g.logger.Info().Dur("AfterMilliseconds", g.now()-s.began).Interface("Connections", g.connectionCounts()).
+func (g *Gateway) logStop(step string, s drain.Schedule) {
+	g.logger.Info().Dur("AfterMilliseconds", g.now()-s.Began).Interface("Connections", g.connectionCounts()).
 		Int64("WaitingRequests", g.stats.waiting.Load()).Int64("RunningRequests", g.stats.running.Load()).
 		Int64("RequestsForPeers", g.relaysForPeers.Load()).Int64("UnwrittenLines", g.unwrittenLines()).Msg(step)
 }
