--- a/internal/entry/frontend.go
+++ b/internal/entry/frontend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"net"
 	"net/http"
 	"time"
 
@@ -61,7 +62,7 @@
 	limits := h.settings.Limits
 	return &http.Server{
 		Handler: f, Protocols: protocols, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
-		MaxHeaderBytes: limits.HeaderBytes, TLSConfig: h.callerTLS, ConnContext: h.callerConns.add, ConnState: h.callerConns.setState,
+		MaxHeaderBytes: limits.HeaderBytes, TLSConfig: h.callerTLS, BaseContext: func(net.Listener) context.Context { return h.requests }, ConnContext: h.callerConns.add, ConnState: h.callerConns.setState,
 	}
 }
 
@@ -136,6 +137,9 @@
 	defer deadline.Stop()
 	result := service.Run(ctx, request)
 	deadline.Stop()
+	if refusal, isRefusal := result.(*steering.Refusal); isRefusal && refusal.Outcome == claim.Unknown && f.host.requests.Err() != nil {
+		result = hostStopped()
+	}
 	f.writeResult(w, result)
 }
 
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -23,6 +23,7 @@
 	"briarcroft/internal/backend"
 	"briarcroft/internal/certificate"
 	"briarcroft/internal/claim"
+	"briarcroft/internal/drain"
 	"briarcroft/internal/duty"
 	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
@@ -119,6 +120,11 @@
 	stats         stats
 	// panicked gets an item when the host must stop after a panic.
 	panicked chan error
+	// stop decides which runs are started in a graceful stop.
+	stop *drain.Gate
+	// requests is the base context of the requests of callers.
+	requests       context.Context
+	cancelRequests context.CancelFunc
 }
 
 // stats are the counters behind Counters. budgetRecordedAt is the time of the last record of an exhausted budget.
@@ -200,11 +206,13 @@
 		h.callerTLS = files.CallerTLS()
 	}
 	var closeRecords, closeClient, closeDispatcher func()
+	h.stop = drain.New()
+	h.requests, h.cancelRequests = context.WithCancel(context.Background())
 	h.records, closeRecords = record.NewLog(record.LogConfig{Host: s.Host.Name, Incarnation: h.incarnation, Capacity: maxRecords, Logger: h.config.Logger})
 	h.client, closeClient = inner.NewClient(inner.ClientConfig{TLS: h.peerTLS, Dial: h.config.Dial})
 	h.dispatcher, closeDispatcher = steering.New(steering.Config{
 		Records: h.records, Quarantine: h.quarantine, Clock: h.now, Seed: h.incarnation, OnQuarantine: h.triggerHeartbeat, Dial: h.config.Dial,
-		OnPanic: func(value any) { h.recovered("SecondRun", value) },
+		OnPanic: func(value any) { h.recovered("SecondRun", value) }, Stop: h.stop,
 	})
 	h.archive = note.NewArchive(note.ArchiveConfig{Store: h.config.Store})
 	h.idempotency = claim.New(claim.Config{
@@ -230,6 +238,7 @@
 	h.heartbeats = &inner.Heartbeats{Table: h.membership, Client: h.client, Now: h.now, NewRequest: h.heartbeatRequest, OnReply: h.handleHeartbeatReply, OnPanic: func(value any) { h.recovered("Heartbeat", value) }}
 	h.callerServer = h.newCallerServer()
 	return func() {
+		h.cancelRequests()
 		closeDispatcher()
 		closeClient()
 		closeRecords()
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -125,6 +125,8 @@
 		return result
 	case <-time.After(time.Until(r.Deadline) + lateResultGrace):
 		return &steering.Refusal{Status: http.StatusGatewayTimeout, Outcome: claim.Unknown, Reason: "DeadlinePassed"}
+	case <-h.requests.Done():
+		return hostStopped()
 	}
 }
 
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -124,7 +124,7 @@
 	deadline, _ := ctx.Deadline()
 	request := &steering.Request{
 		Method: r.Method, Host: r.Host, URI: r.Uri, Header: header, Body: r.Body, Length: int64(len(r.Body)), Rule: rule,
-		Domain: header.Get(steering.HeaderDomain), Deadline: deadline, RetryAllowance: retryAllowance(header),
+		Domain: header.Get(steering.HeaderDomain), Arrived: time.Now(), Deadline: deadline, RetryAllowance: retryAllowance(header),
 	}
 	request.Fingerprint = fingerprint(request)
 	return request, true
--- a/internal/entry/read.go
+++ b/internal/entry/read.go
@@ -36,7 +36,7 @@
 	request := &steering.Request{
 		Method: r.Method, Host: r.Host, URI: r.URL.RequestURI(), Header: forwardedHeader(r), Rule: rule, Length: r.ContentLength,
 		Idempotent: rule.IsIdempotent(r.Method), Domain: r.Header.Get(steering.HeaderDomain),
-		Deadline: arrived.Add(requestTimeout(r, rule.Deadline)), RetryAllowance: retryAllowance(r.Header),
+		Arrived: arrived, Deadline: arrived.Add(requestTimeout(r, rule.Deadline)), RetryAllowance: retryAllowance(r.Header),
 	}
 	if request.Domain == "" {
 		request.Domain = f.host.settings.Host.Domain
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
 	"briarcroft/internal/claim"
+	"briarcroft/internal/drain"
 	"briarcroft/internal/duty"
 	"briarcroft/internal/inner"
 	"briarcroft/internal/record"
 	"briarcroft/internal/socket"
+	"briarcroft/internal/steering"
 )
 
 // Limits of a graceful stop.
@@ -27,17 +30,23 @@
 
 // stopGracefully removes the host from address responses, waits until callers have stopped using it, finishes the requests
 // in flight and copies its idempotency table to peers. Sealing the table ends the right of this incarnation to run keyed
-// requests, so that its copies are final.
+// requests, so that its copies are final. Requests that wait for a target are refused before the time limit, and those that are
+// still running are canceled, early enough for their callers to get the response.
 func (h *Host) stopGracefully(force context.Context) error {
+	// Callers cache address responses for AddressMaxAge and keep connecting to this host until then.
+	drainTime := h.settings.Limits.AddressMaxAge + addressAgeMargin
+	s := drain.NewSchedule(drain.Config{Now: h.now(), DrainTime: drainTime, Limit: drainTime + h.settings.Limits.StopTimeout})
+	h.stop.Begin(s)
 	h.membership.Leave()
 	h.addRecord(record.HostLeft, "GracefulStop")
 	h.triggerHeartbeat()
-	// Callers cache address responses for AddressMaxAge and keep connecting to this host until then.
-	duty.Sleep(force, h.settings.Limits.AddressMaxAge+addressAgeMargin)
+	duty.Sleep(force, s.Drained-h.now())
 	drained := h.idempotency.Seal()
 	h.addRecord(record.HostSealed, "GracefulStop")
-	ctx, cancel := context.WithTimeout(force, h.settings.Limits.StopTimeout)
+	ctx, cancel := context.WithTimeout(force, s.Ended-h.now())
 	defer cancel()
+	defer time.AfterFunc(s.LastRun-h.now(), h.stop.EndRuns).Stop()
+	defer time.AfterFunc(s.Cut-h.now(), h.cancelRequests).Stop()
 	socket.AwaitAccepted(ctx, h.callerListener, acceptTime)
 	err := h.callerServer.Shutdown(ctx)
 	select {
@@ -48,6 +57,11 @@
 	return err
 }
 
+// hostStopped returns the refusal of a request whose run was canceled at the end of a graceful stop.
+func hostStopped() *steering.Refusal {
+	return &steering.Refusal{Status: http.StatusGatewayTimeout, Outcome: claim.Unknown, Reason: "HostStopped"}
+}
+
 // replicateTable copies the sealed idempotency table to peers, which answer resends of its keys from then on.
 func (h *Host) replicateTable(ctx context.Context) {
 	parts := sealRequests(h.idempotency.Export(h.now()))
--- a/internal/steering/dispatcher.go
+++ b/internal/steering/dispatcher.go
@@ -11,6 +11,7 @@
 
 	"briarcroft/internal/admission"
 	"briarcroft/internal/backend"
+	"briarcroft/internal/drain"
 	"briarcroft/internal/note"
 	"briarcroft/internal/quarantine"
 	"briarcroft/internal/record"
@@ -31,6 +32,8 @@
 	Dial backend.DialFunc
 	// OnPanic is called with the value of a panic of a second attempt, which fails. If it is nil, a panic ends the process.
 	OnPanic func(value any)
+	// Stop decides which runs are started in a graceful stop of the host, on Clock. If it is nil, there is none.
+	Stop *drain.Gate
 }
 
 // Dispatcher holds the services of the configuration in force and matches requests with them.
@@ -49,6 +52,9 @@
 
 // New returns a Dispatcher without services and a function that closes its connections.
 func New(c Config) (*Dispatcher, func()) {
+	if c.Stop == nil {
+		c.Stop = drain.New()
+	}
 	d := &Dispatcher{config: c}
 	d.current.Store(&snapshot{services: map[string]*Service{}})
 	return d, d.close
--- a/internal/steering/request.go
+++ b/internal/steering/request.go
@@ -41,7 +41,8 @@
 	// Fingerprint identifies the content of the request for the quarantine. It is 0 if the body was not read.
 	Fingerprint uint64
 	Domain      string
-	Deadline    time.Time
+	// Arrived is when the host received the request, and Deadline when its caller stops waiting.
+	Arrived, Deadline time.Time
 	// RetryAllowance is how many further attempts this request and the requests it causes may make.
 	RetryAllowance int
 	// Detached requests continue after their caller has disconnected, so that the response can be stored for a resend.
--- a/internal/steering/run.go
+++ b/internal/steering/run.go
@@ -17,13 +17,18 @@
 // allow. The result is a *Response, which may report an error of the target, or a *Refusal.
 func (s *Service) Run(ctx context.Context, r *Request) Result {
 	s.recordRequest()
+	if !s.mayStartRun(r) {
+		return hostStopping()
+	}
 	excluded := ""
 	for attempt := 1; ; attempt++ {
 		response, failed := s.attemptOnce(ctx, r, excluded)
-		if failed == nil {
+		switch {
+		case failed == nil:
 			return response
-		}
-		if !mayRetry(ctx, r, failed) {
+		case failed.kind == failedCanceledBeforeSend && ctx.Err() == nil && !s.mayStartRun(r):
+			return hostStopping()
+		case !mayRetry(ctx, r, failed) || !s.mayStartRun(r):
 			return resultOf(ctx, r, failed, false)
 		}
 		if attempt >= maxAttempts || !s.spendRetry() {
@@ -34,6 +39,18 @@
 	}
 }
 
+// mayStartRun reports whether a run of the request may be started, as far as a graceful stop of the host is concerned.
+func (s *Service) mayStartRun(r *Request) bool {
+	now := s.dispatcher.config.Clock()
+	return s.dispatcher.config.Stop.MayStartRun(now, now-time.Since(r.Arrived), now+time.Until(r.Deadline))
+}
+
+// hostStopping returns the refusal of a request that the host cannot finish before its stop. Other hosts can take it at once, so it names
+// no time to wait.
+func hostStopping() *Refusal {
+	return &Refusal{Status: http.StatusServiceUnavailable, Outcome: claim.NotRun, Reason: "HostStopping"}
+}
+
 // attemptOnce makes one attempt, with a hedge if the request may run more than once.
 func (s *Service) attemptOnce(ctx context.Context, r *Request, excluded string) (*Response, *failure) {
 	if r.Idempotent && r.replayable() && r.RetryAllowance > 0 {
--- a/internal/steering/service.go
+++ b/internal/steering/service.go
@@ -95,7 +95,7 @@
 }
 
 // admit waits until the request is assigned or refused. It returns an *admission.Assignment or an *admission.Refusal,
-// or nil if the context ended first.
+// or nil if the context ended first, or no run may be started any more in a graceful stop.
 func (s *Service) admit(ctx context.Context, r *Request, excluded string) admission.Decision {
 	now := s.dispatcher.config.Clock()
 	request := &admission.Request{
@@ -105,10 +105,7 @@
 	if decision := s.submit(now, request, r.Rule.Class); decision != nil {
 		return decision
 	}
-	select {
-	case <-request.Decided:
-	case <-ctx.Done():
-	}
+	s.awaitDecision(ctx, r, request)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.admission.Cancel(request)
@@ -118,6 +115,24 @@
 	return request.Decision()
 }
 
+// awaitDecision waits until the request is decided, its context has ended or no run may be started for it any more.
+func (s *Service) awaitDecision(ctx context.Context, r *Request, request *admission.Request) {
+	lastRun := s.dispatcher.config.Stop.LastRun()
+	for {
+		select {
+		case <-request.Decided:
+			return
+		case <-ctx.Done():
+			return
+		case <-lastRun:
+			if !s.mayStartRun(r) {
+				return
+			}
+			lastRun = nil
+		}
+	}
+}
+
 // submit submits a request to admission. It returns nil if the request waits, and sends on its channel Decided once it does no more.
 func (s *Service) submit(now time.Duration, request *admission.Request, class string) admission.Decision {
 	s.mu.Lock()
