--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"briarcroft/internal/payload"
 	"briarcroft/internal/placement"
 )
 
@@ -29,7 +30,7 @@
 type callerResponse struct {
 	status int
 	header http.Header
-	body   *payload
+	body   *payload.Payload
 	// unread is what follows body in a response that was not read completely; otherwise it is nil.
 	unread io.ReadCloser
 	// length is the whole body's size in bytes; it is below zero when unknown.
@@ -46,14 +47,14 @@
 	if retryAfter > 0 {
 		r.header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	r.body = newPayload([]byte(reason + "\n"))
-	r.length = r.body.length()
+	r.body = payload.New([]byte(reason + "\n"))
+	r.length = r.body.Length()
 	return r
 }
 
 // release returns the memory of a response to the budget, and closes its connection if it was not read completely.
 func (r *callerResponse) release() {
-	r.body.release()
+	r.body.Release()
 	if r.unread != nil {
 		// What was not read is not needed, so an error makes no difference.
 		_ = r.unread.Close()
@@ -115,11 +116,11 @@
 		return c.writeChunked(w, r)
 	}
 	writer := stallWriter{c, w}
-	if err := r.body.writeTo(writer); err != nil {
+	if err := r.body.CopyTo(writer); err != nil {
 		return err
 	}
 	if r.unread != nil {
-		rest := r.length - r.body.length()
+		rest := r.length - r.body.Length()
 		n, err := c.copyUnread(writer, io.LimitReader(r.unread, rest))
 		if err != nil {
 			return err
@@ -163,7 +164,7 @@
 // recognizes the response as incomplete.
 func (c *callerConn) writeChunked(w *bufio.Writer, r *callerResponse) error {
 	chunks := chunkWriter{c, w}
-	if err := r.body.writeTo(chunks); err != nil {
+	if err := r.body.CopyTo(chunks); err != nil {
 		return err
 	}
 	if _, err := c.copyUnread(chunks, r.unread); err != nil {
@@ -178,8 +179,8 @@
 // copyUnread copies what was not read of a response. The buffer is small while no memory is left for responses.
 func (c *callerConn) copyUnread(w io.Writer, unread io.Reader) (int64, error) {
 	budget, size := c.gateway.responses, int64(copyBytes)
-	if budget.acquire(size, size) {
-		defer budget.release(size)
+	if budget.Acquire(size, size) {
+		defer budget.Release(size)
 	} else {
 		size = minCopyBytes
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"briarcroft/internal/backend"
 	"briarcroft/internal/notice"
+	"briarcroft/internal/payload"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/record"
 
@@ -80,7 +81,7 @@
 	end := placement.RunEnd{Target: p.Target, Outcome: r.outcome, Duration: r.duration, Load: r.load, RateLimit: r.rateLimit, Notice: x.gateway.noticeOf(key)}
 	switch {
 	case r.response != nil:
-		end.Bytes = int(r.response.body.length())
+		end.Bytes = int(r.response.body.Length())
 		if x.gateway.settings.Placement.DomainPlan {
 			// Of a very large response only the beginning has been read.
 			end.Bytes = int(max(int64(end.Bytes), min(math.MaxUint32, r.response.length)))
@@ -172,8 +173,8 @@
 	remaining := max(1, (x.deadline - x.gateway.now()).Milliseconds())
 	r.Header.Set(x.gateway.dialect.DeadlineHeader, strconv.FormatInt(remaining, 10))
 	r.Header.Set(x.gateway.dialect.ExpectedTargetHeader, p.Target)
-	if q.body.length() > 0 {
-		r.Body, r.ContentLength = q.body.reader(), q.body.length()
+	if q.body.Length() > 0 {
+		r.Body, r.ContentLength = q.body.Reader(), q.body.Length()
 	}
 	return r
 }
@@ -209,10 +210,10 @@
 		r.outcome = placement.OutcomeConnectionBroke
 		return r
 	}
-	body, limit := newBudgetedPayload(x.gateway.responses, headerSize(response.Header)), int64(maxBufferedResponse)
+	body, limit := payload.NewBudgeted(x.gateway.responses, headerSize(response.Header)), int64(maxBufferedResponse)
 	if response.StatusCode >= http.StatusMultipleChoices && response.ContentLength <= maxFailureBytes {
 		// A failure may be kept while the request is retried. One of unknown length may have no end.
-		body.overdraws = true
+		body.Overdraws = true
 		if response.ContentLength < 0 {
 			limit = maxFailureBytes
 		}
@@ -221,22 +222,22 @@
 	if x.request.method == http.MethodHead {
 		length = 0
 	}
-	ended, err := body.fill(response.Body, length, limit)
+	ended, err := body.Fill(response.Body, length, limit)
 	switch {
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, payload.ErrNoRoom):
 		// What the target has run is delivered while it is read.
 		x.gateway.stats.responsesUnbuffered.Add(1)
-	case err == nil && !ended && body.overdraws:
+	case err == nil && !ended && body.Overdraws:
 		err = errFailureTooLarge
 		x.gateway.recordTooLarge(p)
 		fallthrough
 	case err != nil:
-		body.release()
+		body.Release()
 		_ = response.Body.Close()
 		r.outcome = x.outcomeOfError(ctx, err)
 		return r
 	}
-	c := &callerResponse{status: response.StatusCode, header: response.Header, body: body, length: body.length()}
+	c := &callerResponse{status: response.StatusCode, header: response.Header, body: body, length: body.Length()}
 	backend.RemoveHopByHopHeaders(c.header)
 	if ended {
 		_ = response.Body.Close()
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"briarcroft/internal/payload"
 	"briarcroft/internal/settings"
 
 	"github.com/matryer/is"
@@ -30,11 +31,11 @@
 			is := is.New(t)
 			s := settings.Default()
 			s.Host.MemoryMB, s.Limits.HeldBytes = c.memoryMB, c.heldBytes
-			requests, responses := newMemoryBudget(s, requestShare), newMemoryBudget(s, responseShare)
-			is.Equal(requests.limit, c.requests)
-			is.Equal(responses.limit, c.responses)
+			requests, responses := payload.NewBudget(s, payload.RequestShare), payload.NewBudget(s, payload.ResponseShare)
+			is.Equal(requests.LimitFor(payload.ShortSize+1), c.requests)
+			is.Equal(responses.LimitFor(payload.ShortSize+1), c.responses)
 			if c.memoryMB > 0 {
-				heap := 1.4 * float64(requests.limitFor(shortPayload)+responses.limitFor(shortPayload))
+				heap := 1.4 * float64(requests.LimitFor(payload.ShortSize)+responses.LimitFor(payload.ShortSize))
 				is.True(heap <= 0.9*float64(s.Host.MemoryLimit()))
 			}
 			is.Equal(CollectionLimit(s), s.Host.MemoryLimit()/5*4)
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -112,7 +112,7 @@
 		}
 		done, previous, ok := c.accept(q.closeAfter)
 		if !ok {
-			q.body.release()
+			q.body.Release()
 			break
 		}
 		c.pipelineSlots <- struct{}{}
@@ -127,7 +127,7 @@
 // awaitMemory waits until the requests of the connection have been answered if no memory is left, so that no further ones wait
 // behind them. It is called once a request has begun to arrive, so that a caller that leaves meanwhile is noticed.
 func (c *callerConn) awaitMemory() {
-	if !c.gateway.bodies.full() && !c.gateway.responses.full() {
+	if !c.gateway.bodies.Full() && !c.gateway.responses.Full() {
 		return
 	}
 	c.mu.Lock()
@@ -224,7 +224,7 @@
 func (c *callerConn) handle(q *request, done chan struct{}, previous <-chan struct{}) {
 	defer func() { <-c.pipelineSlots }()
 	defer close(done)
-	defer q.body.release()
+	defer q.body.Release()
 	defer c.closeAfterPanic(previous)
 	x, response := c.respond(q)
 	<-previous
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -29,7 +29,7 @@
 
 // HeldBytes returns the memory that the bodies of requests and those of responses take.
 func (g *Gateway) HeldBytes() (requests, responses int64) {
-	return g.bodies.used.Load(), g.responses.used.Load()
+	return g.bodies.Used(), g.responses.Used()
 }
 
 // Allowances returns the state of the holder on this host, and whether the host is waiting for another one.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"briarcroft/internal/meter"
 	"briarcroft/internal/note"
 	"briarcroft/internal/notice"
+	"briarcroft/internal/payload"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/platform"
 	"briarcroft/internal/quarantine"
@@ -201,7 +202,7 @@
 	// receiving is the number of streams on which an update of the store has arrived in part.
 	receiving atomic.Int32
 	// bodies bounds the memory for the bodies of requests, and responses that for those of responses.
-	bodies, responses *memoryBudget
+	bodies, responses *payload.Budget
 	// applyMu serializes applyView and guards targetStates, which holds the recorded state of each target by name.
 	applyMu      sync.Mutex
 	targetStates map[string]string
@@ -241,7 +242,7 @@
 	g := &Gateway{
 		config: c, settings: c.Settings, dialect: c.Dialect, start: time.Now(), chain: &note.Chain{},
 		heartbeatTrigger: ring.NewQueue[struct{}](ring.Config{Capacity: 1}), peersAhead: ring.NewQueue[peerAhead](ring.Config{Capacity: 1}), histograms: meter.NewHistograms(), logger: c.Logger,
-		panics: newPanics(), stop: drain.New(), bodies: newMemoryBudget(c.Settings, requestShare), responses: newMemoryBudget(c.Settings, responseShare),
+		panics: newPanics(), stop: drain.New(), bodies: payload.NewBudget(c.Settings, payload.RequestShare), responses: payload.NewBudget(c.Settings, payload.ResponseShare),
 	}
 	g.descriptors = socket.DescriptorLimit(c.Settings.Limits.Descriptors)
 	g.reloadable.Store(&g.settings)
--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -143,5 +143,5 @@
 	q, rejected := newCallerConn(g, &panickingConn{remote, []byte(head)}).nextRequest()
 	is.True(q == nil)
 	is.Equal(rejected.status, http.StatusInternalServerError)
-	is.Equal(g.bodies.used.Load(), int64(0))
+	is.Equal(g.bodies.Used(), int64(0))
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -144,18 +144,18 @@
 // none does.
 func (x *exchange) relay(ctx context.Context, from placer, p placement.Placed) (*http.Response, error) {
 	g := x.gateway
-	if x.request.body.length() > maxRelayedBody {
+	if x.request.body.Length() > maxRelayedBody {
 		return nil, backend.ErrNotSent.New("the request is too large to be relayed to target %s", p.Target)
 	}
 	if !x.request.isUTF8() {
 		return nil, backend.ErrNotSent.New("the request is not UTF-8, as messages to peers must be, and cannot be relayed to target %s", p.Target)
 	}
 	// The message holds the body once more, and its encoding does until it was sent.
-	size := 2 * x.request.body.length()
-	if !g.bodies.acquire(size, size) {
+	size := 2 * x.request.body.Length()
+	if !g.bodies.Acquire(size, size) {
 		return nil, backend.ErrNotSent.New("no memory is left to relay the request to target %s", p.Target)
 	}
-	defer g.bodies.release(size)
+	defer g.bodies.Release(size)
 	err := error(backend.ErrNotSent.New("no peer relays to target %s", p.Target))
 	for _, peer := range g.relayPeers(from, p) {
 		if g.evacuated(p.Target) {
@@ -212,7 +212,7 @@
 func (x *exchange) relayRequest(ctx context.Context, p placement.Placed) *inner.RelayRequest {
 	r := x.targetRequest(ctx, p)
 	return &inner.RelayRequest{
-		Target: p.Target, Address: p.Address, Method: r.Method, Host: r.Host, Uri: x.request.uri, Headers: encodeHeader(r.Header), Body: x.request.body.bytes(),
+		Target: p.Target, Address: p.Address, Method: r.Method, Host: r.Host, Uri: x.request.uri, Headers: encodeHeader(r.Header), Body: x.request.body.Bytes(),
 		TimeoutMilliseconds: max(1, (x.deadline - x.gateway.now()).Milliseconds()), RecentlyUsed: !x.repeatable(),
 	}
 }
@@ -396,11 +396,11 @@
 		return
 	}
 	size := int64(len(r.Body))
-	if !g.bodies.acquire(size, size) {
+	if !g.bodies.Acquire(size, size) {
 		send(&inner.RelayReply{Kind: inner.RelayKind_RelayExhausted})
 		return
 	}
-	defer g.bodies.release(size)
+	defer g.bodies.Release(size)
 	target, found := g.findTarget(r.Target)
 	if !found || target.Draining || target.Address != r.Address || !g.reach.Direct(r.Target) || g.maySend(r.Target) != nil {
 		if found {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"briarcroft/internal/note"
+	"briarcroft/internal/payload"
 	"briarcroft/internal/socket"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,7 +38,7 @@
 	path          string
 	host          string
 	header        http.Header
-	body          *payload
+	body          *payload.Payload
 	callerAddress string
 	// arrived is the time of Gateway.now at which the first byte arrived.
 	arrived time.Duration
@@ -103,7 +104,7 @@
 	q := &request{
 		attemptID: r.Header.Get(c.gateway.dialect.AttemptIDHeader), method: r.Method, uri: r.RequestURI, path: r.URL.Path, host: r.Host,
 		header: r.Header, callerAddress: c.address, arrived: arrived, closeAfter: r.Close || !r.ProtoAtLeast(1, 1),
-		body: newBudgetedPayload(c.gateway.bodies, head),
+		body: payload.NewBudgeted(c.gateway.bodies, head),
 	}
 	if ms, err := strconv.ParseFloat(r.Header.Get(c.gateway.dialect.DeadlineHeader), 64); err == nil && ms > 0 {
 		q.timeout = time.Duration(min(ms, maxTimeout.Seconds()*1000) * float64(time.Millisecond))
@@ -115,7 +116,7 @@
 	// The body may also end with a panic.
 	defer func() {
 		if !complete {
-			q.body.release()
+			q.body.Release()
 		}
 	}()
 	var rejected *rejection
@@ -162,13 +163,13 @@
 	switch {
 	case length > int64(limits.BodyBytes):
 		return false, &rejection{status: http.StatusRequestEntityTooLarge, reason: "BodyTooLong"}
-	case !budget.hasRoom(max(length, minPartBytes)):
+	case !budget.HasRoom(max(length, payload.MinPart)):
 		return false, c.rejectForMemory()
 	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		defer c.sendContinue()()
 	}
-	ended, err := q.body.fill(r.Body, length, int64(limits.BodyBytes))
+	ended, err := q.body.Fill(r.Body, length, int64(limits.BodyBytes))
 	if err == nil && !ended {
 		// The body has reached the limit and must end here.
 		if _, err = io.ReadFull(r.Body, make([]byte, 1)); err == nil {
@@ -179,7 +180,7 @@
 	switch {
 	case ended:
 		return true, nil
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, payload.ErrNoRoom):
 		return false, c.rejectForMemory()
 	}
 	return false, rejectionFor(err)
@@ -244,14 +245,14 @@
 }
 
 // hash returns a hash of the parts, their order and the body.
-func hash(body *payload, parts ...string) uint64 {
+func hash(body *payload.Payload, parts ...string) uint64 {
 	d := xxhash.New()
 	for _, part := range parts {
 		// A hash never fails to write.
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
-	_ = body.writeTo(d)
+	_ = body.CopyTo(d)
 	_, _ = d.Write([]byte{0})
 	return d.Sum64()
 }
--- a/internal/gateway/request_fuzz_test.go
+++ b/internal/gateway/request_fuzz_test.go
@@ -46,7 +46,7 @@
 		if q == nil {
 			return requests
 		}
-		q.body.release()
+		q.body.Release()
 		requests = append(requests, q)
 		if q.closeAfter {
 			return requests
@@ -69,7 +69,7 @@
 	f.Fuzz(func(t *testing.T, sent []byte) {
 		requests := readAll(g, sent)
 		for _, q := range requests {
-			if q.method == "" || q.body.length() > 8<<10 || q.timeout < 0 || q.timeout > maxTimeout {
+			if q.method == "" || q.body.Length() > 8<<10 || q.timeout < 0 || q.timeout > maxTimeout {
 				t.Errorf("%q is read as %+v", sent, q)
 			}
 			q.fingerprint()
@@ -78,8 +78,8 @@
 				t.Errorf("%q gets no response", sent)
 			}
 		}
-		if g.bodies.used.Load() != 0 {
-			t.Errorf("%q leaves %d bytes of the budget in use", sent, g.bodies.used.Load())
+		if g.bodies.Used() != 0 {
+			t.Errorf("%q leaves %d bytes of the budget in use", sent, g.bodies.Used())
 		}
 	})
 }
