Bound the memory of responses to requests with keys (LOST)

On the product's own interface this can happen: the response to a request with a key is read completely before it is sent, up to 64 MiB each, and nothing bounded the sum.

The bodies that are being read now share a budget (0.15 of MemoryMB, at most HeldBytes, 64 MiB without either), as on a gateway. One without room counts as cut off: 502, outcome unknown, which a later request with the key learns too. Responses up to 64 KiB are never affected.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -29,6 +29,7 @@
 	"briarcroft/internal/inner"
 	"briarcroft/internal/meter"
 	"briarcroft/internal/note"
+	"briarcroft/internal/payload"
 	"briarcroft/internal/platform"
 	"briarcroft/internal/quarantine"
 	"briarcroft/internal/record"
@@ -120,6 +121,8 @@
 	stats         stats
 	// panicked gets an item when the host must stop after a panic.
 	panicked chan error
+	// responses bounds the memory of responses that are being read.
+	responses *payload.Budget
 	// stop decides which runs are started in a graceful stop.
 	stop *drain.Gate
 	// requests is the base context of the requests of callers.
@@ -206,7 +209,7 @@
 		h.callerTLS = files.CallerTLS()
 	}
 	var closeRecords, closeClient, closeDispatcher func()
-	h.stop = drain.New()
+	h.stop, h.responses = drain.New(), payload.NewBudget(s, payload.ResponseShare)
 	h.requests, h.cancelRequests = context.WithCancel(context.Background())
 	h.records, closeRecords = record.NewLog(record.LogConfig{Host: s.Host.Name, Incarnation: h.incarnation, Capacity: maxRecords, Logger: h.config.Logger})
 	h.client, closeClient = inner.NewClient(inner.ClientConfig{TLS: h.peerTLS, Dial: h.config.Dial})
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -10,6 +11,7 @@
 	"briarcroft/internal/claim"
 	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
+	"briarcroft/internal/payload"
 	"briarcroft/internal/steering"
 
 	"github.com/joomcode/errorx"
@@ -164,9 +166,9 @@
 		h.idempotency.Finish(key, claim.NotSent{})
 		return response
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, int64(h.settings.Limits.BodyBytes)+1))
+	body, err := h.readWhole(response)
 	closeErr := response.Body.Close()
-	if err != nil || len(body) > h.settings.Limits.BodyBytes {
+	if err != nil {
 		h.idempotency.Finish(key, claim.ResponseLost{})
 		return &steering.Refusal{Status: http.StatusBadGateway, Outcome: claim.Unknown, Reason: "AnswerCut"}
 	}
@@ -179,6 +181,27 @@
 	return replayable
 }
 
+// errResponseTooLong reports that the body of a response exceeds Limits.BodyBytes.
+var errResponseTooLong = errors.New("the body of the response is too long")
+
+// readWhole reads the body of a response completely. All bodies that are being read share a budget, because they may have no end; those
+// that are in memory already do not count. The error is payload.ErrNoRoom, errResponseTooLong or that of reading.
+func (h *Host) readWhole(response *steering.Response) ([]byte, error) {
+	if response.Buffered {
+		return response.Content, nil
+	}
+	body := payload.NewBudgeted(h.responses, 0)
+	defer body.Release()
+	limit := int64(h.settings.Limits.BodyBytes)
+	if _, err := body.Fill(response.Body, -1, limit+1); err != nil {
+		return nil, err
+	}
+	if body.Length() > limit {
+		return nil, errResponseTooLong
+	}
+	return body.Bytes(), nil
+}
+
 // recordRefused stores in the idempotency table that a request was not run, or that its outcome is unknown if the refusal
 // does not say that it was not run.
 func (h *Host) recordRefused(key claim.Key, refusal *steering.Refusal) {
