Soak: callers whose requests take longer than a stop; cut runs need an excuse

Patient callers now send unsafe requests of 2.5 s with a limit of 6 s, some time after their connection could be used. A request that arrives in the second half of a stop is not excused any more by a target at work, and an answer HostStopped needs the excuse too.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -35,6 +35,9 @@
 	// largePath is the path of requests whose responses have largeBytes further bytes, more than hosts hold back.
 	largePath  = "/lookup/large"
 	largeBytes = 3 << 19
+	// longPath is the path of requests that take longDuration.
+	longPath     = "/long/1"
+	longDuration = 2500 * time.Millisecond
 )
 
 // fleet is a set of entry hosts that run as processes, with a store and backend servers that run in the test process.
@@ -147,7 +150,7 @@
 
 func (f *fleet) addTarget(name string) {
 	s := &backendServer{Target: standin.NewTarget(name)}
-	s.CrashPath, s.LargePath, s.LargeBytes = crashPath, largePath, largeBytes
+	s.CrashPath, s.LargePath, s.LargeBytes, s.LongPath, s.LongDuration = crashPath, largePath, largeBytes, longPath, longDuration
 	s.BodySums, s.Responses = map[string]uint32{}, map[string]time.Time{}
 	server := httptest.NewUnstartedServer(s.Target)
 	server.Config.ConnContext = s.ConnContext
@@ -171,7 +174,9 @@
 		return map[string]any{"name": name, "host": "www.example", "prefix": prefix, "kind": kind, "timeout-ms": 2000, "latency-goal-ms": 800,
 			"priority": 2, "service": "stock", "max-attempts": 2}
 	}
-	rules := []any{rule("lookup", "/lookup/", "safe"), rule("order", "/order/", "unsafe")}
+	long := rule("long", "/long/", "unsafe")
+	long["timeout-ms"] = longLimit.Milliseconds()
+	rules := []any{rule("lookup", "/lookup/", "safe"), rule("order", "/order/", "unsafe"), long}
 	for v := 2; v <= version; v++ {
 		rules = append(rules, rule(fmt.Sprintf("v%d", v), fmt.Sprintf("/v%d/", v), "safe"))
 	}
--- a/soak/judgement_test.go
+++ b/soak/judgement_test.go
@@ -11,8 +11,8 @@
 	// lossSlack is the time after the last byte of a request within which a connection may end without the host having read it.
 	lossSlack = 200 * time.Millisecond
 	// stopAcceptance is how long after SIGTERM a request must be sent at the latest to be excused by a target that is at work
-	// in the last sixth of the stop.
-	stopAcceptance = 3 * time.Second
+	// in the last sixth of the stop. Later ones are not passed on unless they end in time.
+	stopAcceptance = stopTimeout / 2
 )
 
 // judgeRequests checks the run counts of all requests and that none was lost, which is only certain once all runs have ended.
@@ -28,7 +28,7 @@
 		if sum, found := r.bodySum(q.id); found && sum != q.bodySum {
 			r.reportViolation("UNASKED: request %s ran with another body", q.id)
 		}
-		if q.complete {
+		if q.complete && !q.cutByStop {
 			continue
 		}
 		excuse := r.excuse(q, arrivals)
@@ -50,7 +50,7 @@
 		return "BehindClose"
 	case q.behindBroken:
 		return "BehindBrokenResponse"
-	case q.begun && q.path == largePath && (q.ended.Sub(q.began) > timeLimit || r.isDisturbed(q.span())):
+	case q.begun && q.path == largePath && (q.ended.Sub(q.began) > q.limit || r.isDisturbed(q.span())):
 		return "LargeResponseBroken"
 	case arrivals == 0 && q.behind:
 		return "BehindAndNotPassedOn"
@@ -58,7 +58,7 @@
 		return "CrossedClose"
 	case arrivals == 0 && !q.kept && q.incarnation.shortOfDescriptors():
 		return "NoDescriptor"
-	case stopping && q.ended.Sub(q.began) >= timeLimit:
+	case stopping && q.ended.Sub(q.began) >= q.limit:
 		return "TimeLimit"
 	case stopping && r.wasAtWork(q, stopped):
 		return "TargetAtWork"
--- a/soak/session_test.go
+++ b/soak/session_test.go
@@ -20,8 +20,11 @@
 
 // Times of callers.
 const (
-	// timeLimit is how long callers wait for a response, as their requests state, and the timeout of the routes.
-	timeLimit = 2 * time.Second
+	// timeLimit is how long callers wait for a response, as their requests state, and the timeout of the routes. Patient callers
+	// wait for longLimit, longer than a stop takes, and may take patientPause until they use a connection that they have opened.
+	timeLimit    = 2 * time.Second
+	longLimit    = 6 * time.Second
+	patientPause = 1500 * time.Millisecond
 	// connectTimeout limits the time to open a connection.
 	connectTimeout = time.Second
 	// endNoticeTime is how long after the end of a process the test may take to notice it.
@@ -47,10 +50,12 @@
 	slowReader
 	// bulkUploader sends one large body in chunks.
 	bulkUploader
+	// patientCaller sends requests that take long, and each only some time after its connection could be used.
+	patientCaller
 )
 
 // allCallers lists the kinds of callers of a run, by their share.
-var allCallers = []callerKind{serialCaller, serialCaller, serialCaller, pipeliningCaller, pipeliningCaller, pipeliningCaller, uploadingCaller, uploadingCaller, slowReader}
+var allCallers = []callerKind{serialCaller, serialCaller, serialCaller, pipeliningCaller, pipeliningCaller, pipeliningCaller, uploadingCaller, uploadingCaller, slowReader, patientCaller, patientCaller}
 
 // sentRequest is one request that was sent on a connection, with what the caller saw.
 type sentRequest struct {
@@ -67,12 +72,16 @@
 	pause  time.Duration
 
 	incarnation *incarnation
+	// limit is how long the caller waits for the response, as the request states.
+	limit time.Duration
 	// kept is set if an earlier request of the connection was answered, behind if an earlier one was not yet when this one was sent.
 	kept, behind bool
 	// began is when the request was begun, sent when its last byte was sent and ended when its response or the connection ended.
 	began, sent, ended time.Time
 	// complete is set if the whole response was received, and begun if its head was.
 	complete, begun bool
+	// cutByStop is set if the response says that a stop has canceled the run.
+	cutByStop bool
 	// behindClose is set if an earlier response announced the end of the connection, and behindBroken if one was broken off.
 	behindClose, behindBroken bool
 	status                    int
@@ -110,7 +119,9 @@
 			time.Sleep(r.randomDuration(5*time.Millisecond, 50*time.Millisecond))
 			continue
 		}
+		s.pause()
 		for ctx.Err() == nil && s.exchange() {
+			s.pause()
 			time.Sleep(r.randomDuration(0, 100*time.Millisecond))
 			if r.intN(10) == 0 {
 				r.checkNoRollback(s.in)
@@ -120,6 +131,13 @@
 	}
 }
 
+// pause waits before a patient caller uses its connection.
+func (s *session) pause() {
+	if s.kind == patientCaller {
+		time.Sleep(s.run.randomDuration(0, patientPause))
+	}
+}
+
 // openSession connects to a host, and returns nil if that is not possible.
 func (r *soakRun) openSession(p *process, kind callerKind) *session {
 	if p.isDisrupted() {
@@ -214,10 +232,12 @@
 	large := s.kind == slowReader || s.kind == pipeliningCaller && s.run.intN(6) == 0
 	var batch []*sentRequest
 	for i := range count {
-		q := &sentRequest{id: s.run.nextID("q"), method: http.MethodGet, path: "/lookup/1", incarnation: s.in, kept: s.answered > 0, behind: i > 0, pieces: 1}
+		q := &sentRequest{id: s.run.nextID("q"), method: http.MethodGet, path: "/lookup/1", incarnation: s.in, limit: timeLimit, kept: s.answered > 0, behind: i > 0, pieces: 1}
 		switch {
 		case large:
 			q.path = largePath
+		case s.kind == patientCaller:
+			q.method, q.path, q.limit, q.unsafe = http.MethodPost, longPath, longLimit, true
 		case s.kind == uploadingCaller:
 			q.method, q.path, q.unsafe = http.MethodPost, "/order/1", true
 			q.setBody(1 + s.run.intN(100_000))
@@ -243,7 +263,7 @@
 
 // head returns the request's head.
 func (q *sentRequest) head() string {
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n", q.method, q.path, q.id, timeLimit.Milliseconds())
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: www.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n", q.method, q.path, q.id, q.limit.Milliseconds())
 	switch {
 	case q.chunked:
 		head += "Transfer-Encoding: chunked\r\n"
@@ -312,7 +332,7 @@
 	giveUp := answerTimeout
 	if !q.kept && s.in.shortOfDescriptors() {
 		// The host may not have accepted the connection.
-		giveUp = 2 * timeLimit
+		giveUp = q.limit + timeLimit
 	}
 	_ = s.conn.SetReadDeadline(q.began.Add(giveUp))
 	response, err := http.ReadResponse(s.reader, &http.Request{Method: q.method})
@@ -330,6 +350,7 @@
 		return
 	}
 	q.complete, q.behindClose = true, response.Close
+	q.cutByStop = q.status == http.StatusGatewayTimeout && response.Header.Get("Briarcroft-Reason") == "HostStopped"
 	s.run.checkResponse(q, response, body)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -262,7 +262,7 @@
 	r.checkDraining()
 	stopCallers()
 	callers.Wait()
-	time.Sleep(2 * time.Second) // longer than any run that is still in flight
+	time.Sleep(longDuration + time.Second) // longer than any run that is still in flight
 	r.judgeRequests()
 	for _, p := range r.hosts {
 		r.checkMemory(p.current())
