--- a/internal/entry/frontend.go
+++ b/internal/entry/frontend.go
@@ -11,6 +11,7 @@
 	"briarcroft/internal/meter"
 	"briarcroft/internal/record"
 	"briarcroft/internal/steering"
+	"briarcroft/internal/uri"
 )
 
 // Limits of the frontend.
@@ -107,7 +108,7 @@
 func (f *frontend) proxyRequest(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	f.host.stats.requests.Add(1)
-	rule, service, found := f.host.dispatcher.Match(r.Host, r.URL.Path, r.Method)
+	rule, service, found := f.host.dispatcher.Match(r.Host, uri.PathOf(r.URL.RequestURI()), r.Method)
 	if !found {
 		f.writeRefusal(w, f.noRuleRefusal(r))
 		return
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -13,6 +13,7 @@
 	"briarcroft/internal/inner"
 	"briarcroft/internal/payload"
 	"briarcroft/internal/steering"
+	"briarcroft/internal/uri"
 
 	"github.com/joomcode/errorx"
 )
@@ -150,7 +151,7 @@
 // runAndRecord runs a keyed request and stores its outcome in the idempotency table before it returns the result,
 // so that the caller never sees a response that a resend would not get.
 func (h *Host) runAndRecord(ctx context.Context, r *steering.Request, key claim.Key) steering.Result {
-	_, service, found := h.dispatcher.Match(r.Host, pathOf(r.URI), r.Method)
+	_, service, found := h.dispatcher.Match(r.Host, uri.PathOf(r.URI), r.Method)
 	if !found {
 		h.idempotency.Finish(key, claim.NotSent{})
 		return &steering.Refusal{Status: http.StatusNotFound, Outcome: claim.NotRun, Reason: "NoRule"}
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -5,12 +5,12 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"net/url"
 	"time"
 
 	"briarcroft/internal/claim"
 	"briarcroft/internal/inner"
 	"briarcroft/internal/steering"
+	"briarcroft/internal/uri"
 )
 
 // statusUnknownGrant is the status of a reply to Pass from a host that cannot answer the request: it neither issued the
@@ -117,7 +117,7 @@
 
 // newRequest converts a forwarded request for the dispatcher; it returns false when no rule matches it.
 func (p *peerServer) newRequest(ctx context.Context, r *inner.PassRequest, header http.Header) (*steering.Request, bool) {
-	rule, _, found := p.host.dispatcher.Match(r.Host, pathOf(r.Uri), r.Method)
+	rule, _, found := p.host.dispatcher.Match(r.Host, uri.PathOf(r.Uri), r.Method)
 	if !found {
 		return nil, false
 	}
@@ -130,14 +130,6 @@
 	return request, true
 }
 
-func pathOf(uri string) string {
-	u, err := url.ParseRequestURI(uri)
-	if err != nil {
-		return "/"
-	}
-	return u.Path
-}
-
 // passReply converts a result into a reply to the peer that forwarded the request.
 func passReply(result steering.Result) *inner.PassReply {
 	w := &replyWriter{header: http.Header{}}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,7 +6,6 @@
 	"io"
 	"math"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -15,6 +14,7 @@
 	"briarcroft/internal/payload"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/record"
+	"briarcroft/internal/uri"
 
 	"github.com/joomcode/errorx"
 )
@@ -161,7 +161,7 @@
 func (x *exchange) targetRequest(ctx context.Context, p placement.Placed) *http.Request {
 	q := x.request
 	r := (&http.Request{
-		Method: q.method, Host: q.host, Header: q.header.Clone(), URL: &url.URL{Scheme: "http", Host: p.Address, Opaque: q.uri},
+		Method: q.method, Host: q.host, Header: q.header.Clone(), URL: uri.URL(p.Address, q.uri),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}).WithContext(ctx)
 	backend.RemoveHopByHopHeaders(r.Header)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -16,6 +16,7 @@
 	"briarcroft/internal/inner"
 	"briarcroft/internal/notice"
 	"briarcroft/internal/placement"
+	"briarcroft/internal/uri"
 
 	"github.com/joomcode/errorx"
 )
@@ -414,7 +415,7 @@
 		send(&inner.RelayReply{Kind: inner.RelayKind_RelayNotSent})
 		return
 	}
-	request.URL.Opaque, request.Host, request.Header = r.Uri, r.Host, decodeHeader(r.Headers)
+	request.URL, request.Host, request.Header = uri.URL(r.Address, r.Uri), r.Host, decodeHeader(r.Headers)
 	g.stats.relayedForPeers.Add(1)
 	response, err := g.pools.get(r.Target, r.Address).Do(request, backend.Options{Once: r.RecentlyUsed})
 	if err != nil {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -16,6 +16,7 @@
 	"briarcroft/internal/note"
 	"briarcroft/internal/payload"
 	"briarcroft/internal/socket"
+	"briarcroft/internal/uri"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -32,10 +33,10 @@
 // request is a request of a caller with its whole body.
 type request struct {
 	// attemptID is the caller's identifier of this attempt; it may be empty.
-	attemptID     string
-	method        string
-	uri           string
-	path          string
+	attemptID string
+	method    string
+	// uri is the request target in origin form as it was sent, and path its canonical path.
+	uri, path     string
 	host          string
 	header        http.Header
 	body          *payload.Payload
@@ -101,8 +102,12 @@
 	if !c.awaitPart(limits.IdleTimeout) {
 		return nil, nil
 	}
+	target, err := uri.Origin(r.RequestURI, r.URL)
+	if err != nil || !uri.IsSentUnchanged(target) {
+		return nil, &rejection{status: http.StatusBadRequest, reason: "InvalidTarget"}
+	}
 	q := &request{
-		attemptID: r.Header.Get(c.gateway.dialect.AttemptIDHeader), method: r.Method, uri: r.RequestURI, path: r.URL.Path, host: r.Host,
+		attemptID: r.Header.Get(c.gateway.dialect.AttemptIDHeader), method: r.Method, uri: target, path: uri.CanonicalPath(uri.PathOf(target)), host: r.Host,
 		header: r.Header, callerAddress: c.address, arrived: arrived, closeAfter: r.Close || !r.ProtoAtLeast(1, 1),
 		body: payload.NewBudgeted(c.gateway.bodies, head),
 	}
--- a/internal/gateway/rules.go
+++ b/internal/gateway/rules.go
@@ -1,13 +1,13 @@
 package gateway
 
 import (
-	"net"
 	"slices"
 	"strings"
 	"sync"
 
 	"briarcroft/internal/account"
 	"briarcroft/internal/note"
+	"briarcroft/internal/uri"
 )
 
 // ruleIndex finds the rule of a request: by its host, then by the longest matching path prefix. It also holds the
@@ -34,7 +34,9 @@
 		x.limits = *c.Limits
 	}
 	for _, r := range c.Rules {
-		x.byHost[r.Host] = append(x.byHost[r.Host], r)
+		host := uri.CanonicalHost(r.Host)
+		r.Path = uri.CanonicalPath(r.Path)
+		x.byHost[host] = append(x.byHost[host], r)
 	}
 	for _, rules := range x.byHost {
 		slices.SortStableFunc(rules, func(a, b note.Rule) int { return len(b.Path) - len(a.Path) })
@@ -42,15 +44,9 @@
 	return x
 }
 
-// match returns the rule for a request, whose host may include a port.
+// match returns the rule for a request with a host and a canonical path.
 func (x *ruleIndex) match(host, path string) (note.Rule, bool) {
-	rules, found := x.byHost[host]
-	if !found {
-		if name, _, err := net.SplitHostPort(host); err == nil {
-			rules = x.byHost[name]
-		}
-	}
-	for _, r := range rules {
+	for _, r := range x.byHost[uri.CanonicalHost(host)] {
 		if strings.HasPrefix(path, r.Path) {
 			return r, true
 		}
--- a/internal/note/configuration.go
+++ b/internal/note/configuration.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"briarcroft/internal/uri"
+
 	"github.com/joomcode/errorx"
 )
 
@@ -132,6 +134,7 @@
 // Match returns the most specific rule for a request. Rules with a host precede those without, then longer paths precede
 // shorter ones, then rules with methods precede those without.
 func (c Configuration) Match(host, path, method string) (Rule, bool) {
+	host, path = uri.CanonicalHost(host), uri.CanonicalPath(path)
 	var best Rule
 	found := false
 	for _, r := range c.Rules {
@@ -144,7 +147,7 @@
 }
 
 func (r Rule) matches(host, path, method string) bool {
-	return (r.Host == "" || r.Host == host) && strings.HasPrefix(path, r.Path) &&
+	return (r.Host == "" || uri.CanonicalHost(r.Host) == host) && strings.HasPrefix(path, uri.CanonicalPath(r.Path)) &&
 		(len(r.Methods) == 0 || slices.Contains(r.Methods, method))
 }
 
--- /dev/null
+++ b/internal/uri/uri.go
@@ -0,0 +1,122 @@
+// Package uri compares the paths and hosts of requests with those of rules, and passes request targets on unchanged.
+package uri
+
+import (
+	"net/url"
+	"strings"
+
+	"github.com/joomcode/errorx"
+)
+
+var namespace = errorx.NewNamespace("uri").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+// ErrTarget reports a request target that cannot be passed on.
+var ErrTarget = namespace.NewType("target")
+
+// upperHex are the digits of percent-encoding (RFC 3986, section 2.1).
+const upperHex = "0123456789ABCDEF"
+
+// isUnreserved reports whether a byte means the same encoded and not (RFC 3986, section 2.3).
+func isUnreserved(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '.' || c == '_' || c == '~'
+}
+
+// mayStand reports whether a byte may stand in a path without encoding (RFC 3986, section 3.3).
+func mayStand(c byte) bool { return isUnreserved(c) || strings.IndexByte("/!$&'()*+,;=:@", c) >= 0 }
+
+// isHex reports whether a byte is a hexadecimal digit, and unhex returns its value.
+func isHex(c byte) bool { return c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F' }
+
+func unhex(c byte) byte {
+	switch {
+	case c <= '9':
+		return c - '0'
+	case c <= 'F':
+		return c - 'A' + 10
+	}
+	return c - 'a' + 10
+}
+
+// CanonicalPath returns a path in the form in which equivalent paths are equal: of what is percent-encoded only unreserved characters are
+// decoded, as an encoded slash separates no segments (RFC 3986, section 6.2.2). Dot segments stay, because they are passed on.
+func CanonicalPath(path string) string {
+	i := 0
+	for i < len(path) && mayStand(path[i]) {
+		i++
+	}
+	if i == len(path) {
+		return path
+	}
+	var b strings.Builder
+	b.WriteString(path[:i])
+	for ; i < len(path); i++ {
+		c := path[i]
+		encoded := c == '%' && i+2 < len(path) && isHex(path[i+1]) && isHex(path[i+2])
+		if encoded {
+			c = unhex(path[i+1])<<4 | unhex(path[i+2])
+			i += 2
+		}
+		if isUnreserved(c) || !encoded && mayStand(c) {
+			b.WriteByte(c)
+			continue
+		}
+		b.WriteByte('%')
+		b.WriteByte(upperHex[c>>4])
+		b.WriteByte(upperHex[c&15])
+	}
+	return b.String()
+}
+
+// CanonicalHost returns a host in lower case without a port and a trailing dot (RFC 3986, section 3.2.2).
+func CanonicalHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && strings.IndexByte(host[i:], ']') < 0 {
+		host = host[:i]
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
+
+// PathOf returns the path of a request target in origin form, as it was sent.
+func PathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+// Origin returns a request target in origin form, with path and query as they were sent, given that net/http has parsed it as u. The
+// error is ErrTarget for the authority form and for userinfo, which no target is to get.
+func Origin(target string, u *url.URL) (string, error) {
+	switch {
+	case strings.HasPrefix(target, "/"), target == "*":
+		return target, nil
+	case u.User != nil || u.Scheme != "http" && u.Scheme != "https" || u.Opaque != "":
+		return "", ErrTarget.New("request target %.80q is neither a path nor a URL of http", target)
+	}
+	// The authority ends with the first slash or question mark behind "://".
+	_, rest, _ := strings.Cut(target, "://")
+	i := strings.IndexAny(rest, "/?")
+	switch {
+	case i < 0:
+		return "/", nil
+	case rest[i] == '?':
+		return "/" + rest[i:], nil
+	}
+	return rest[i:], nil
+}
+
+// URL returns the URL by which net/http sends a request target in origin form to an address unchanged.
+func URL(address, target string) *url.URL {
+	if !strings.HasPrefix(target, "//") {
+		return &url.URL{Scheme: "http", Host: address, Opaque: target}
+	}
+	// Of an opaque part with two slashes net/http would make a URL with another host.
+	path, query, found := strings.Cut(target, "?")
+	decoded, err := url.PathUnescape(path)
+	if err != nil {
+		decoded = path
+	}
+	return &url.URL{Scheme: "http", Host: address, Path: decoded, RawPath: path, RawQuery: query, ForceQuery: found && query == ""}
+}
+
+// IsSentUnchanged reports whether URL keeps a request target as it is.
+func IsSentUnchanged(target string) bool {
+	return URL("host", target).RequestURI() == target
+}
