Ask for keys after the last account is taken away (CONFIG)

Cause: an empty list was decoded as none, and none means that no keys are asked for.

Change: KeysWithdrawn says that keys are required and none is valid.

--- a/internal/account/index.go
+++ b/internal/account/index.go
@@ -30,13 +30,13 @@
 	byKey map[Credential]*Account
 }
 
-// NewIndex returns the index of the accounts of a configuration, or nil if there are none.
-func NewIndex(accounts []note.Account) *Index {
-	if len(accounts) == 0 {
+// NewIndex returns the index of the accounts of a configuration, or nil if requests need no key.
+func NewIndex(c note.Configuration) *Index {
+	if !c.KeysRequired() {
 		return nil
 	}
-	x := &Index{byKey: make(map[Credential]*Account, len(accounts))}
-	for _, a := range accounts {
+	x := &Index{byKey: make(map[Credential]*Account, len(c.Accounts))}
+	for _, a := range c.Accounts {
 		account := &Account{Name: a.Name, Priority: a.Priority}
 		for _, key := range a.Keys {
 			x.byKey[NewCredential(key)] = account
--- a/internal/account/index_test.go
+++ b/internal/account/index_test.go
@@ -40,12 +40,12 @@
 	for i := range 10_000 {
 		accounts = append(accounts, note.Account{Name: fmt.Sprint("account-", i), Keys: note.Keys{fmt.Sprint("secret-", i), fmt.Sprint("other-", i)}, Priority: i})
 	}
-	index := NewIndex(accounts)
+	index := NewIndex(note.Configuration{Accounts: accounts})
 	is.Equal(*index.Find(NewCredential("secret-7")), Account{"account-7", 7})
 	is.Equal(*index.Find(NewCredential("other-9999")), Account{"account-9999", 9999})
 	is.True(index.Find(NewCredential("secret-10000")) == nil)
 	is.True(!strings.Contains(fmt.Sprintf("%+v %#v", index, index), "secret"))
 	is.Equal(fmt.Sprint(NewCredential("secret-7")), note.Fingerprint("secret-7"))
-	is.True(NewIndex(nil) == nil)
-	is.True(NewIndex(nil).Find(NewCredential("secret-7")) == nil)
+	is.True(NewIndex(note.Configuration{}) == nil)
+	is.True(NewIndex(note.Configuration{}).Find(NewCredential("secret-7")) == nil)
 }
--- a/internal/gateway/accounts_test.go
+++ b/internal/gateway/accounts_test.go
@@ -118,6 +118,43 @@
 	})
 }
 
+// TestEmptyListTakesKeysAway guards against hosts that ask for no key after all accounts have been taken away.
+func TestEmptyListTakesKeysAway(t *testing.T) {
+	withAccounts(t, 3, func(f *fleet) {
+		f.tenants = []tenant{}
+		f.configureAccounts(3)
+		time.Sleep(configurationBound)
+		expect := func(version int, path string, status int, keys ...string) {
+			for name := range f.hosts {
+				id := fmt.Sprintf("%s%s-%d-%v", name, path, version, keys)
+				f.is.Equal(f.callWithKeys(name, path, id, keys...).status, status)
+				f.is.Equal(f.lastHeader(id, "X-Credential"), nil)
+			}
+		}
+		expect(3, "/lookup/1", 401, "n1")
+		expect(3, "/lookup/1", 401)
+		expect(3, "/open/1", 200, "n1")
+
+		// What is no list changes nothing.
+		f.store.Put("op/config", []byte(`{"version":"4","tenants":null}`))
+		time.Sleep(configurationBound)
+		f.is.Equal(f.hosts["h0"].gateway.NoteNumber(), 3)
+		expect(4, "/lookup/1", 401, "n1")
+
+		f.tenants = []tenant{{"name": "north", "api-keys": []string{"n1"}}, {"name": "south", "api-keys": []string{}}, {"name": "east"}}
+		f.configureAccounts(5)
+		time.Sleep(configurationBound)
+		expect(5, "/lookup/1", 200, "n1")
+		expect(5, "/lookup/1", 401, "s1")
+
+		// A version without the list asks for no keys.
+		f.tenants = nil
+		f.configureAccounts(6)
+		time.Sleep(configurationBound)
+		f.is.Equal(f.callWithKeys("h0", "/lookup/1", "none").status, 200)
+	})
+}
+
 // TestFieldsPassWithoutAccounts guards against changing the header fields of deployments that have no accounts.
 func TestFieldsPassWithoutAccounts(t *testing.T) {
 	withFleet(t, 1, 1, func(f *fleet) {
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -156,11 +156,15 @@
 
 // configure writes a configuration to the store, as the operator does, and returns its size in bytes.
 func (f *fleet) configure(version int, rules ...rule) int {
-	value, err := json.Marshal(map[string]any{
-		"tenants": f.tenants, "version": fmt.Sprintf("%08x", version), "routes": rules,
+	configuration := map[string]any{
+		"version": fmt.Sprintf("%08x", version), "routes": rules,
 		"services": []any{map[string]any{"name": "stock", "health-path": "/health", "max-connections": cmp.Or(f.maxConnections, 100)}, map[string]any{"name": "other", "health-path": "/health", "max-connections": 100}},
 		"limits":   map[string]any{"max-header-bytes": 4096, "max-body-bytes": 1 << 20, "header-timeout-ms": 2000, "idle-timeout-ms": 15000},
-	})
+	}
+	if f.tenants != nil {
+		configuration["tenants"] = f.tenants
+	}
+	value, err := json.Marshal(configuration)
 	f.is.NoErr(err)
 	f.store.Put("op/config", value)
 	return len(value)
--- a/internal/gateway/rules.go
+++ b/internal/gateway/rules.go
@@ -16,7 +16,7 @@
 	byHost map[string][]note.Rule
 	limits note.Limits
 	number int
-	// accounts finds client accounts by key; it is nil if the configuration has none, and accountList is what it was made of.
+	// accounts finds client accounts by key; it is nil if requests need no key, and accountList is what it was made of.
 	accounts    *account.Index
 	accountList []note.Account
 }
@@ -28,7 +28,7 @@
 	if sameSlice(previous.accountList, c.Accounts) {
 		x.accounts = previous.accounts
 	} else {
-		x.accounts = account.NewIndex(c.Accounts)
+		x.accounts = account.NewIndex(c)
 	}
 	if c.Limits != nil {
 		x.limits = *c.Limits
--- a/internal/note/account_test.go
+++ b/internal/note/account_test.go
@@ -96,6 +96,26 @@
 	is.Equal(applied, next)
 }
 
+// TestWithdrawnAccountsLeaveKeysRequired guards against notes that make hosts ask for no key because they withdraw the last account.
+func TestWithdrawnAccountsLeaveKeysRequired(t *testing.T) {
+	is := is.New(t)
+	c, err := Configuration{}.Apply(Note{Services: []Service{{Name: "s"}}})
+	is.NoErr(err)
+	is.True(!c.KeysRequired())
+	c, err = c.Apply(Note{Accounts: []Account{{Name: "a", Keys: Keys{"k1"}}}})
+	is.NoErr(err)
+	is.True(c.KeysRequired() && !c.KeysWithdrawn)
+	c, err = c.Apply(Note{Withdraw: Withdrawal{Accounts: []string{"a"}}})
+	is.NoErr(err)
+	is.True(c.KeysRequired() && c.KeysWithdrawn)
+	c, err = c.Apply(Note{Services: []Service{{Name: "t"}}})
+	is.NoErr(err)
+	is.True(c.KeysRequired())
+	c, err = c.Apply(Note{Accounts: []Account{{Name: "b"}}})
+	is.NoErr(err)
+	is.True(c.KeysRequired() && !c.KeysWithdrawn)
+}
+
 // TestParseSecondRuns guards against a limit of 0, which forbids second runs, being taken for none, and against limits that do not
 // survive the JSON text of a record.
 func TestParseSecondRuns(t *testing.T) {
--- a/internal/note/configuration.go
+++ b/internal/note/configuration.go
@@ -23,8 +23,10 @@
 	Services []Service
 	Targets  []Target
 	Rules    []Rule
-	// Accounts holds the client accounts; if there are none, requests need no key.
+	// Accounts holds the client accounts; if there are none, requests need no key, unless KeysWithdrawn is set.
 	Accounts []Account `json:",omitempty"`
+	// KeysWithdrawn is set if all accounts have been taken away: requests need a key as before, and no key is valid.
+	KeysWithdrawn bool `json:",omitempty"`
 	// Limits holds the limits that a configuration of the users' platform sets. It is nil in configurations that are made
 	// of operators' notes; the limits in each host's settings apply then.
 	Limits *Limits `json:",omitempty"`
@@ -46,6 +48,7 @@
 	if next.Accounts, err = mergeEntries(c.Accounts, n.Accounts, n.Withdraw.Accounts, "Account", accountName); err != nil {
 		return c, err
 	}
+	next.KeysWithdrawn = len(next.Accounts) == 0 && c.KeysRequired()
 	if isEmpty(n) {
 		return c, ErrInvalid.New("the note changes nothing; add, change or withdraw something")
 	}
@@ -55,6 +58,9 @@
 	return next, nil
 }
 
+// KeysRequired reports whether requests need a key, unless their rule is public.
+func (c Configuration) KeysRequired() bool { return len(c.Accounts) > 0 || c.KeysWithdrawn }
+
 func serviceName(s Service) string { return s.Name }
 func targetName(t Target) string   { return t.Name }
 func ruleName(r Rule) string       { return r.Name }
