--- a/internal/entry/frontend.go
+++ b/internal/entry/frontend.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"briarcroft/internal/claim"
+	"briarcroft/internal/message"
 	"briarcroft/internal/meter"
 	"briarcroft/internal/record"
 	"briarcroft/internal/steering"
@@ -108,6 +109,11 @@
 func (f *frontend) proxyRequest(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	f.host.stats.requests.Add(1)
+	if problem := message.CheckRequest(r, r.Header[steering.HeaderDeadline], r.Header["Idempotency-Key"]); problem != nil {
+		w.Header().Set("Connection", "close")
+		f.writeRefusal(w, &steering.Refusal{Status: problem.Status, Outcome: claim.NotRun, Reason: problem.Reason})
+		return
+	}
 	rule, service, found := f.host.dispatcher.Match(r.Host, uri.PathOf(r.URL.RequestURI()), r.Method)
 	if !found {
 		f.writeRefusal(w, f.noRuleRefusal(r))
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -330,6 +330,7 @@
 	q := &request{method: http.MethodGet}
 	c.writeResponse(q, localResponse(rejected.status, rejected.reason, rejected.retryAfter), true)
 	c.gateway.stats.rejected.Add(1)
+	c.gateway.requestLog.add(logEntry{at: time.Now().UTC(), outcome: "Rejected", reason: rejected.reason, status: rejected.status, caller: c.address})
 }
 
 // callerDisconnected reports whether reading ended because the caller disconnected or was idle for too long, not because
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -11,8 +12,10 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
+	"briarcroft/internal/message"
 	"briarcroft/internal/note"
 	"briarcroft/internal/payload"
 	"briarcroft/internal/socket"
@@ -58,6 +61,8 @@
 	remaining int
 	// err is the error of the last read; it is nil if there was none.
 	err error
+	// recorded holds what was read while a head is read; it is nil otherwise.
+	recorded *bytes.Buffer
 }
 
 // Read implements io.Reader.
@@ -69,9 +74,63 @@
 	n, err := c.Conn.Read(p[:min(len(p), c.remaining)])
 	c.remaining -= n
 	c.err = err
+	if c.recorded != nil {
+		c.recorded.Write(p[:n])
+	}
 	return n, err
 }
 
+// heads pools the buffers for heads of requests.
+var heads = sync.Pool{New: func() any { return &bytes.Buffer{} }}
+
+// headEnd ends the head of a request, unless its lines end without CR.
+var headEnd = []byte("\r\n\r\n")
+
+// readHead reads the head of a request and checks it. The body was not read.
+func (c *callerConn) readHead() (*http.Request, *rejection) {
+	arrived, _ := c.reader.Peek(c.reader.Buffered())
+	if bytes.Contains(arrived, headEnd) {
+		// Most heads have arrived completely and are checked where they are.
+		if problem := message.CheckHead(arrived); problem != nil {
+			return nil, newRejection(problem)
+		}
+		return c.parseHead()
+	}
+	head := heads.Get().(*bytes.Buffer)
+	defer heads.Put(head)
+	head.Reset()
+	head.Write(arrived)
+	c.conn.recorded = head
+	r, rejected := c.parseHead()
+	c.conn.recorded = nil
+	if r == nil {
+		return nil, rejected
+	}
+	if problem := message.CheckHead(head.Bytes()); problem != nil {
+		return nil, newRejection(problem)
+	}
+	return r, nil
+}
+
+// parseHead parses the head of a request.
+func (c *callerConn) parseHead() (*http.Request, *rejection) {
+	r, err := http.ReadRequest(c.reader)
+	if err != nil {
+		// A head that ends in the middle of a line is parsed as far as it goes, which hides the reason for its end.
+		return nil, rejectionFor(cmp.Or(c.conn.err, err))
+	}
+	dialect := &c.gateway.dialect
+	if problem := message.CheckRequest(r, r.Header[dialect.AttemptIDHeader], r.Header[dialect.DeadlineHeader]); problem != nil {
+		return nil, newRejection(problem)
+	}
+	return r, nil
+}
+
+// newRejection returns the rejection of a request that must not be handled.
+func newRejection(p *message.Problem) *rejection {
+	return &rejection{status: p.Status, reason: p.Reason}
+}
+
 // rejection is the error response to a request that cannot be read; its connection is closed.
 type rejection struct {
 	status int
@@ -91,10 +150,9 @@
 	if !c.awaitPart(limits.HeaderTimeout) {
 		return nil, nil
 	}
-	r, err := http.ReadRequest(c.reader)
-	if err != nil {
-		// A head that ends in the middle of a line is parsed as far as it goes, which hides the reason for its end.
-		return nil, rejectionFor(cmp.Or(c.conn.err, err))
+	r, rejected := c.readHead()
+	if r == nil {
+		return nil, rejected
 	}
 	head := int64(limits.HeaderBytes + requestLineBytes - c.conn.remaining)
 	// The body has its own limit, in readBody.
@@ -107,11 +165,11 @@
 		return nil, &rejection{status: http.StatusBadRequest, reason: "InvalidTarget"}
 	}
 	q := &request{
-		attemptID: r.Header.Get(c.gateway.dialect.AttemptIDHeader), method: r.Method, uri: target, path: uri.CanonicalPath(uri.PathOf(target)), host: r.Host,
+		attemptID: firstValue(r.Header, c.gateway.dialect.AttemptIDHeader), method: r.Method, uri: target, path: uri.CanonicalPath(uri.PathOf(target)), host: r.Host,
 		header: r.Header, callerAddress: c.address, arrived: arrived, closeAfter: r.Close || !r.ProtoAtLeast(1, 1),
 		body: payload.NewBudgeted(c.gateway.bodies, head),
 	}
-	if ms, err := strconv.ParseFloat(r.Header.Get(c.gateway.dialect.DeadlineHeader), 64); err == nil && ms > 0 {
+	if ms, err := strconv.ParseFloat(firstValue(r.Header, c.gateway.dialect.DeadlineHeader), 64); err == nil && ms > 0 {
 		q.timeout = time.Duration(min(ms, maxTimeout.Seconds()*1000) * float64(time.Millisecond))
 	}
 	if r.ContentLength == 0 {
@@ -124,13 +182,20 @@
 			q.body.Release()
 		}
 	}()
-	var rejected *rejection
 	if complete, rejected = c.readBody(q, r, limits); !complete {
 		return nil, rejected
 	}
 	return q, nil
 }
 
+// firstValue returns the first value of a field whose name has the canonical form, or the empty string.
+func firstValue(h http.Header, name string) string {
+	if values := h[name]; len(values) > 0 {
+		return values[0]
+	}
+	return ""
+}
+
 // awaitFirstByte waits for the first byte of a request and reports whether one came.
 func (c *callerConn) awaitFirstByte(limits note.Limits) bool {
 	c.conn.remaining = limits.HeaderBytes + requestLineBytes
--- a/internal/gateway/request_fuzz_test.go
+++ b/internal/gateway/request_fuzz_test.go
@@ -23,6 +23,8 @@
 
 func (c callerBytes) Read(p []byte) (int, error)       { return c.sent.Read(p) }
 func (c callerBytes) Write(p []byte) (int, error)      { return len(p), nil }
+func (c callerBytes) LocalAddr() net.Addr              { return &net.TCPAddr{IP: net.IPv4(10, 0, 0, 2), Port: 80} }
+func (c callerBytes) SetDeadline(time.Time) error      { return nil }
 func (c callerBytes) SetReadDeadline(time.Time) error  { return nil }
 func (c callerBytes) SetWriteDeadline(time.Time) error { return nil }
 func (c callerBytes) RemoteAddr() net.Addr             { return &net.TCPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 1} }
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -46,7 +46,7 @@
 	// relayedBy is the peer that relayed a run; it is empty if none did.
 	relayedBy string
 	// caller, path and fingerprint tell which requests repeat one another. They are set for requests that a target may have
-	// run without a response, and for those that were refused because of that.
+	// run without a response, and for those that were refused because of that. Of a request that could not be read only caller is.
 	caller, path string
 	fingerprint  uint64
 	// sharedFingerprints are those of request.sharedFingerprints.
@@ -107,8 +107,11 @@
 			e.Dur("TurnMilliseconds", v.Turn).Int("Free", v.Free)
 		}
 	}
+	if entry.caller != "" {
+		e.Str("Caller", entry.caller)
+	}
 	if entry.fingerprint != 0 {
-		e.Str("Caller", entry.caller).Str("Path", entry.path).Str("Fingerprint", strconv.FormatUint(entry.fingerprint, 16))
+		e.Str("Path", entry.path).Str("Fingerprint", strconv.FormatUint(entry.fingerprint, 16))
 		shared := make([]string, 0, len(entry.sharedFingerprints))
 		for _, f := range entry.sharedFingerprints {
 			shared = append(shared, strconv.FormatUint(f, 16))
--- a/internal/uri/uri.go
+++ b/internal/uri/uri.go
@@ -21,8 +21,13 @@
 	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '.' || c == '_' || c == '~'
 }
 
-// mayStand reports whether a byte may stand in a path without encoding (RFC 3986, section 3.3).
-func mayStand(c byte) bool { return isUnreserved(c) || strings.IndexByte("/!$&'()*+,;=:@", c) >= 0 }
+// mayStand holds the bytes that may stand in a path without encoding (RFC 3986, section 3.3).
+var mayStand = func() (set [256]bool) {
+	for c := range set {
+		set[c] = isUnreserved(byte(c)) || strings.IndexByte("/!$&'()*+,;=:@", byte(c)) >= 0
+	}
+	return set
+}()
 
 // isHex reports whether a byte is a hexadecimal digit, and unhex returns its value.
 func isHex(c byte) bool { return c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F' }
@@ -41,7 +46,7 @@
 // decoded, as an encoded slash separates no segments (RFC 3986, section 6.2.2). Dot segments stay, because they are passed on.
 func CanonicalPath(path string) string {
 	i := 0
-	for i < len(path) && mayStand(path[i]) {
+	for i < len(path) && mayStand[path[i]] {
 		i++
 	}
 	if i == len(path) {
@@ -56,7 +61,7 @@
 			c = unhex(path[i+1])<<4 | unhex(path[i+2])
 			i += 2
 		}
-		if isUnreserved(c) || !encoded && mayStand(c) {
+		if isUnreserved(c) || !encoded && mayStand[c] {
 			b.WriteByte(c)
 			continue
 		}
@@ -118,5 +123,5 @@
 
 // IsSentUnchanged reports whether URL keeps a request target as it is.
 func IsSentUnchanged(target string) bool {
-	return URL("host", target).RequestURI() == target
+	return !strings.HasPrefix(target, "//") || URL("host", target).RequestURI() == target
 }
