--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,8 @@
 	"math"
 	"net/http"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"briarcroft/internal/backend"
@@ -203,6 +205,32 @@
 	return false
 }
 
+// streamedRules tells which rules have large responses. It is safe for concurrent use.
+type streamedRules struct {
+	// any is set once there was one.
+	any atomic.Bool
+	// seen holds, by the name of the rule, when a response was last passed on while it was read, on the clock of Gateway.now.
+	seen sync.Map
+}
+
+// streamedRuleTime is for how long a rule is expected to have further such responses.
+const streamedRuleTime = time.Minute
+
+func (s *streamedRules) add(rule string, now time.Duration) {
+	s.seen.Store(rule, now)
+	s.any.Store(true)
+}
+
+// mayStream reports whether the response to a request may be passed on while it is read, as others to its rule have been.
+func (g *Gateway) mayStream(q *request) bool {
+	if !g.streamedRules.any.Load() {
+		return false
+	}
+	rule, _ := g.rules.Load().match(q.host, q.path)
+	seen, found := g.streamedRules.seen.Load(rule.Name)
+	return found && g.now()-seen.(time.Duration) < streamedRuleTime
+}
+
 // readResponse reads a response completely, or its beginning when it reaches maxBufferedResponse or no memory is left. A
 // success, or a status that implies that the request was not run, counts as a broken connection unless the seal header proves
 // that the target itself sent it.
@@ -246,6 +274,7 @@
 		_ = response.Body.Close()
 	} else {
 		c.unread, c.length = response.Body, length
+		x.gateway.streamedRules.add(x.rule.Name, x.gateway.now())
 	}
 	if x.request.method == http.MethodHead {
 		c.length = max(0, response.ContentLength)
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -56,8 +56,9 @@
 	readStopped bool
 	// truncated is set once a response was not sent completely; nothing may follow it.
 	truncated atomic.Bool
-	// lastDone is closed when the last accepted request has been answered.
-	lastDone chan struct{}
+	// lastDone is closed when the last accepted request has been answered, and lastStreamed when the last one has been whose response
+	// may be passed on while it is read; nil means none. The latter belongs to the goroutine that reads requests.
+	lastDone, lastStreamed chan struct{}
 	// progress is guarded by mu.
 	progress connProgress
 	// pipelineSlots holds one item for each request in progress, up to maxPipelined.
@@ -116,7 +117,11 @@
 			break
 		}
 		c.pipelineSlots <- struct{}{}
-		handlers.Go(func() { c.handle(q, done, previous) })
+		streamed := c.lastStreamed
+		if c.gateway.mayStream(q) {
+			c.lastStreamed = done
+		}
+		handlers.Go(func() { c.handle(q, done, previous, streamed) })
 		if !c.acceptsMore() {
 			break
 		}
@@ -220,12 +225,22 @@
 	return done, previous, true
 }
 
-// handle handles one request and writes its response after those of the requests before it.
-func (c *callerConn) handle(q *request, done chan struct{}, previous <-chan struct{}) {
+// handle handles one request and writes its response after those of the requests before it. Once a response may be broken off that is
+// passed on while it is read, nothing behind it is certain to be answered, so the request is not passed on before streamed is closed; nil
+// means that there is no such response.
+func (c *callerConn) handle(q *request, done chan struct{}, previous, streamed <-chan struct{}) {
 	defer func() { <-c.pipelineSlots }()
 	defer close(done)
 	defer q.body.Release()
 	defer c.closeAfterPanic(previous)
+	if streamed != nil {
+		<-streamed
+		if c.truncated.Load() {
+			<-previous
+			c.responseWritten(true)
+			return
+		}
+	}
 	x, response := c.respond(q)
 	<-previous
 	closing := c.isLastResponse()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -177,6 +177,7 @@
 	relaysForPeers atomic.Int64
 	homeClient     *homeClient
 	rules          atomic.Pointer[ruleIndex]
+	streamedRules  streamedRules
 	// ages holds what callers name as their remaining time. It is used only with Overload.AgeOrder.
 	ages       *age.Table
 	split      trafficSplit
--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -80,7 +80,7 @@
 			statuses <- response.StatusCode
 		}
 	}()
-	conn.handle(&request{method: http.MethodGet}, done, previous)
+	conn.handle(&request{method: http.MethodGet}, done, previous, nil)
 	<-done
 	is.Equal(<-statuses, http.StatusServiceUnavailable)
 	is.Equal(g.stats.panics.Load(), int64(1))
