--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,9 @@
 RED := $(shell sed -n 's/^Test: *\([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | sort -u | paste -sd'|' -)
 SKIP := $(if $(RED),-skip '^($(RED))$$',)
 
-.PHONY: run build test lint bench bounds red soak soak-processes
+FUZZTIME ?= 20s
+
+.PHONY: run build test lint bench bounds red fuzz soak soak-processes
 
 run: build
 	./briarcroft demo
@@ -28,6 +30,10 @@
 bounds:
 	BRIARCROFT_FULL=1 go test $(SKIP) ./internal/admission ./internal/claim ./internal/entry -run 'Table$$|Bound$$' -count 1 -v
 
+# Compares what a gateway and net/http's server find in arbitrary bytes, for example: make fuzz FUZZTIME=10m.
+fuzz:
+	go test ./internal/gateway -run '^$$' -fuzz FuzzSameRequests -fuzztime $(FUZZTIME) -parallel 2
+
 bench: bounds
 	BRIARCROFT_FULL=1 go test ./internal/admission -run Variations -count 1 -v
 	go test ./... -run '^$$' -bench . -benchmem -count 1
