--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -13,18 +13,25 @@
 	"briarcroft/internal/steering"
 )
 
-// slowPath is the path of requests that take longer than a stop.
-const slowPath = "/slow"
+// slowPath is the path of requests that take longer than a stop, and brokenPath that of requests whose connection breaks.
+const (
+	slowPath   = "/slow"
+	brokenPath = "/broken"
+)
 
 // withSlowFleet runs a test on two hosts and a target whose rule allows for requests that take longer than a stop.
 func withSlowFleet(t *testing.T, run func(f *fleet, target *fakeBackend)) {
 	handler := func(b *fakeBackend, w http.ResponseWriter, r *http.Request, _ string) {
 		b.recordRun(r)
-		if r.URL.Path == slowPath {
+		switch r.URL.Path {
+		case slowPath:
 			select {
 			case <-time.After(50 * time.Second):
 			case <-r.Context().Done():
 			}
+		case brokenPath:
+			time.Sleep(8 * time.Second)
+			panic(http.ErrAbortHandler)
 		}
 		_, _ = io.WriteString(w, "done")
 	}
@@ -101,3 +108,28 @@
 		})
 	}
 }
+
+// TestStopPromisesNothingAfterBrokenRun guards against a refusal, as not run, of a request that waits for a second attempt when a stop
+// ends, though its first one may have run.
+func TestStopPromisesNothingAfterBrokenRun(t *testing.T) {
+	withSlowFleet(t, func(f *fleet, _ *fakeBackend) {
+		host := f.nodes["entry-1"]
+		responses := make(chan *http.Response, 1)
+		go func() {
+			response, _, err := f.send(host, http.MethodGet, brokenPath, "", nil)
+			f.is.NoErr(err)
+			responses <- response
+		}()
+		time.Sleep(20 * time.Millisecond)
+		for range 100 {
+			go func() { _, _, _ = f.send(host, http.MethodPost, slowPath, "", nil) }()
+			time.Sleep(20 * time.Millisecond)
+		}
+		host.stop()
+		response := <-responses
+		f.is.Equal(response.StatusCode, http.StatusBadGateway)
+		f.is.Equal(response.Header.Get(steering.HeaderOutcome), "Unknown")
+		<-host.done
+		host.done <- nil // for close, which receives from it again
+	})
+}
--- a/internal/steering/run.go
+++ b/internal/steering/run.go
@@ -21,12 +21,17 @@
 		return hostStopping()
 	}
 	excluded := ""
+	var last *failure
 	for attempt := 1; ; attempt++ {
 		response, failed := s.attemptOnce(ctx, r, excluded)
+		stopping := failed != nil && failed.kind == failedCanceledBeforeSend && ctx.Err() == nil && !s.mayStartRun(r)
 		switch {
 		case failed == nil:
 			return response
-		case failed.kind == failedCanceledBeforeSend && ctx.Err() == nil && !s.mayStartRun(r):
+		case stopping && last != nil:
+			// An earlier attempt may have run.
+			return resultOf(ctx, r, last, true)
+		case stopping:
 			return hostStopping()
 		case !mayRetry(ctx, r, failed) || !s.mayStartRun(r):
 			return resultOf(ctx, r, failed, false)
@@ -35,7 +40,7 @@
 			return resultOf(ctx, r, failed, true)
 		}
 		r.RetryAllowance = max(0, r.RetryAllowance-1)
-		excluded = failed.target
+		excluded, last = failed.target, failed
 	}
 }
 
