Answer requests whose target is no URL (LOST)

Found by a new test: a request with a target such as 'order/1' or '/\x7f' got no answer, as the error of the URL counts as one of the network, by which the connection would have ended.

It is answered with 400 InvalidTarget now.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -214,9 +215,13 @@
 // rejectionFor returns the rejection for a read error, or nil when the connection has ended.
 func rejectionFor(err error) *rejection {
 	var netErr net.Error
+	var urlErr *url.Error
 	switch {
 	case errors.Is(err, errHeaderTooLong):
 		return &rejection{status: http.StatusRequestHeaderFieldsTooLarge, reason: "HeaderTooLong"}
+	case errors.As(err, &urlErr):
+		// It is a net.Error too, but the connection is sound.
+		return &rejection{status: http.StatusBadRequest, reason: "InvalidTarget"}
 	case errors.As(err, &netErr) && netErr.Timeout():
 		return &rejection{status: http.StatusRequestTimeout, reason: "HeaderTooSlow"}
 	case errors.As(err, &netErr), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
