--- a/internal/gateway/second_answer_test.go
+++ b/internal/gateway/second_answer_test.go
@@ -19,7 +19,7 @@
 	delay time.Duration
 }
 
-// serve serves connections until the listener is closed. Errors mean that a client has disconnected.
+// serveConn serves one connection. Errors mean that a client has disconnected.
 func (t *repeatingTarget) serveConn(conn net.Conn) {
 	defer conn.Close()
 	answers := make(chan string, 200)
