--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -177,7 +177,8 @@
 	relaysForPeers atomic.Int64
 	homeClient     *homeClient
 	rules          atomic.Pointer[ruleIndex]
-	streamedRules  streamedRules
+	// streamedRules tells behind which requests of a pipeline nothing is passed on.
+	streamedRules streamedRules
 	// ages holds what callers name as their remaining time. It is used only with Overload.AgeOrder.
 	ages       *age.Table
 	split      trafficSplit
--- a/internal/uri/uri.go
+++ b/internal/uri/uri.go
@@ -29,9 +29,10 @@
 	return set
 }()
 
-// isHex reports whether a byte is a hexadecimal digit, and unhex returns its value.
+// isHex reports whether a byte is a hexadecimal digit.
 func isHex(c byte) bool { return c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F' }
 
+// unhex returns the value of a hexadecimal digit.
 func unhex(c byte) byte {
 	switch {
 	case c <= '9':
--- a/soak/judgement_test.go
+++ b/soak/judgement_test.go
@@ -62,6 +62,9 @@
 		return "TimeLimit"
 	case stopping && r.wasAtWork(q, stopped):
 		return "TargetAtWork"
+	case q.cutByStop && r.isDisturbed(q.span()):
+		// The link to the target was cut or slow: the response has not arrived at the host.
+		return "LinkDisturbed"
 	}
 	return ""
 }
