--- a/internal/drain/gate.go
+++ b/internal/drain/gate.go
@@ -78,6 +78,9 @@
 // the end of the stop may cut off must belong to a request that arrived before callers had stopped using the host, and be started early
 // enough.
 func (g *Gate) MayStartRun(now, arrived, deadline time.Duration) bool {
+	if g.EndsInTime(deadline) {
+		return true
+	}
 	s := g.schedule.Load()
-	return s == nil || deadline <= s.Answered || arrived <= s.Drained && now < s.LastRun
+	return arrived <= s.Drained && now < s.LastRun
 }
--- a/internal/gateway/accounts.go
+++ b/internal/gateway/accounts.go
@@ -37,8 +37,8 @@
 }
 
 // authenticate finds the client account of a request and returns nil, or the response if the request must not run. If the
-// configuration has accounts, the request loses its key, and any account that the caller names; targetRequest names the true one. The result of mayAcceptKeys must be older
-// than the index.
+// configuration has accounts, the request loses its key, and any account that the caller names; targetRequest names the true one. The
+// result of mayAcceptKeys must be older than the index.
 func (x *exchange) authenticate(index *ruleIndex, mayAcceptKeys bool) *callerResponse {
 	g := x.gateway
 	if index.accounts == nil {
--- a/internal/uri/uri.go
+++ b/internal/uri/uri.go
@@ -2,7 +2,9 @@
 package uri
 
 import (
+	"fmt"
 	"net/url"
+	"strconv"
 	"strings"
 
 	"github.com/joomcode/errorx"
@@ -13,9 +15,6 @@
 // ErrTarget reports a request target that cannot be passed on.
 var ErrTarget = namespace.NewType("target")
 
-// upperHex are the digits of percent-encoding (RFC 3986, section 2.1).
-const upperHex = "0123456789ABCDEF"
-
 // isUnreserved reports whether a byte means the same encoded and not (RFC 3986, section 2.3).
 func isUnreserved(c byte) bool {
 	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '.' || c == '_' || c == '~'
@@ -29,20 +28,6 @@
 	return set
 }()
 
-// isHex reports whether a byte is a hexadecimal digit.
-func isHex(c byte) bool { return c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F' }
-
-// unhex returns the value of a hexadecimal digit.
-func unhex(c byte) byte {
-	switch {
-	case c <= '9':
-		return c - '0'
-	case c <= 'F':
-		return c - 'A' + 10
-	}
-	return c - 'a' + 10
-}
-
 // CanonicalPath returns a path in the form in which equivalent paths are equal: of what is percent-encoded only unreserved characters are
 // decoded, as an encoded slash separates no segments (RFC 3986, section 6.2.2). Dot segments stay, because they are passed on.
 func CanonicalPath(path string) string {
@@ -56,19 +41,18 @@
 	var b strings.Builder
 	b.WriteString(path[:i])
 	for ; i < len(path); i++ {
-		c := path[i]
-		encoded := c == '%' && i+2 < len(path) && isHex(path[i+1]) && isHex(path[i+2])
-		if encoded {
-			c = unhex(path[i+1])<<4 | unhex(path[i+2])
-			i += 2
+		c, encoded := path[i], false
+		if c == '%' && i+2 < len(path) {
+			if decoded, err := strconv.ParseUint(path[i+1:i+3], 16, 8); err == nil {
+				c, encoded = byte(decoded), true
+				i += 2
+			}
 		}
 		if isUnreserved(c) || !encoded && mayStand[c] {
 			b.WriteByte(c)
 			continue
 		}
-		b.WriteByte('%')
-		b.WriteByte(upperHex[c>>4])
-		b.WriteByte(upperHex[c&15])
+		fmt.Fprintf(&b, "%%%02X", c)
 	}
 	return b.String()
 }
