--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"regexp"
 	"slices"
 	"strings"
@@ -75,6 +76,9 @@
 	bodySent chan struct{}
 	// sendErr is why the request could not be written; it may be read once bodySent is nil or closed.
 	sendErr error
+	// writing is held while Conn is written to. It guards writeErr, the first error of such a write.
+	writing  sync.Mutex
+	writeErr error
 	// ids holds the hashes of the IDs of the last requests, and count is the number of all requests.
 	ids   [rememberedIDs]uint64
 	count int
@@ -84,20 +88,55 @@
 	lastUsed, idleUntil time.Time
 }
 
-// Read reads from the network connection for the buffered reader, within the bound that is in force.
+// Read reads from the network connection for the buffered reader, within the bound that is in force. The error is io.EOF only if the
+// backend server has closed its side.
 func (c *connection) Read(p []byte) (int, error) {
-	if !c.bounded {
-		return c.Conn.Read(p)
+	if c.bounded {
+		if c.allowed <= 0 {
+			c.exceeded = true
+			return 0, errTooManyBytes
+		}
+		p = p[:min(len(p), c.allowed)]
+	}
+	n, err := c.Conn.Read(p)
+	if c.bounded {
+		c.allowed -= n
 	}
-	if c.allowed <= 0 {
-		c.exceeded = true
-		return 0, errTooManyBytes
+	if err == io.EOF {
+		err = c.endError()
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.allowed)])
-	c.allowed -= n
 	return n, err
 }
 
+// Write writes to the network connection for the buffered writer.
+func (c *connection) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	c.writeErr = cmp.Or(c.writeErr, err)
+	return n, err
+}
+
+// ReadFrom implements io.ReaderFrom, so that the buffered writer writes large bodies in large parts.
+func (c *connection) ReadFrom(r io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, r)
+}
+
+// endError returns io.EOF if the backend server has closed its side, or the error that a write got. The kernel reports the error of a
+// connection, such as a reset, only once: after a write got it, a read finds an end.
+func (c *connection) endError() error {
+	if c.bodySent != nil {
+		// The response ends here, so the rest of the body is not needed. A write that is cut off got no error of the connection.
+		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr == nil || errors.Is(c.writeErr, os.ErrDeadlineExceeded) {
+		return io.EOF
+	}
+	return c.writeErr
+}
+
 // interrupt makes all pending and future reads and writes fail. It is called when the context of a request ends.
 func (c *connection) interrupt() {
 	// The connection is closed afterwards, so an error makes no difference.
@@ -141,7 +180,7 @@
 
 func (c *connection) write(r *http.Request) error {
 	w := writerPool.Get().(*bufio.Writer)
-	w.Reset(c.Conn)
+	w.Reset(c)
 	defer writerPool.Put(w)
 	if err := r.Write(w); err != nil {
 		return err
