Share the checks of heads and their recording between messages

Package message held the checks of requests and the gateway the recording of the bytes that they need; responses will need both. Names of fields are checked as tokens, which http.ReadRequest does as well but for spaces.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -13,7 +12,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"briarcroft/internal/message"
@@ -62,8 +60,8 @@
 	remaining int
 	// err is the error of the last read; it is nil if there was none.
 	err error
-	// recorded holds what was read while a head is read; it is nil otherwise.
-	recorded *bytes.Buffer
+	// head records heads while they are read.
+	head message.Recorder
 }
 
 // Read implements io.Reader.
@@ -75,39 +73,25 @@
 	n, err := c.Conn.Read(p[:min(len(p), c.remaining)])
 	c.remaining -= n
 	c.err = err
-	if c.recorded != nil {
-		c.recorded.Write(p[:n])
-	}
+	c.head.Record(p[:n])
 	return n, err
 }
 
-// heads pools the buffers for heads of requests.
-var heads = sync.Pool{New: func() any { return &bytes.Buffer{} }}
-
-// headEnd ends the head of a request, unless its lines end without CR.
-var headEnd = []byte("\r\n\r\n")
-
 // readHead reads the head of a request and checks it. The body was not read.
 func (c *callerConn) readHead() (*http.Request, *rejection) {
-	arrived, _ := c.reader.Peek(c.reader.Buffered())
-	if bytes.Contains(arrived, headEnd) {
-		// Most heads have arrived completely and are checked where they are.
-		if problem := message.CheckHead(arrived); problem != nil {
+	if arrived := c.conn.head.Begin(c.reader); arrived != nil {
+		if problem := message.CheckRequestHead(arrived); problem != nil {
 			return nil, newRejection(problem)
 		}
 		return c.parseHead()
 	}
-	head := heads.Get().(*bytes.Buffer)
-	defer heads.Put(head)
-	head.Reset()
-	head.Write(arrived)
-	c.conn.recorded = head
 	r, rejected := c.parseHead()
-	c.conn.recorded = nil
+	head, release := c.conn.head.End()
+	defer release()
 	if r == nil {
 		return nil, rejected
 	}
-	if problem := message.CheckHead(head.Bytes()); problem != nil {
+	if problem := message.CheckRequestHead(head); problem != nil {
 		return nil, newRejection(problem)
 	}
 	return r, nil
--- a/internal/message/check_test.go
+++ b/internal/message/request_test.go
@@ -65,7 +65,7 @@
 			}
 			problem := CheckRequest(r, r.Header["X-Single"])
 			if problem == nil {
-				problem = CheckHead([]byte(c.head + "body\r\n : \r\n"))
+				problem = CheckRequestHead([]byte(c.head + "body\r\n : \r\n"))
 			}
 			if c.status == 0 {
 				is.True(problem == nil)
@@ -77,11 +77,11 @@
 	}
 }
 
-// BenchmarkCheckHead measures the head of an ordinary request.
-func BenchmarkCheckHead(b *testing.B) {
+// BenchmarkCheckRequestHead measures the head of an ordinary request.
+func BenchmarkCheckRequestHead(b *testing.B) {
 	head := []byte("GET /certificates/heat-4711 HTTP/1.1\r\nHost: mills.example\r\nX-Attempt-Id: 9c41d07be2a35f68\r\nX-Deadline-Ms: 2000\r\nAccept: */*\r\nUser-Agent: branch/1.0\r\n\r\n")
 	for b.Loop() {
-		if CheckHead(head) != nil {
+		if CheckRequestHead(head) != nil {
 			b.Fatal("refused")
 		}
 	}
