--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"briarcroft/internal/message"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -79,6 +81,8 @@
 	// writing is held while Conn is written to. It guards writeErr, the first error of such a write.
 	writing  sync.Mutex
 	writeErr error
+	// head records heads of responses while they are read.
+	head message.Recorder
 	// ids holds the hashes of the IDs of the last requests, and count is the number of all requests.
 	ids   [rememberedIDs]uint64
 	count int
@@ -102,6 +106,7 @@
 	if c.bounded {
 		c.allowed -= n
 	}
+	c.head.Record(p[:n])
 	if err == io.EOF {
 		err = c.endError()
 	}
@@ -193,8 +198,7 @@
 func (c *connection) receive(r *http.Request, e expected) (*http.Response, error) {
 	skipped := 0
 	for range maxSkippedResponses {
-		c.bounded, c.allowed = true, maxHeadBytes
-		response, err := http.ReadResponse(c.reader, r)
+		response, err := c.readHead(r)
 		switch {
 		case err != nil:
 			return nil, err
@@ -224,6 +228,28 @@
 	return nil, errTooManySkipped
 }
 
+// readHead reads the head of a response and checks it. An error in the head is a message.ResponseError.
+func (c *connection) readHead(r *http.Request) (*http.Response, error) {
+	c.bounded, c.allowed = true, maxHeadBytes
+	if c.reader.Buffered() == 0 {
+		// Most heads arrive completely. After an error there is nothing to parse, which has the same error.
+		_, _ = c.reader.Peek(1)
+	}
+	if arrived := c.head.Begin(c.reader); arrived != nil {
+		if err := message.CheckResponseHead(arrived); err != nil {
+			return nil, err
+		}
+		return http.ReadResponse(c.reader, r)
+	}
+	response, err := http.ReadResponse(c.reader, r)
+	head, release := c.head.End()
+	defer release()
+	if err != nil {
+		return nil, err
+	}
+	return response, message.CheckResponseHead(head)
+}
+
 // isMerged reports whether another response begins within the head of a response, as behind one that was cut. The fields may be those of
 // either. A field name with a space, which net/http tolerates, is no field name.
 func isMerged(response *http.Response) bool {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"briarcroft/internal/message"
 	"briarcroft/internal/socket"
 
 	"github.com/joomcode/errorx"
@@ -40,6 +41,22 @@
 // responses that are skipped before it, may have. It may go on without end, so the connection was closed.
 var ErrResponseTooLarge = ErrConnectionBroke.NewSubtype("too_large")
 
+// ErrInvalidResponse is an ErrConnectionBroke: the head of the response is none that a response may have, so it is not certain what the
+// backend server has sent. InvalidReason returns the reason.
+var ErrInvalidResponse = ErrConnectionBroke.NewSubtype("invalid_response")
+
+// reasonProperty is the property of an ErrInvalidResponse with its reason.
+var reasonProperty = errorx.RegisterProperty("reason")
+
+// InvalidReason returns the name of the problem of an ErrInvalidResponse, or an empty string for any other error.
+func InvalidReason(err error) string {
+	if !errorx.IsOfType(err, ErrInvalidResponse) {
+		return ""
+	}
+	reason, _ := errorx.Cast(err).Property(reasonProperty)
+	return reason.(string)
+}
+
 const (
 	// maxIdleTime is how long an idle connection may be reused.
 	maxIdleTime = 30 * time.Second
@@ -225,6 +242,10 @@
 		case errors.Is(err, errUnidentified):
 			return nil, ErrUnidentifiedResponse.New("backend server %s sent a response without the ID of the request, which may have run", p.config.Address)
 		}
+		if invalid := (*message.ResponseError)(nil); errors.As(err, &invalid) {
+			return nil, ErrInvalidResponse.New("backend server %s sent no valid response (%s); its connection was closed and the request may have run", p.config.Address, invalid.Reason).
+				WithProperty(reasonProperty, invalid.Reason)
+		}
 		return nil, ErrConnectionBroke.New("backend server %s broke the connection (%v); the request may have run", p.config.Address, err)
 	}
 	response.Body = &responseBody{ReadCloser: response.Body, pool: p, connection: c, response: response, stop: stop, alone: e.alone}
--- a/internal/entry/probes.go
+++ b/internal/entry/probes.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"briarcroft/internal/duty"
+	"briarcroft/internal/message"
 	"briarcroft/internal/meter"
 	"briarcroft/internal/record"
 	"briarcroft/internal/route"
@@ -50,6 +51,10 @@
 	if err != nil {
 		return
 	}
+	if !message.IsStatus(response.StatusCode) {
+		_ = response.Body.Close()
+		return
+	}
 	// The report is in the header fields; the body is read so that the connection can be reused.
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, probeBytes))
 	_ = response.Body.Close()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -113,12 +113,7 @@
 	started := g.now()
 	response, err := x.send(ctx, from, p)
 	if err != nil {
-		if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
-			g.recordTooLarge(p)
-		}
-		if errorx.IsOfType(err, backend.ErrUnidentifiedResponse) {
-			g.stats.unidentified.Add(1)
-		}
+		g.recordUnusable(p, err)
 		return &runResult{
 			outcome: x.outcomeOfError(ctx, err), blocked: errorx.IsOfType(err, errBlocked) || errorx.IsOfType(err, errEvacuated), withheld: withheldReason(err),
 		}
@@ -187,11 +182,29 @@
 // errFailureTooLarge reports an error response that is longer than maxFailureBytes.
 var errFailureTooLarge = errors.New("the error response is too large")
 
-// recordTooLarge records that a target sent more than a response may have, once in tooLargeRecordInterval for each target.
+// recordUnusable counts and records that a target sent what is no response to the request, if the error of backend.Pool.Do says so.
+func (g *Gateway) recordUnusable(p placement.Placed, err error) {
+	switch {
+	case errorx.IsOfType(err, backend.ErrResponseTooLarge):
+		g.recordTooLarge(p)
+	case errorx.IsOfType(err, backend.ErrInvalidResponse):
+		g.stats.invalidResponses.Add(1)
+		g.recordResponse(record.ResponseInvalid, p, backend.InvalidReason(err))
+	case errorx.IsOfType(err, backend.ErrUnidentifiedResponse):
+		g.stats.unidentified.Add(1)
+	}
+}
+
+// recordTooLarge counts and records that a target sent more than a response may have.
 func (g *Gateway) recordTooLarge(p placement.Placed) {
 	g.stats.tooLarge.Add(1)
-	if g.pools.mayRecordTooLarge(p.Target, p.Address) {
-		g.records.Add(record.Record{Kind: record.ResponseTooLarge, Target: p.Target, Cause: "Endless", Note: g.chain.Number(), Evidence: record.Evidence{Detail: p.Address}})
+	g.recordResponse(record.ResponseTooLarge, p, "Endless")
+}
+
+// recordResponse records a response of a target that was not taken, once in responseRecordInterval for each target.
+func (g *Gateway) recordResponse(kind record.Kind, p placement.Placed, cause string) {
+	if g.pools.mayRecordResponse(p.Target, p.Address) {
+		g.records.Add(record.Record{Kind: kind, Target: p.Target, Cause: cause, Note: g.chain.Number(), Evidence: record.Evidence{Detail: p.Address}})
 	}
 }
 
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -186,6 +186,7 @@
 		{"ProvenAgeMilliseconds", func() any { return g.provenAge().Milliseconds() }},
 		{"StoreLost", func() any { return g.storeWatch.unreachable.Load() }},
 		{"SilentHomes", func() any { return s.unresponsiveHomes.Load() }},
+		{"InvalidResponses", func() any { return s.invalidResponses.Load() }},
 		{"ResponsesTooLarge", func() any { return s.tooLarge.Load() }},
 		{"UnidentifiedResponses", func() any { return s.unidentified.Load() }},
 		{"TargetsLost", func() any { return g.reach.Lost() }},
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"briarcroft/internal/inner"
@@ -58,6 +59,17 @@
 	return details
 }
 
+// RecordedCauses returns the causes of the change records of a kind, each once.
+func (g *Gateway) RecordedCauses(kind record.Kind) []string {
+	var causes []string
+	for _, r := range g.records.Since("", time.Time{}) {
+		if r.Kind == kind && !slices.Contains(causes, r.Cause) {
+			causes = append(causes, r.Cause)
+		}
+	}
+	return causes
+}
+
 // Traffic returns the traffic with peers on the connections that the gateway has opened.
 func (g *Gateway) Traffic() []inner.TrafficCount { return g.client.Traffic() }
 
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -39,8 +39,8 @@
 	// share is below one connection.
 	targetIdleTime = 30 * time.Second
 	shortIdleTime  = 2 * time.Second
-	// tooLargeRecordInterval is the time between two records about too large responses of one target.
-	tooLargeRecordInterval = 10 * time.Second
+	// responseRecordInterval is the time between two records about responses of one target that were not taken.
+	responseRecordInterval = 10 * time.Second
 )
 
 // poolKey identifies a target at an address; a target that restarts elsewhere gets a new pool.
@@ -54,8 +54,8 @@
 	*backend.Pool
 	probes *backend.Pool
 	close  func()
-	// tooLargeAt is when a response that was too large was last recorded; zero means never.
-	tooLargeAt time.Duration
+	// responseRecordedAt is when a response that was not taken was last recorded; zero means never.
+	responseRecordedAt time.Duration
 	// cap is the number of connections that the target may have with all hosts together; 0 means that there is no cap.
 	cap int
 	// queuedAt is when the target last reported a long queue; zero means never.
@@ -216,17 +216,17 @@
 	return runs.Open - runs.Idle + probes.Open - probes.Idle
 }
 
-// mayRecordTooLarge reports whether a record about a too large response of a target is due, and if so counts it as made.
-func (p *pools) mayRecordTooLarge(name, address string) bool {
+// mayRecordResponse reports whether a record about a response of a target that was not taken is due, and if so counts it as made.
+func (p *pools) mayRecordResponse(name, address string) bool {
 	now := p.gateway.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	key := poolKey{name, address}
 	entry, found := p.byKey[key]
-	if !found || entry.tooLargeAt > 0 && now-entry.tooLargeAt < tooLargeRecordInterval {
+	if !found || entry.responseRecordedAt > 0 && now-entry.responseRecordedAt < responseRecordInterval {
 		return false
 	}
-	entry.tooLargeAt = now
+	entry.responseRecordedAt = now
 	p.byKey[key] = entry
 	return true
 }
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -101,10 +101,8 @@
 	key, registered := g.noticeKey(p.Target)
 	sent := g.now()
 	response, err := g.pools.probes(p.Target, p.Address).Do(r, backend.Options{})
-	if errorx.IsOfType(err, backend.ErrResponseTooLarge) {
-		g.recordTooLarge(p)
-	}
 	if err != nil {
+		g.recordUnusable(p, err)
 		return placement.ProbeNoResponse, nil, err
 	}
 	defer response.Body.Close()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -14,6 +14,7 @@
 	"briarcroft/internal/backend"
 	"briarcroft/internal/host"
 	"briarcroft/internal/inner"
+	"briarcroft/internal/message"
 	"briarcroft/internal/notice"
 	"briarcroft/internal/placement"
 	"briarcroft/internal/uri"
@@ -240,7 +241,7 @@
 		err = backend.ErrConnectionBroke.New("peer %s broke the stream (%v); the request may have run", peer.Name, err)
 	case reply.Kind == inner.RelayKind_RelayHead && g.attemptID(decodeHeader(reply.Headers)) != g.attemptID(decodeHeader(r.Headers)):
 		err = backend.ErrUnidentifiedResponse.New("peer %s passed on a response that does not have the ID of the request, which may have run", peer.Name)
-	case reply.Kind == inner.RelayKind_RelayHead && (reply.Status < http.StatusOK || reply.Status > 999 || reply.Length < -1):
+	case reply.Kind == inner.RelayKind_RelayHead && (reply.Status < http.StatusOK || !message.IsStatus(int(reply.Status)) || reply.Length < -1):
 		err = backend.ErrConnectionBroke.New("peer %s passed on a response with status %d and length %d; the request may have run", peer.Name, reply.Status, reply.Length)
 	case reply.Kind == inner.RelayKind_RelayHead:
 		return body.response(r.Method, reply), nil
@@ -422,6 +423,7 @@
 		if errorx.IsOfType(err, backend.ErrNotSent) && ctx.Err() == nil {
 			g.recordOutOfReach(r.Target)
 		}
+		g.recordUnusable(placement.Placed{Target: r.Target, Address: r.Address}, err)
 		send(&inner.RelayReply{Kind: relayKindOf(err)})
 		return
 	}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -160,6 +160,8 @@
 	responsesUnbuffered atomic.Int64
 	// tooLarge counts connections that were closed because a target sent more than a response may have.
 	tooLarge atomic.Int64
+	// invalidResponses counts connections that were closed because the head of a target's response was none.
+	invalidResponses atomic.Int64
 	// unidentified counts runs that ended with a response that did not have the attempt ID of the request.
 	unidentified atomic.Int64
 	// relayed counts the runs that peers relayed for this host, and relayedForPeers those that it relayed for peers.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -51,6 +51,9 @@
 	TargetCold Kind = "TargetCold"
 	// ResponseTooLarge means that a target sent more bytes than a response may have and its connection was closed.
 	ResponseTooLarge Kind = "ResponseTooLarge"
+	// ResponseInvalid means that the head of a target's response was none that a response may have, for the reason that Cause names, and
+	// its connection was closed.
+	ResponseInvalid Kind = "ResponseInvalid"
 	// BudgetExhausted means that probes of targets are skipped because the budget for measuring is spent.
 	BudgetExhausted Kind = "BudgetExhausted"
 	// OverloadBegan and OverloadEnded enclose a time in which the queue of a service refused requests.
