Refuse responses in which two readers can find different ones (MIXED)

What callers saw: of a response in HTTP/1.0 with Transfer-Encoding: chunked, a 200 with the sizes of chunks in its body. Responses with a coding beside a length, a repeated length, or a version such as HTTP/2.0 were passed on as well, straight and relayed.

Cause: http.ReadResponse drops the coding of HTTP/1.0 and reads the body to the end of the connection, ignores a length beside a coding, and leaves repeated lengths and the version to its callers. Nothing else checked them.

Change: CheckResponseHead checks the fields of a response for its end as CheckRequestHead does, and their names as tokens. A blank in a name, before refused by isMerged after parsing, and a control byte, refused by net/http, have the reason InvalidFieldName now. Folds are read as spaces (RFC 9112, 5.2) but not in the fields that say where the response ends. Heads that a peer relays are checked for names, values and status again.

Evidence: without the check 12 rows of TestInvalidAnswersReachNoCaller and 6 of TestInvalidResponseIsNoResponse fail (of those on blanks and control bytes only the reason does), HTTP/2.0 fails without the check of the version; with it all pass.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -251,13 +251,13 @@
 }
 
 // isMerged reports whether another response begins within the head of a response, as behind one that was cut. The fields may be those of
-// either. A field name with a space, which net/http tolerates, is no field name.
+// either.
 func isMerged(response *http.Response) bool {
 	if strings.Contains(response.Status, "HTTP/1.") {
 		return true
 	}
-	for name, values := range response.Header {
-		if strings.Contains(name, " ") || slices.ContainsFunc(values, statusLine.MatchString) {
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
 			return true
 		}
 	}
--- a/internal/gateway/invalid_answer_test.go
+++ b/internal/gateway/invalid_answer_test.go
@@ -17,6 +17,13 @@
 		{"status 000", "HTTP/1.1 000 OK", "", "", "InvalidStatus"},
 		{"status 099", "HTTP/1.1 099 OK", "Content-Length: 4\r\n", "part", "InvalidStatus"},
 		{"status 700", "HTTP/1.1 700 OK", "Content-Length: 4\r\n", "part", "InvalidStatus"},
+		{"coding on HTTP/1.0", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n", "4\r\npart\r\n0\r\n\r\n", "AmbiguousLength"},
+		{"coding beside a length", "HTTP/1.1 200 OK", "Content-Length: 14\r\nTransfer-Encoding: chunked\r\n", "4\r\npart\r\n0\r\n\r\n", "AmbiguousLength"},
+		{"the same length twice", "HTTP/1.1 200 OK", "Content-Length: 4\r\nContent-Length: 4\r\n", "part", "AmbiguousLength"},
+		{"HTTP/2", "HTTP/2.0 200 OK", "Content-Length: 4\r\n", "part", "UnknownVersion"},
+		{"blank in a name", "HTTP/1.1 200 OK", "Content Length: 9\r\nContent-Length: 4\r\n", "part", "InvalidFieldName"},
+		{"control byte in a name", "HTTP/1.1 200 OK", "A\x01: b\r\nContent-Length: 4\r\n", "part", "InvalidFieldName"},
+		{"blank before a colon", "HTTP/1.1 200 OK", "Content-Length : 4\r\n", "part", "InvalidFieldName"},
 	} {
 		for _, relayed := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, relayed %v", c.name, relayed), func(t *testing.T) {
--- a/internal/gateway/relay_cut_test.go
+++ b/internal/gateway/relay_cut_test.go
@@ -81,6 +81,13 @@
 	return &inner.RelayReply{Kind: inner.RelayKind_RelayHead, Status: status, Length: length, Headers: []*inner.Header{{Name: "Id", Value: id}}}
 }
 
+// relayField returns a head that has a further field.
+func relayField(name, value string) *inner.RelayReply {
+	head := relayHead(200, 4, "own")
+	head.Headers = append(head.Headers, &inner.Header{Name: name, Value: value})
+	return head
+}
+
 var (
 	relayPart = &inner.RelayReply{Kind: inner.RelayKind_RelayPart, Body: []byte("abcd")}
 	relayEnd  = &inner.RelayReply{Kind: inner.RelayKind_RelayEnd}
@@ -108,6 +115,9 @@
 		{"no status", "GET", []*inner.RelayReply{relayHead(0, 4, "own"), relayPart, relayEnd}, false},
 		{"status below 0", "GET", []*inner.RelayReply{relayHead(-200, 4, "own"), relayPart, relayEnd}, false},
 		{"status of four digits", "GET", []*inner.RelayReply{relayHead(2000, 4, "own"), relayPart, relayEnd}, false},
+		{"status above 599", "GET", []*inner.RelayReply{relayHead(600, 4, "own"), relayPart, relayEnd}, false},
+		{"blank in a name", "GET", []*inner.RelayReply{relayField("A b", "c"), relayPart, relayEnd}, false},
+		{"line feed in a value", "GET", []*inner.RelayReply{relayField("A", "b\nC: d"), relayPart, relayEnd}, false},
 		{"length below -1", "GET", []*inner.RelayReply{relayHead(200, -1<<63, "own"), relayPart, relayEnd}, false},
 		{"unknown kind", "GET", []*inner.RelayReply{{Kind: 77}}, false},
 		{"nothing", "GET", nil, false},
--- a/internal/message/head.go
+++ b/internal/message/head.go
@@ -26,19 +26,18 @@
 	coding           []byte
 }
 
-// add adds a field if it says something of the end of the message.
-func (f *framing) add(name, value []byte) {
-	switch len(name) {
-	case len("Content-Length"):
-		if equalFold(name, "Content-Length") {
-			f.lengths++
-		}
-	case len("Transfer-Encoding"):
-		if equalFold(name, "Transfer-Encoding") {
-			f.codings++
-			f.coding = trim(value)
-		}
+// add adds a field if it says something of the end of the message, and reports whether it does.
+func (f *framing) add(name, value []byte) bool {
+	switch {
+	case equalFold(name, "Content-Length"):
+		f.lengths++
+	case equalFold(name, "Transfer-Encoding"):
+		f.codings++
+		f.coding = trim(value)
+	default:
+		return false
 	}
+	return true
 }
 
 // problem returns the reason why the end of the message is in doubt, or the empty string.
