End the runs of a caller that has reset its last connection (GONE)

What was seen: after a request with Connection: close, or in a graceful stop, a repeatable run went on at its target until its end although the caller had reset the connection. After a close it was canceled.

Cause: while the last requests of a connection are handled, its reads were watched for io.EOF only. A reset, or data that is not acknowledged in time, ends a read with another error; which of the two comes depends on whether a write got the error first.

Change: any end of that read but a deadline of the host's own counts as the end of the caller.

Evidence: TestRunEndsWithResetCaller (process, real sockets): of four rows, closed and reset, kept and last connection, the row of a reset last connection fails before ("the run goes on" after 1 s) and passes after.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -149,7 +151,8 @@
 	go func() {
 		defer close(readEnded)
 		defer c.gateway.guard("CallerConnection")
-		if _, err := io.CopyN(io.Discard, c.conn.Conn, lingerBytes); err == io.EOF {
+		// The read ends with io.EOF or, after a reset or a time without acknowledgement, with an error of the connection.
+		if _, err := io.CopyN(io.Discard, c.conn.Conn, lingerBytes); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.update(func(p *connProgress) { p.left = true })
 			c.cancel()
 		}
