--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -77,17 +77,28 @@
 		return false
 	}
 	if err := c.sendResponse(q, r, closing); err != nil {
-		c.truncate()
+		c.truncate(endsWithConnection(q, r))
 		return false
 	}
 	return true
 }
 
-// truncate ends sending after a response that was not sent completely. The caller sees the end of the connection at once, and
-// requests that were accepted and not yet sent to a target are canceled.
-func (c *callerConn) truncate() {
+// endsWithConnection reports whether nothing but the end of the connection tells the caller where a response ends.
+func endsWithConnection(q *request, r *callerResponse) bool { return q.oldVersion && r.length < 0 }
+
+// truncate ends sending after a response that was not sent completely. The caller sees the end of the connection at once, or its reset
+// if an end would look like that of the response. Requests that were accepted and not yet sent to a target are canceled.
+func (c *callerConn) truncate(reset bool) {
 	c.truncated.Store(true)
 	c.cancel()
+	if reset {
+		if conn, ok := c.conn.Conn.(interface{ SetLinger(seconds int) error }); ok {
+			// An error means that the connection has ended already.
+			_ = conn.SetLinger(0)
+		}
+		_ = c.conn.Conn.Close()
+		return
+	}
 	if closer, ok := c.conn.Conn.(interface{ CloseWrite() error }); ok {
 		// An error does not matter: the connection is closed completely when its requests have ended.
 		_ = closer.CloseWrite()
@@ -112,14 +123,19 @@
 	switch {
 	case q.method == http.MethodHead || !bodyAllowed(r.status):
 		return w.Flush()
-	case r.unread != nil && r.length < 0:
+	case r.unread != nil && r.length < 0 && !q.oldVersion:
 		return c.writeChunked(w, r)
 	}
 	writer := stallWriter{c, w}
 	if err := r.body.CopyTo(writer); err != nil {
 		return err
 	}
-	if r.unread != nil {
+	switch {
+	case r.unread != nil && r.length < 0:
+		if _, err := c.copyUnread(writer, r.unread); err != nil {
+			return err
+		}
+	case r.unread != nil:
 		rest := r.length - r.body.Length()
 		n, err := c.copyUnread(writer, io.LimitReader(r.unread, rest))
 		if err != nil {
@@ -144,7 +160,7 @@
 	}
 	r.header.Del("Content-Length")
 	switch {
-	case !bodyAllowed(r.status):
+	case !bodyAllowed(r.status), endsWithConnection(q, r):
 	case r.length < 0:
 		r.header.Set("Transfer-Encoding", "chunked")
 	default:
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -235,7 +235,7 @@
 	defer func() { <-c.pipelineSlots }()
 	defer close(done)
 	defer q.body.Release()
-	defer c.closeAfterPanic(previous)
+	defer c.closeAfterPanic(q, previous)
 	if streamed != nil {
 		<-streamed
 		if c.truncated.Load() {
--- a/internal/gateway/panic.go
+++ b/internal/gateway/panic.go
@@ -94,10 +94,10 @@
 
 // closeAfterPanic, when it is deferred, closes the connection after a panic of the goroutine of a request, whose response may not have
 // been sent completely. The earlier requests of the connection are answered first.
-func (c *callerConn) closeAfterPanic(previous <-chan struct{}) {
+func (c *callerConn) closeAfterPanic(q *request, previous <-chan struct{}) {
 	if c.gateway.recovered("HandleRequest", recover()) {
 		<-previous
-		c.truncate()
+		c.truncate(q.oldVersion)
 		c.responseWritten(true)
 	}
 }
@@ -142,7 +142,7 @@
 func (c *callerConn) writeGuarded(q *request, r *callerResponse, closing bool) (sent bool) {
 	defer func() {
 		if c.gateway.recovered("WriteResponse", recover()) {
-			c.truncate()
+			c.truncate(endsWithConnection(q, r))
 			sent = false
 		}
 	}()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -47,6 +47,8 @@
 	arrived time.Duration
 	// timeout is how long the caller waits for the response; zero means that it sent no deadline header.
 	timeout time.Duration
+	// oldVersion is set for HTTP/1.0, which has no chunks.
+	oldVersion bool
 	// closeAfter is set when the caller sends no further request on its connection.
 	closeAfter bool
 }
@@ -151,7 +153,7 @@
 	}
 	q := &request{
 		attemptID: firstValue(r.Header, c.gateway.dialect.AttemptIDHeader), method: r.Method, uri: target, path: uri.CanonicalPath(uri.PathOf(target)), host: r.Host,
-		header: r.Header, callerAddress: c.address, arrived: arrived, closeAfter: r.Close || !r.ProtoAtLeast(1, 1),
+		header: r.Header, callerAddress: c.address, arrived: arrived, oldVersion: !r.ProtoAtLeast(1, 1), closeAfter: r.Close || !r.ProtoAtLeast(1, 1),
 		body: payload.NewBudgeted(c.gateway.bodies, head),
 	}
 	if ms, err := strconv.ParseFloat(firstValue(r.Header, c.gateway.dialect.DeadlineHeader), 64); err == nil && ms > 0 {
