Take no error page for the host list (ROUTE)

Cause: the list of hosts was decoded from a response of any status, so the JSON of an error page emptied it, which ended the draining of targets that are leaving. Found by looking wherever answers are read, after an answer with the status 000.

Change: only a response with status 200 is a list, and 304 only if the request named a version of it.

--- a/internal/platform/hostlist.go
+++ b/internal/platform/hostlist.go
@@ -74,8 +74,11 @@
 		return nil, ErrUnavailable.New("host list: %v; the previous list stays in use", err)
 	}
 	defer response.Body.Close()
-	if response.StatusCode == http.StatusNotModified {
+	switch {
+	case response.StatusCode == http.StatusNotModified && h.etag != "":
 		return h.hosts, nil
+	case response.StatusCode != http.StatusOK:
+		return nil, ErrUnavailable.New("host list: the response has status %d; the previous list stays in use", response.StatusCode)
 	}
 	var body struct{ Hosts []ListedHost }
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&body); err != nil {
