Tests: a simulated network that resets connections as Linux does

The target resets its connections now: the error goes to whichever call meets it first, and reads find an end after it.

--- a/internal/fakenet/network.go
+++ b/internal/fakenet/network.go
@@ -7,9 +7,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -120,6 +123,30 @@
 	buffered [][]byte
 	// passing is set while a goroutine passes it on.
 	passing bool
+	// other is the other end. Once that has reset the connection, resetPending is set until a read or a write got the error.
+	other        *pipeConn
+	resetPending atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *pipeConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	return n, c.endError(err)
+}
+
+// endError returns the error of a read or a write. As on Linux, the error of a connection that the other end has reset is reported once.
+func (c *pipeConn) endError(err error) error {
+	if (err == io.EOF || err == io.ErrClosedPipe) && c.resetPending.CompareAndSwap(true, false) {
+		return syscall.ECONNRESET
+	}
+	return err
+}
+
+// Reset resets the connection of an end that a listener of a Network has accepted.
+func Reset(conn net.Conn) {
+	c := conn.(*pipeConn)
+	c.other.resetPending.Store(true)
+	_ = c.Close()
 }
 
 // segmentBytes is the number of bytes that a connection writes at once, so that connections share a link.
@@ -154,7 +181,8 @@
 	if wait > 0 {
 		time.Sleep(wait)
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	return n, c.endError(err)
 }
 
 // Hold keeps back all bytes that one node writes to another from now on, until Release. The sender does not notice it.
@@ -301,6 +329,7 @@
 		client := &pipeConn{Conn: clientEnd, network: n, from: node, to: l.node, remote: l.address}
 		n.mu.Lock()
 		server := &pipeConn{Conn: serverEnd, network: n, from: l.node, to: node, remote: n.dialerAddress(node)}
+		client.other, server.other = server, client
 		n.conns[client], n.conns[server] = true, true
 		n.mu.Unlock()
 		select {
--- a/internal/gateway/early_answer_test.go
+++ b/internal/gateway/early_answer_test.go
@@ -10,10 +10,11 @@
 	"testing"
 	"time"
 
+	"briarcroft/internal/fakenet"
 	"briarcroft/platform/standin"
 )
 
-// earlyTarget answers uploads before it has read their bodies, with a response that has no length, and then breaks the connection.
+// earlyTarget answers uploads before it has read their bodies, with a response that has no length, and then resets the connection.
 type earlyTarget struct {
 	*standin.Target
 	// part is the size in bytes of what is sent of the body.
@@ -36,12 +37,13 @@
 		}
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal\r\n\r\n", id)
 		_, _ = io.WriteString(conn, strings.Repeat("x", t.part))
+		fakenet.Reset(conn)
 		return
 	}
 }
 
 // TestEarlyAnswerOfBrokenUploadIsNotWhole guards against a success with a part of the body when a target answers an upload early, without
-// a length, and breaks the connection. The uploads go straight to the target or through a peer.
+// a length, and resets the connection. The uploads go straight to the target or through a peer.
 func TestEarlyAnswerOfBrokenUploadIsNotWhole(t *testing.T) {
 	for _, c := range []struct {
 		name string
