Test that an empty list of accounts binds hosts that have not seen the accounts before it (CONFIG)

What its test left out: an empty list after versions without accounts, hosts that start while it is in force, and a request that waits for a target when it comes.

TestEmptyListBindsAnyHost fails on the code before (200 for 401) and passes five of five times now.

--- a/internal/gateway/accounts_test.go
+++ b/internal/gateway/accounts_test.go
@@ -155,6 +155,48 @@
 	})
 }
 
+// TestEmptyListBindsAnyHost guards against hosts that ask for no key under an empty list because they have not seen the accounts before it:
+// after a version without accounts, and from their start. A request that waits for a target when the list is emptied must not run.
+func TestEmptyListBindsAnyHost(t *testing.T) {
+	withAccounts(t, 2, func(f *fleet) {
+		for i, tenants := range [][]tenant{nil, {}, nil, {}} {
+			version := 3 + i
+			f.tenants = tenants
+			f.configureAccounts(version)
+			time.Sleep(configurationBound)
+			status := map[bool]int{true: 200, false: 401}[tenants == nil]
+			for _, host := range []string{"h0", "h1"} {
+				f.is.Equal(f.callWithKeys(host, "/lookup/1", fmt.Sprint(host, version), "n1").status, status)
+			}
+		}
+		f.crash("h1")
+		f.start("h1", "b")
+		f.start("h2", "c")
+		time.Sleep(4 * time.Second)
+		for _, host := range []string{"h1", "h2"} {
+			f.is.Equal(f.callWithKeys(host, "/lookup/1", "started-"+host, "n1").status, 401)
+		}
+
+		f.tenants = []tenant{{"name": "north", "api-keys": []string{"n1"}}}
+		f.configureAccounts(7)
+		time.Sleep(configurationBound)
+		f.slowTargets(300 * time.Millisecond)
+		for i := range 6 {
+			go func() { f.callWithKeys("h0", "/lookup/1", fmt.Sprint("busy-", i), "n1") }()
+		}
+		time.Sleep(50 * time.Millisecond)
+		waiting := make(chan reply, 1)
+		go func() { waiting <- f.callWithKeys("h0", "/lookup/1", "waiting", "n1") }()
+		time.Sleep(50 * time.Millisecond)
+		f.tenants = []tenant{}
+		f.configureAccounts(8)
+		r := <-waiting
+		f.is.Equal(r.status, 401)
+		f.is.Equal(f.arrivalsOf("waiting"), 0)
+		time.Sleep(time.Second)
+	})
+}
+
 // TestFieldsPassWithoutAccounts guards against changing the header fields of deployments that have no accounts.
 func TestFieldsPassWithoutAccounts(t *testing.T) {
 	withFleet(t, 1, 1, func(f *fleet) {
