Tests: responses cut at each byte while the body of a request is written

TestCutResponsesToBrokenUploadsFail cuts each form of response after each byte, with an error of the connection before, in and behind the body of the request.

--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -82,14 +82,17 @@
 
 // fetch returns the body of the response that a backend server sends before its connection ends.
 func fetch(method, sent string, end error) (string, error) {
+	return fetchFrom(&cutConn{sent: strings.NewReader(sent), end: end}, method, nil)
+}
+
+// fetchFrom sends a request on a connection and returns the body of the response.
+func fetchFrom(conn net.Conn, method string, body io.Reader) (string, error) {
 	pool, closePool := New(Config{
 		Address: "cut", MaxConnections: 1, DialTimeout: time.Second, ID: func(h http.Header) string { return h.Get("Id") },
-		Dial: func(context.Context, string, string) (net.Conn, error) {
-			return &cutConn{sent: strings.NewReader(sent), end: end}, nil
-		},
+		Dial: func(context.Context, string, string) (net.Conn, error) { return conn, nil },
 	})
 	defer closePool()
-	r, err := http.NewRequest(method, "http://cut/", nil)
+	r, err := http.NewRequest(method, "http://cut/", body)
 	if err != nil {
 		return "", err
 	}
@@ -99,11 +102,11 @@
 		return "", err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	read, err := io.ReadAll(response.Body)
 	if err == nil && response.Header.Get("Seal") == "" {
 		err = errors.New("no seal")
 	}
-	return string(body), err
+	return string(read), err
 }
 
 // TestUnreadableHeadsFail guards against responses that are taken although it is not certain where their parts begin and end.
--- a/internal/backend/reset_test.go
+++ b/internal/backend/reset_test.go
@@ -157,40 +157,51 @@
 }
 
 func (c *failingConn) Read(p []byte) (int, error) {
-	n, err := c.sent.Read(p)
-	if err != nil {
+	n, err := c.cutConn.Read(p)
+	if err == io.EOF {
 		<-c.failed
 	}
 	return n, err
 }
 
+// TestCutResponsesToBrokenUploadsFail guards against responses that look whole although the backend server broke off: they are cut after each byte
+// and the connection is reset, before the body of a request is written, in the middle of it and behind it. The error goes to the write, or to
+// the read if nothing is left to be written.
+func TestCutResponsesToBrokenUploadsFail(t *testing.T) {
+	const size = 20 << 10
+	for _, c := range wholeResponses {
+		if c.method == http.MethodHead {
+			continue
+		}
+		t.Run(c.name, func(t *testing.T) {
+			for cut := range len(c.response) + 1 {
+				for _, accepted := range []int{0, size / 2, size + writeBufferBytes} {
+					conn := &failingConn{cutConn: cutConn{sent: strings.NewReader(c.response[:cut]), end: io.EOF}, accepted: accepted, err: syscall.ECONNRESET, failed: make(chan struct{})}
+					if accepted > size {
+						conn.end = syscall.ECONNRESET
+					}
+					body, err := fetchFrom(conn, http.MethodPost, strings.NewReader(strings.Repeat("x", size)))
+					whole := cut == len(c.response) && !c.endsWithConnection
+					if whole != (err == nil) || whole && body != c.body {
+						t.Errorf("cut after %q, %d bytes were written: body %q, error %v", c.response[:cut], accepted, body, err)
+					}
+				}
+			}
+		})
+	}
+}
+
 // TestFailedWriteLeavesNoWholeResponse guards against a part of a response without a length that is taken for all of it after the write
 // of a request has failed: at each write, for each error that ends a connection, with and without a body.
 func TestFailedWriteLeavesNoWholeResponse(t *testing.T) {
 	for _, size := range []int{0, 8 << 10, 40 << 10} {
 		for _, cause := range []error{syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EPIPE, syscall.EHOSTUNREACH} {
 			for accepted := 0; accepted == 0 || accepted < size; accepted += writeBufferBytes {
-				pool, closePool := New(Config{
-					Address: "failing", MaxConnections: 1, DialTimeout: time.Second, ID: func(h http.Header) string { return h.Get("Id") },
-					Dial: func(context.Context, string, string) (net.Conn, error) {
-						return &failingConn{cutConn: cutConn{sent: strings.NewReader(earlyResponse)}, accepted: accepted, err: cause, failed: make(chan struct{})}, nil
-					},
-				})
-				r, err := http.NewRequest(http.MethodPost, "http://failing/", strings.NewReader(strings.Repeat("x", size)))
-				if err != nil {
-					t.Fatal(err)
-				}
-				r.Header.Set("Id", "own")
-				var body []byte
-				response, err := pool.Do(r, Options{})
-				if err == nil {
-					body, err = io.ReadAll(response.Body)
-					_ = response.Body.Close()
-				}
+				conn := &failingConn{cutConn: cutConn{sent: strings.NewReader(earlyResponse), end: io.EOF}, accepted: accepted, err: cause, failed: make(chan struct{})}
+				body, err := fetchFrom(conn, http.MethodPost, strings.NewReader(strings.Repeat("x", size)))
 				if !errors.Is(err, cause) && !errorx.IsOfType(err, ErrConnectionBroke) {
 					t.Errorf("%d of %d bytes were written before %v: body %q, error %v", accepted, size, cause, body, err)
 				}
-				closePool()
 			}
 		}
 	}
