--- a/Makefile
+++ b/Makefile
@@ -30,9 +30,11 @@
 bounds:
 	BRIARCROFT_FULL=1 go test $(SKIP) ./internal/admission ./internal/claim ./internal/entry -run 'Table$$|Bound$$' -count 1 -v
 
-# Compares what a gateway and net/http's server find in arbitrary bytes, for example: make fuzz FUZZTIME=10m.
+# Compares what a gateway finds in arbitrary bytes with what net/http's server finds (requests) and RFC 9112 allows (responses), for
+# example: make fuzz FUZZTIME=10m.
 fuzz:
 	go test ./internal/gateway -run '^$$' -fuzz FuzzSameRequests -fuzztime $(FUZZTIME) -parallel 2
+	go test ./internal/backend -run '^$$' -fuzz FuzzSameResponses -fuzztime $(FUZZTIME) -parallel 2
 
 bench: bounds
 	BRIARCROFT_FULL=1 go test ./internal/admission -run Variations -count 1 -v
--- a/internal/message/response.go
+++ b/internal/message/response.go
@@ -71,6 +71,9 @@
 			return reasonInvalidStatusLine
 		}
 	}
+	if !httpguts.ValidHeaderFieldValue(string(line[status:])) {
+		return reasonInvalidStatusLine
+	}
 	if !IsStatus(int(code[0]-'0') * 100) {
 		return reasonInvalidStatus
 	}
--- a/internal/message/response_test.go
+++ b/internal/message/response_test.go
@@ -28,6 +28,8 @@
 	{"status below zero", "HTTP/1.1 -00 OK\r\nContent-Length: 4\r\n\r\n", reasonInvalidStatusLine},
 	{"status of two digits", "HTTP/1.1 20 OK\r\nContent-Length: 4\r\n\r\n", "net/http"},
 	{"status of four digits", "HTTP/1.1 2000 OK\r\nContent-Length: 4\r\n\r\n", "net/http"},
+	{"CR in the phrase", "HTTP/1.1 200 OK\rA: b\r\nContent-Length: 4\r\n\r\n", reasonInvalidStatusLine},
+	{"phrase in another alphabet", "HTTP/1.1 200 \xd0\xb4\xb0\r\nContent-Length: 4\r\n\r\n", ""},
 	{"two spaces", "HTTP/1.1  200 OK\r\nContent-Length: 4\r\n\r\n", reasonInvalidStatusLine},
 	{"HTTP/1.0", "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\n", ""},
 	{"newer minor version", "HTTP/1.2 200 OK\r\nContent-Length: 4\r\n\r\n", ""},
