Go over heads once, and name heads that net/http refuses

The check of a head says whether the head has arrived completely, so that a search for its end is not needed. Heads of responses that http.ReadResponse refuses are invalid responses with the reason Malformed, in the records as well.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -232,22 +232,30 @@
 func (c *connection) readHead(r *http.Request) (*http.Response, error) {
 	c.bounded, c.allowed = true, maxHeadBytes
 	if c.reader.Buffered() == 0 {
-		// Most heads arrive completely. After an error there is nothing to parse, which has the same error.
+		// After an error there is nothing to parse, which has the same error.
 		_, _ = c.reader.Peek(1)
 	}
-	if arrived := c.head.Begin(c.reader); arrived != nil {
-		if err := message.CheckResponseHead(arrived); err != nil {
-			return nil, err
-		}
-		return http.ReadResponse(c.reader, r)
+	arrived := message.Arrived(c.reader)
+	complete, problem := message.CheckResponseHead(arrived)
+	if complete && problem != nil {
+		return nil, problem
+	}
+	if !complete {
+		c.head.Begin(arrived)
 	}
 	response, err := http.ReadResponse(c.reader, r)
-	head, release := c.head.End()
-	defer release()
-	if err != nil {
-		return nil, err
+	if !complete {
+		head, release := c.head.End()
+		defer release()
+		complete, problem = message.CheckResponseHead(head)
 	}
-	return response, message.CheckResponseHead(head)
+	switch {
+	case problem != nil:
+		return nil, problem
+	case err != nil && complete:
+		return nil, message.ErrMalformed
+	}
+	return response, err
 }
 
 // isMerged reports whether another response begins within the head of a response, as behind one that was cut. The fields may be those of
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -81,19 +81,22 @@
 
 // readHead reads the head of a request and checks it. The body was not read.
 func (c *callerConn) readHead() (*http.Request, *rejection) {
-	if arrived := c.conn.head.Begin(c.reader); arrived != nil {
-		if problem := message.CheckRequestHead(arrived); problem != nil {
+	arrived := message.Arrived(c.reader)
+	if problem, complete := message.CheckRequestHead(arrived); complete {
+		// Most heads arrive completely.
+		if problem != nil {
 			return nil, newRejection(problem)
 		}
 		return c.parseHead()
 	}
+	c.conn.head.Begin(arrived)
 	r, rejected := c.parseHead()
 	head, release := c.conn.head.End()
 	defer release()
 	if r == nil {
 		return nil, rejected
 	}
-	if problem := message.CheckRequestHead(head); problem != nil {
+	if problem, _ := message.CheckRequestHead(head); problem != nil {
 		return nil, newRejection(problem)
 	}
 	return r, nil
--- a/internal/message/head.go
+++ b/internal/message/head.go
@@ -29,9 +29,9 @@
 // add adds a field if it says something of the end of the message, and reports whether it does.
 func (f *framing) add(name, value []byte) bool {
 	switch {
-	case equalFold(name, "Content-Length"):
+	case len(name) == len("Content-Length") && equalFold(name, "Content-Length"):
 		f.lengths++
-	case equalFold(name, "Transfer-Encoding"):
+	case len(name) == len("Transfer-Encoding") && equalFold(name, "Transfer-Encoding"):
 		f.codings++
 		f.coding = trim(value)
 	default:
@@ -55,33 +55,40 @@
 	return ""
 }
 
-// nextLine returns the first line of a head, without its end, and what follows it.
-func nextLine(head []byte) (line, rest []byte) {
+// nextLine returns the first line of a head, without its end, and what follows it. It fails if the line has not arrived completely.
+func nextLine(head []byte) (line, rest []byte, ok bool) {
 	end := bytes.IndexByte(head, '\n')
 	if end < 0 {
-		return head, nil
+		return nil, nil, false
 	}
 	line, rest = head[:end], head[end+1:]
 	if last := end - 1; last >= 0 && line[last] == '\r' {
 		line = line[:last]
 	}
-	return line, rest
+	return line, rest, true
 }
 
 // splitField returns the name and the value in a line with a header field. It fails if the name is no token, as with a space before the
 // colon (RFC 9112, section 5.1).
 func splitField(line []byte) (name, value []byte, ok bool) {
-	for i, b := range line {
-		if b == ':' {
-			return line[:i], line[i+1:], i > 0
-		}
-		if !httpguts.IsTokenRune(rune(b)) {
-			break
-		}
+	i := 0
+	for i < len(line) && tokenBytes[line[i]] {
+		i++
 	}
-	return nil, nil, false
+	if i == 0 || i == len(line) || line[i] != ':' {
+		return nil, nil, false
+	}
+	return line[:i], line[i+1:], true
 }
 
+// tokenBytes tells which bytes a token can have (RFC 9110, section 5.6.2).
+var tokenBytes = func() (table [256]bool) {
+	for b := range table {
+		table[b] = httpguts.IsTokenRune(rune(b))
+	}
+	return table
+}()
+
 // isFold reports whether a line continues the field before it.
 func isFold(line []byte) bool { return line[0] == ' ' || line[0] == '\t' }
 
--- a/internal/message/recorder.go
+++ b/internal/message/recorder.go
@@ -9,9 +9,6 @@
 // buffers pools the buffers of recorders.
 var buffers = sync.Pool{New: func() any { return &bytes.Buffer{} }}
 
-// headEnd ends a head, unless its lines end without CR.
-var headEnd = []byte("\r\n\r\n")
-
 // Recorder gives the bytes of a head as they were received to a check, while a reader of net/http parses them. The connection under the
 // buffered reader passes what it reads to Record.
 type Recorder struct {
@@ -26,16 +23,18 @@
 	}
 }
 
-// Begin returns what has arrived and is the head, and more, if all of the head has. Otherwise it returns nil and records until End is called.
-func (r *Recorder) Begin(reader *bufio.Reader) (head []byte) {
+// Arrived returns what the buffered reader holds.
+func Arrived(reader *bufio.Reader) []byte {
+	// What is held can be returned.
 	arrived, _ := reader.Peek(reader.Buffered())
-	if bytes.Contains(arrived, headEnd) {
-		return arrived
-	}
+	return arrived
+}
+
+// Begin records until End is called, beginning with what has arrived.
+func (r *Recorder) Begin(arrived []byte) {
 	r.received = buffers.Get().(*bytes.Buffer)
 	r.received.Reset()
 	r.received.Write(arrived)
-	return nil
 }
 
 // End ends the recording and returns what was recorded, and the function that releases it.
--- a/internal/message/request.go
+++ b/internal/message/request.go
@@ -24,36 +24,57 @@
 }
 
 // CheckRequestHead checks the head of a request as it was received, from the request line to the empty line, and returns nil if the request
-// may be handled. What follows the empty line makes no difference. It leaves out what http.ReadRequest checks.
-func CheckRequestHead(head []byte) *Problem {
+// may be handled. What follows the empty line makes no difference. It is not complete if it has not arrived up to the empty line; then the
+// problem is nil or the first one. CheckRequestHead leaves out what http.ReadRequest checks.
+func CheckRequestHead(head []byte) (problem *Problem, complete bool) {
 	var h requestHead
-	line, rest := nextLine(head)
+	line, rest, ok := nextLine(head)
+	if !ok {
+		return nil, false
+	}
 	version := line[bytes.LastIndexByte(line, ' ')+1:]
 	if bytes.HasPrefix(version, []byte("HTTP/")) && !bytes.HasPrefix(version, []byte("HTTP/1.")) {
-		return &Problem{http.StatusHTTPVersionNotSupported, reasonUnknownVersion}
+		problem = &Problem{http.StatusHTTPVersionNotSupported, reasonUnknownVersion}
 	}
 	h.oldVersion = string(version) == "HTTP/1.0"
-	for line, rest = nextLine(rest); len(line) > 0; line, rest = nextLine(rest) {
-		if isFold(line) {
-			// RFC 9112, section 5.2.
-			return invalid("FoldedField")
+	for {
+		if line, rest, ok = nextLine(rest); !ok {
+			return problem, false
+		}
+		if len(line) == 0 {
+			break
 		}
-		name, value, ok := splitField(line)
-		if !ok {
-			return invalid(reasonInvalidFieldName)
+		if problem == nil {
+			problem = h.addLine(line)
 		}
-		h.add(name, value)
 	}
-	return h.check()
+	if problem == nil {
+		problem = h.check()
+	}
+	return problem, true
+}
+
+// addLine adds a line with a field.
+func (h *requestHead) addLine(line []byte) *Problem {
+	if isFold(line) {
+		// RFC 9112, section 5.2.
+		return invalid("FoldedField")
+	}
+	name, value, ok := splitField(line)
+	if !ok {
+		return invalid(reasonInvalidFieldName)
+	}
+	h.add(name, value)
+	return nil
 }
 
 // add adds a field.
 func (h *requestHead) add(name, value []byte) {
 	switch {
-	case equalFold(name, "Host"):
+	case len(name) == len("Host") && equalFold(name, "Host"):
 		h.hosts++
 		h.host = trim(value)
-	case equalFold(name, "Expect"):
+	case len(name) == len("Expect") && equalFold(name, "Expect"):
 		h.expectations++
 		h.expectation = trim(value)
 	default:
--- a/internal/message/request_test.go
+++ b/internal/message/request_test.go
@@ -65,7 +65,13 @@
 			}
 			problem := CheckRequest(r, r.Header["X-Single"])
 			if problem == nil {
-				problem = CheckRequestHead([]byte(c.head + "body\r\n : \r\n"))
+				var complete bool
+				problem, complete = CheckRequestHead([]byte(c.head + "body\r\n : \r\n"))
+				is.True(complete)
+				for cut := range len(c.head) {
+					_, complete := CheckRequestHead([]byte(c.head[:cut]))
+					is.True(!complete)
+				}
 			}
 			if c.status == 0 {
 				is.True(problem == nil)
@@ -81,7 +87,7 @@
 func BenchmarkCheckRequestHead(b *testing.B) {
 	head := []byte("GET /certificates/heat-4711 HTTP/1.1\r\nHost: mills.example\r\nX-Attempt-Id: 9c41d07be2a35f68\r\nX-Deadline-Ms: 2000\r\nAccept: */*\r\nUser-Agent: branch/1.0\r\n\r\n")
 	for b.Loop() {
-		if CheckRequestHead(head) != nil {
+		if problem, _ := CheckRequestHead(head); problem != nil {
 			b.Fatal("refused")
 		}
 	}
--- a/internal/message/response.go
+++ b/internal/message/response.go
@@ -22,38 +22,60 @@
 // Error implements error.
 func (e *ResponseError) Error() string { return "invalid response: " + e.Reason }
 
+// ErrMalformed is the ResponseError of a head that http.ReadResponse refuses.
+var ErrMalformed = &ResponseError{"Malformed"}
+
+// responseHead is what the fields of the head of a response say of its end.
+type responseHead struct {
+	framing
+	// framed is set if the last field says something of the end.
+	framed bool
+}
+
 // CheckResponseHead checks the head of a response as it was received, from the status line to the empty line, and returns nil or a
-// ResponseError. What follows the empty line makes no difference. It leaves out what http.ReadResponse checks.
-func CheckResponseHead(head []byte) error {
-	line, rest := nextLine(head)
+// ResponseError. What follows the empty line makes no difference. It is not complete if it has not arrived up to the empty line.
+// CheckResponseHead leaves out what http.ReadResponse checks.
+func CheckResponseHead(head []byte) (complete bool, err error) {
+	var h responseHead
+	line, rest, ok := nextLine(head)
+	if !ok {
+		return false, nil
+	}
 	reason := checkStatusLine(line)
+	h.oldVersion = bytes.HasPrefix(line, []byte("HTTP/1.0"))
+	for {
+		if line, rest, ok = nextLine(rest); !ok {
+			return false, nil
+		}
+		if len(line) == 0 {
+			break
+		}
+		if reason == "" {
+			reason = h.addLine(line)
+		}
+	}
 	if reason == "" {
-		reason = checkResponseFields(rest, framing{oldVersion: bytes.HasPrefix(line, []byte("HTTP/1.0"))})
+		reason = h.problem()
 	}
 	if reason != "" {
-		return &ResponseError{reason}
+		return true, &ResponseError{reason}
 	}
-	return nil
+	return true, nil
 }
 
-// checkResponseFields returns the reason why the fields of a response are refused, or the empty string.
-func checkResponseFields(fields []byte, f framing) string {
-	framed := false
-	for line, rest := nextLine(fields); len(line) > 0; line, rest = nextLine(rest) {
-		if isFold(line) {
-			// The fold may be read as a part of the value (RFC 9112, section 5.2), but must not hide where the response ends.
-			if framed {
-				return reasonAmbiguousLength
-			}
-			continue
-		}
-		name, value, ok := splitField(line)
-		if !ok {
-			return reasonInvalidFieldName
-		}
-		framed = f.add(name, value)
+// addLine adds a line with a field, or a part of one, and returns the reason why it is refused, or the empty string.
+func (h *responseHead) addLine(line []byte) string {
+	switch name, value, ok := splitField(line); {
+	case isFold(line) && h.framed:
+		// The fold may be read as a part of the value (RFC 9112, section 5.2), but must not hide where the response ends.
+		return reasonAmbiguousLength
+	case isFold(line):
+	case !ok:
+		return reasonInvalidFieldName
+	default:
+		h.framed = h.add(name, value)
 	}
-	return f.problem()
+	return ""
 }
 
 // checkStatusLine returns the reason why a status line is refused (RFC 9112, section 4), or the empty string.
--- a/internal/message/response_test.go
+++ b/internal/message/response_test.go
@@ -64,7 +64,12 @@
 	for _, c := range responseHeads {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			err := CheckResponseHead([]byte(c.head + "body\r\n : \r\n"))
+			complete, err := CheckResponseHead([]byte(c.head + "body\r\n : \r\n"))
+			is.True(complete)
+			for cut := range len(c.head) {
+				complete, _ := CheckResponseHead([]byte(c.head[:cut]))
+				is.True(!complete)
+			}
 			if _, parseErr := http.ReadResponse(bufio.NewReader(strings.NewReader(c.head)), nil); parseErr != nil {
 				is.Equal(c.reason, "net/http")
 				return
