--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -41,8 +41,8 @@
 // responses that are skipped before it, may have. It may go on without end, so the connection was closed.
 var ErrResponseTooLarge = ErrConnectionBroke.NewSubtype("too_large")
 
-// ErrInvalidResponse is an ErrConnectionBroke: the head of the response is none that a response may have, so it is not certain what the
-// backend server has sent. InvalidReason returns the reason.
+// ErrInvalidResponse is an ErrConnectionBroke: the backend server sent a head that no response may have, so it is not certain what it has
+// sent. InvalidReason returns the reason.
 var ErrInvalidResponse = ErrConnectionBroke.NewSubtype("invalid_response")
 
 // reasonProperty is the property of an ErrInvalidResponse with its reason.
--- a/internal/entry/probes.go
+++ b/internal/entry/probes.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return
 	}
-	if !message.IsStatus(response.StatusCode) {
+	if !message.ValidStatus(response.StatusCode) {
 		_ = response.Body.Close()
 		return
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -241,9 +241,9 @@
 		err = backend.ErrConnectionBroke.New("peer %s broke the stream (%v); the request may have run", peer.Name, err)
 	case reply.Kind == inner.RelayKind_RelayHead && g.attemptID(decodeHeader(reply.Headers)) != g.attemptID(decodeHeader(r.Headers)):
 		err = backend.ErrUnidentifiedResponse.New("peer %s passed on a response that does not have the ID of the request, which may have run", peer.Name)
-	case reply.Kind == inner.RelayKind_RelayHead && (reply.Status < http.StatusOK || !message.IsStatus(int(reply.Status)) || reply.Length < -1):
+	case reply.Kind == inner.RelayKind_RelayHead && (reply.Status < http.StatusOK || !message.ValidStatus(int(reply.Status)) || reply.Length < -1):
 		err = backend.ErrConnectionBroke.New("peer %s passed on a response with status %d and length %d; the request may have run", peer.Name, reply.Status, reply.Length)
-	case reply.Kind == inner.RelayKind_RelayHead && !message.AreFields(decodeHeader(reply.Headers)):
+	case reply.Kind == inner.RelayKind_RelayHead && !message.ValidHeader(decodeHeader(reply.Headers)):
 		err = backend.ErrConnectionBroke.New("peer %s passed on a response with a field that no response may have; the request may have run", peer.Name)
 	case reply.Kind == inner.RelayKind_RelayHead:
 		return body.response(r.Method, reply), nil
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -66,7 +66,7 @@
 	longWaitsFrom time.Duration
 	// watchers are those selected from live, a result of MemberTable.Live. Only runStoreWatch uses them.
 	live, watchers []host.Member
-	// firstWatcher is the name of the first of them, and firstConfirmedAt as of when that has last confirmed the store, on the clock of
+	// firstWatcher is the name of the first of them, and firstConfirmedAt when that has last confirmed the store, on the clock of
 	// Gateway.now; 0 if it has not.
 	firstWatcher     atomic.Pointer[string]
 	firstConfirmedAt atomic.Int64
@@ -84,7 +84,7 @@
 	}
 }
 
-// noteConfirmation records what a host has learned of the store, if that is the first watcher.
+// noteConfirmation records knowledge of the store if the first watcher has learned it.
 func (w *watchState) noteConfirmation(k roster.Knowledge) {
 	if first := w.firstWatcher.Load(); first != nil && *first == k.Source.Host && int64(k.AsOf) > w.firstConfirmedAt.Load() {
 		w.firstConfirmedAt.Store(int64(k.AsOf))
@@ -178,8 +178,8 @@
 
 // waitTime returns how long the next call waits for changes. Each watcher waits for as many times confirmInterval as there are
 // watchers, and the waits end in turn, so that together they learn each confirmInterval that nothing has changed. A change ends the
-// calls of all of them at the same time, and the waits after it differ. While proofs of the age matter, waits are longer, and proofDelay is how long after the beginning of the
-// call to make one without a wait.
+// calls of all of them at the same time, and the waits after it differ. While proofs of the age matter, waits are longer and not aligned,
+// and proofDelay is how long after the beginning of the call to make one without a wait.
 func (w *watcher) waitTime() (wait, proofDelay time.Duration) {
 	watchers := w.gateway.watchers()
 	wait = min(max(minWatchTimeout, confirmInterval*time.Duration(len(watchers))), maxWatchTimeout)
--- a/internal/message/response.go
+++ b/internal/message/response.go
@@ -96,14 +96,14 @@
 	if !httpguts.ValidHeaderFieldValue(string(line[status:])) {
 		return reasonInvalidStatusLine
 	}
-	if !IsStatus(int(code[0]-'0') * 100) {
+	if !ValidStatus(int(code[0]-'0') * 100) {
 		return reasonInvalidStatus
 	}
 	return ""
 }
 
-// AreFields reports whether a parsed header has only names and values that fields can have (RFC 9110, sections 5.1 and 5.5).
-func AreFields(h http.Header) bool {
+// ValidHeader reports whether a parsed header has only names and values that fields can have (RFC 9110, sections 5.1 and 5.5).
+func ValidHeader(h http.Header) bool {
 	for name, values := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return false
@@ -117,5 +117,5 @@
 	return true
 }
 
-// IsStatus reports whether a number can be the status of a response (RFC 9110, section 15).
-func IsStatus(status int) bool { return status >= 100 && status <= 599 }
+// ValidStatus reports whether a number can be the status of a response (RFC 9110, section 15).
+func ValidStatus(status int) bool { return status >= 100 && status <= 599 }
