--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -82,12 +82,7 @@
 					var cuts atomic.Int64
 					for i := range 3 {
 						x := &cutTarget{standin.NewTarget(fmt.Sprint("c", i)), c.response, &cuts}
-						l := f.net.Listen(x.Name, "")
-						defer l.Close()
-						x.Address = l.Addr().String()
-						f.targets[x.Name] = x.Target
-						f.running.Go(func() { serveConns(l, x.serveConn) })
-						f.register(x.Target, "ready")
+						f.addRawTarget(x.Target, x.serveConn)
 					}
 					time.Sleep(time.Second)
 					if relayed {
--- a/internal/gateway/early_answer_test.go
+++ b/internal/gateway/early_answer_test.go
@@ -59,12 +59,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			withFleet(t, 2, 0, func(f *fleet) {
 				x := &earlyTarget{standin.NewTarget("t0"), c.part}
-				l := f.net.Listen(x.Name, "")
-				defer l.Close()
-				x.Address = l.Addr().String()
-				f.targets[x.Name] = x.Target
-				f.running.Go(func() { serveConns(l, x.serveConn) })
-				f.register(x.Target, "ready")
+				f.addRawTarget(x.Target, x.serveConn)
 				time.Sleep(time.Second)
 				if c.relayed {
 					f.cutOff("h0")
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -120,6 +120,16 @@
 	}
 }
 
+// addRawTarget starts a target that is served by a function for each connection, and registers it.
+func (f *fleet) addRawTarget(x *standin.Target, serveConn func(net.Conn)) {
+	l := f.net.Listen(x.Name, "")
+	f.cleanups = append(f.cleanups, func() { _ = l.Close() })
+	x.Address = l.Addr().String()
+	f.targets[x.Name] = x
+	f.running.Go(func() { serveConns(l, serveConn) })
+	f.register(x, "ready")
+}
+
 // sendPipeline sends requests on a new connection to a host, without waiting for responses, and returns the connection.
 func (f *fleet) sendPipeline(host string, requests ...string) net.Conn {
 	conn := f.dial(host)
--- a/internal/gateway/generated_answers_test.go
+++ b/internal/gateway/generated_answers_test.go
@@ -135,12 +135,7 @@
 				answers := make(chan generatedAnswer, 1)
 				for i := range 4 {
 					x := &generatingTarget{standin.NewTarget(fmt.Sprint("t", i)), answers}
-					l := f.net.Listen(x.Name, "")
-					defer l.Close()
-					x.Address = l.Addr().String()
-					f.targets[x.Name] = x.Target
-					f.running.Go(func() { serveConns(l, x.serveConn) })
-					f.register(x.Target, "ready")
+					f.addRawTarget(x.Target, x.serveConn)
 				}
 				time.Sleep(time.Second)
 				if relayed {
--- a/internal/gateway/invalid_answer_test.go
+++ b/internal/gateway/invalid_answer_test.go
@@ -35,12 +35,7 @@
 						return c.statusLine + "\r\n" + fields(id) + c.fields + "\r\n" + c.body +
 							"HTTP/1.1 200 OK\r\n" + fields(id) + "Content-Length: 4\r\n\r\nnext"
 					}}
-					l := f.net.Listen(x.Name, "")
-					defer l.Close()
-					x.Address = l.Addr().String()
-					f.targets[x.Name] = x.Target
-					f.running.Go(func() { serveConns(l, x.serveConn) })
-					f.register(x.Target, "ready")
+					f.addRawTarget(x.Target, x.serveConn)
 					time.Sleep(time.Second)
 					if relayed {
 						f.cutOff("h0")
