--- a/internal/gateway/generated_heads_test.go
+++ b/internal/gateway/generated_heads_test.go
@@ -10,7 +10,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -93,19 +92,6 @@
 // allowedStatuses are those of responses to generated requests.
 var allowedStatuses = []int{200, 400, 401, 404, 405, 408, 413, 414, 417, 431, 501, 503, 505}
 
-// sentRecorder is a backend server that records what it gets.
-type sentRecorder struct {
-	*standin.Target
-	got sync.Map
-}
-
-func (t *sentRecorder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if id := r.Header.Get("X-Attempt-Id"); id != "" {
-		t.got.Store(id, r.Method+" "+r.RequestURI+" "+strings.Join(r.Header["X-Tenant"], ","))
-	}
-	t.Target.ServeHTTP(w, r)
-}
-
 // TestGeneratedHeadsRunNothingElse guards against heads by which a caller makes a target run a request that it has not sent as one, or with
 // another method, path or account, and against heads that end the host. BRIARCROFT_HEADS is the number of heads.
 func TestGeneratedHeadsRunNothingElse(t *testing.T) {
@@ -117,10 +103,8 @@
 	withFleet(t, 1, 0, func(f *fleet) {
 		f.tenants = []tenant{{"name": "north", "api-keys": []string{"n1"}}, {"name": "south", "api-keys": []string{"s1"}}}
 		f.configureAccounts(2)
-		x := &sentRecorder{Target: standin.NewTarget("x")}
-		x.RunDuration = time.Millisecond
-		x.Address = f.serve(x.Name, "", x)
-		f.register(x.Target, "ready")
+		x := f.addRecordingTarget("x")
+		x.Update(func(t *standin.Target) { t.RunDuration = time.Millisecond })
 		time.Sleep(2 * time.Second)
 		g := headGenerator{rand.New(rand.NewPCG(seed, 1))}
 		statuses := map[int]int{}
@@ -142,16 +126,16 @@
 				t.Fatalf("%q is answered with %d", r.bytes, response.StatusCode)
 			}
 			_ = conn.Close()
-			if _, ran := x.got.Load("smuggled"); ran {
+			if _, ran := x.received("smuggled"); ran {
 				t.Fatalf("%q makes a target run what was sent as a body", r.bytes)
 			}
-			if got, ran := x.got.LoadAndDelete(r.id); ran {
+			if got, ran := x.received(r.id); ran {
 				path := r.target
 				if _, behind, absolute := strings.Cut(r.target, "://www.example"); absolute {
 					path = behind
 				}
-				if got != r.method+" "+path+" north" {
-					t.Fatalf("%q reaches a target as %q", r.bytes, got)
+				if got.method != r.method || got.target != path || !slices.Equal(got.header["X-Tenant"], []string{"north"}) {
+					t.Fatalf("%q reaches a target as %v", r.bytes, got)
 				}
 			}
 			x.Update(func(s *standin.Target) { clear(s.Runs); clear(s.Arrivals); s.ArrivalLog, s.TimeLimits = nil, nil })
--- a/internal/gateway/own_fields_test.go
+++ b/internal/gateway/own_fields_test.go
@@ -4,39 +4,19 @@
 	"bufio"
 	"fmt"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
-
-	"briarcroft/platform/standin"
 )
 
-// fieldTarget is a backend server that records the header of each attempt, and names fields in the Connection field of its responses.
-type fieldTarget struct {
-	*standin.Target
-	headers    sync.Map
-	connection string
-}
-
-func (t *fieldTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if id := r.Header.Get("X-Attempt-Id"); id != "" {
-		t.headers.Store(id, r.Header.Clone())
-		w.Header().Set("Connection", t.connection)
-	}
-	t.Target.ServeHTTP(w, r)
-}
-
 // withFieldTarget runs a test with two client accounts and a rule for requests without keys.
-func withFieldTarget(t *testing.T, connection string, run func(f *fleet, target *fieldTarget)) {
+func withFieldTarget(t *testing.T, connection string, run func(f *fleet, target *recordingTarget)) {
 	withFleet(t, 2, 0, func(f *fleet) {
 		f.tenants = []tenant{{"name": "north", "api-keys": []string{"key-north"}}, {"name": "south", "api-keys": []string{"key-south"}}}
 		public := safeRule("public", "/public/")
 		public["public"] = true
 		f.configure(2, safeRule("lookup", "/lookup/"), public)
-		x := &fieldTarget{Target: standin.NewTarget("x"), connection: connection}
-		x.Address = f.serve(x.Name, "", x)
-		f.register(x.Target, "ready")
-		f.targets[x.Name] = x.Target
+		x := f.addRecordingTarget("x")
+		x.connection = connection
 		time.Sleep(2 * time.Second)
 		run(f, x)
 	})
@@ -56,7 +36,7 @@
 	} {
 		for _, relayed := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, relayed %v", c.name, relayed), func(t *testing.T) {
-				withFieldTarget(t, "", func(f *fleet, target *fieldTarget) {
+				withFieldTarget(t, "", func(f *fleet, target *recordingTarget) {
 					if relayed {
 						f.net.Refuse("h0", "x", true)
 					}
@@ -66,9 +46,9 @@
 					f.is.NoErr(err)
 					status, _ := f.read(bufio.NewReader(conn))
 					f.is.Equal(status, http.StatusOK)
-					value, found := target.headers.Load("sent")
+					got, found := target.received("sent")
 					f.is.True(found) // the ID reaches the target
-					header := value.(http.Header)
+					header := got.header
 					f.is.Equal(header.Get("X-Tenant"), c.tenant)
 					f.is.Equal(len(header["X-Tenant"]) <= 1, true)
 					f.is.Equal(header.Get("X-Expect-Instance"), "x")
@@ -85,7 +65,7 @@
 // TestTargetCannotRemoveFields guards against responses without the fields that prove them, because the target lists these in its
 // Connection field.
 func TestTargetCannotRemoveFields(t *testing.T) {
-	withFieldTarget(t, "X-Response-Seal, X-Attempt-Id, Content-Type, X-Server-Load", func(f *fleet, _ *fieldTarget) {
+	withFieldTarget(t, "X-Response-Seal, X-Attempt-Id, Content-Type, X-Server-Load", func(f *fleet, _ *recordingTarget) {
 		r := f.callWith("caller", "h0", http.MethodGet, "/lookup/1", "sent", http.Header{"X-Credential": {"key-north"}})
 		f.is.NoErr(r.err)
 		f.is.Equal(r.status, http.StatusOK)
--- a/internal/gateway/repeated_refusal_test.go
+++ b/internal/gateway/repeated_refusal_test.go
@@ -105,12 +105,7 @@
 			withFleet(t, 2, 0, func(f *fleet) {
 				for i := range 2 {
 					x := &refusalRepeater{standin.NewTarget(fmt.Sprint("r", i)), c.delay, c.refuseRuns, c.split}
-					l := f.net.Listen(x.Name, "")
-					defer l.Close()
-					x.Address = l.Addr().String()
-					f.targets[x.Name] = x.Target
-					f.running.Go(func() { serveConns(l, x.serveConn) })
-					f.register(x.Target, "ready")
+					f.addRawTarget(x.Target, x.serveConn)
 				}
 				time.Sleep(time.Second)
 				var callers sync.WaitGroup
--- a/internal/gateway/second_answer_test.go
+++ b/internal/gateway/second_answer_test.go
@@ -60,11 +60,7 @@
 		t.Run(delay.String(), func(t *testing.T) {
 			withFleet(t, 1, 0, func(f *fleet) {
 				x := &repeatingTarget{standin.NewTarget("r"), delay}
-				l := f.net.Listen("r", "")
-				defer l.Close()
-				x.Address = l.Addr().String()
-				f.running.Go(func() { serveConns(l, x.serveConn) })
-				f.register(x.Target, "ready")
+				f.addRawTarget(x.Target, x.serveConn)
 				time.Sleep(time.Second)
 				answered := 0
 				for i := range 60 {
--- a/internal/gateway/sent_path_test.go
+++ b/internal/gateway/sent_path_test.go
@@ -4,40 +4,20 @@
 	"bufio"
 	"fmt"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
 	"briarcroft/platform/standin"
 )
 
-// pathTarget is a backend server that records the request target of each attempt.
-type pathTarget struct {
-	*standin.Target
-	targets sync.Map
-}
-
-func (t *pathTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if id := r.Header.Get("X-Attempt-Id"); id != "" {
-		t.targets.Store(id, r.Host+" "+r.RequestURI)
-	}
-	t.Target.ServeHTTP(w, r)
-}
-
 // withPathTarget runs a test with a rule for unsafe requests to /batch/ and one for safe requests to a part of it.
-func withPathTarget(t *testing.T, run func(f *fleet, target *pathTarget)) {
+func withPathTarget(t *testing.T, run func(f *fleet, target *recordingTarget)) {
 	withFleet(t, 2, 0, func(f *fleet) {
 		f.configure(2, unsafeRule("batch", "/batch/"), safeRule("year", "/batch/2026/"), unsafeRule("all", "/"))
-		var first *pathTarget
-		for i := range 2 {
-			x := &pathTarget{Target: standin.NewTarget(fmt.Sprint("p", i))}
-			x.Address = f.serve(x.Name, "", x)
-			f.register(x.Target, "ready")
-			f.targets[x.Name] = x.Target
-			first = x
-		}
+		f.addRecordingTarget("p0")
+		target := f.addRecordingTarget("p1")
 		time.Sleep(2 * time.Second)
-		run(f, first)
+		run(f, target)
 	})
 }
 
@@ -57,7 +37,7 @@
 		{"http://www.example/batch/2026/0417", "www.example", 2},
 	} {
 		t.Run(c.target, func(t *testing.T) {
-			withPathTarget(t, func(f *fleet, _ *pathTarget) {
+			withPathTarget(t, func(f *fleet, _ *recordingTarget) {
 				for _, x := range f.targets {
 					x.Update(func(t *standin.Target) { t.DropResponses = true })
 				}
@@ -81,7 +61,7 @@
 	} {
 		for _, relayed := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, relayed %v", c.target, relayed), func(t *testing.T) {
-				withPathTarget(t, func(f *fleet, target *pathTarget) {
+				withPathTarget(t, func(f *fleet, target *recordingTarget) {
 					f.store.Delete("servers/p0")
 					time.Sleep(time.Second)
 					if relayed {
@@ -93,8 +73,8 @@
 					f.is.NoErr(err)
 					status, _ := f.read(bufio.NewReader(conn))
 					f.is.Equal(status, http.StatusOK)
-					sent, _ := target.targets.Load("sent")
-					f.is.Equal(sent, "www.example "+c.want)
+					got, _ := target.received("sent")
+					f.is.Equal(got.host+" "+got.target, "www.example "+c.want)
 					f.is.Equal(f.hosts["h0"].gateway.RelayedRequests() > 0, relayed)
 				})
 			})
