--- a/internal/gateway/generated_answers_test.go
+++ b/internal/gateway/generated_answers_test.go
@@ -44,8 +44,8 @@
 	// bodies fit into the buffers of sockets, which the simulated network lacks, and are read.
 	upload, readBefore int
 	body               string
-	// whole is set if the answer is a whole and sound success, and either if it may count as one.
-	whole, either bool
+	// whole is set if the answer is a whole and sound success, and undecidable if its reader cannot tell whether it is.
+	whole, undecidable bool
 }
 
 func (g answerGenerator) next(id string) generatedAnswer {
@@ -80,7 +80,7 @@
 	if framing.text == "" {
 		// Nothing but the end of the connection tells the end. A part before it looks like all of the body, and so does an end at which the
 		// target has not read all of the request.
-		a.either = interim.sound && line.sound && own.sound && seal.sound && field.sound && !a.reset
+		a.undecidable = interim.sound && line.sound && own.sound && seal.sound && field.sound && !a.reset
 		a.whole = a.whole && !a.reset && a.readBefore == 100
 	}
 	return a
@@ -155,7 +155,7 @@
 					success := r.err == nil && r.status < http.StatusMultipleChoices
 					outcomes[fmt.Sprintf("whole %v, success %v, refused %v", a.whole, success, unsent > 0)]++
 					switch {
-					case success && !a.whole && !a.either || success && a.whole && r.body != a.body:
+					case success && !a.whole && !a.undecidable || success && a.whole && r.body != a.body:
 						t.Fatalf("%d bytes of %q, reset %v, are answered %d %q", a.sent, a.text, a.reset, r.status, r.body)
 					case r.err != nil || !success && r.status < http.StatusBadRequest:
 						t.Fatalf("%d bytes of %q, reset %v, are answered %d, error %v", a.sent, a.text, a.reset, r.status, r.err)
