--- a/internal/gateway/early_answer_test.go
+++ b/internal/gateway/early_answer_test.go
@@ -35,6 +35,7 @@
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal\r\nX-Server-Load: 0,0,3,100\r\nContent-Length: 0\r\n\r\n", t.Name, id)
 			continue
 		}
+		t.Update(func(t *standin.Target) { t.Runs[id]++ })
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal\r\n\r\n", id)
 		_, _ = io.WriteString(conn, strings.Repeat("x", t.part))
 		fakenet.Reset(conn)
@@ -65,10 +66,12 @@
 					f.cutOff("h0")
 				}
 				for i := range 5 {
-					r := f.callBody("h0", fmt.Sprintf("early-%d", i), make([]byte, 600_000))
+					id := fmt.Sprintf("early-%d", i)
+					r := f.callBody("h0", id, make([]byte, 600_000))
 					if r.err == nil && r.status < http.StatusMultipleChoices {
 						t.Errorf("answered %d with %d bytes of the body", r.status, len(r.body))
 					}
+					f.is.Equal(f.runsOf(id), 1) // what may have run is not sent again
 					time.Sleep(2 * time.Second)
 				}
 				f.is.Equal(f.hosts["h0"].gateway.RelayedRequests() > 0, c.relayed)
